--- /dev/null
+++ b/crates/simhost/src/lib.rs
@@ -0,0 +1,6 @@
+//! The simulator's adapter: frames in, events to the module's instances, their actions out as frames.
+#![forbid(unsafe_code)]
+
+pub mod host;
+pub mod setup;
+pub mod wire;
--- /dev/null
+++ b/crates/simhost/src/setup.rs
@@ -0,0 +1,235 @@
+//! The settings text of `Born`, turned into the module's settings. Unknown keys are skipped.
+
+use beechloft::interface as api;
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Caps {
+    cancel: bool,
+    max_attempts: u32,
+    max_retry_after_us: u64,
+    probes: bool,
+    retry_after: bool,
+}
+
+impl Default for Caps {
+    fn default() -> Self {
+        Caps {
+            cancel: false,
+            max_attempts: u32::MAX,
+            max_retry_after_us: 0,
+            probes: false,
+            retry_after: false,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct Class {
+    aim_us: u64,
+    deadline_us: u64,
+    effect: String,
+    #[serde(default)]
+    group: String,
+    #[serde(default)]
+    window_us: u64,
+    #[serde(default = "one")]
+    points: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct FamilyInfo {
+    all_links_kb: Option<f64>,
+    change_costs_s: f64,
+    floor_by_class: Vec<u8>,
+    guard: f64,
+    is_live: Vec<bool>,
+    join_adds: Option<f64>,
+    kind_streams: Vec<f64>,
+    link_unit_kb: Option<f64>,
+    places: u32,
+    rack_link_kb: Option<f64>,
+    rates_kb: Vec<f64>,
+    scale_by_class: Vec<f64>,
+    seats: Vec<u32>,
+    see_us: u64,
+    shelves: u32,
+    top_by_class: Vec<u8>,
+    worth_by_rung: Vec<f64>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Prices {
+    moves: f64,
+    probe: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct ReportingInfo {
+    how: String,
+    names: Vec<String>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Rules {
+    budget_free: Option<f64>,
+    extra_per_request: Option<f64>,
+    resend_span_us: Option<u64>,
+    cold_from: f64,
+    cold_us: u64,
+    fall_multiple: f64,
+    fall_us: u64,
+}
+
+#[derive(Deserialize)]
+struct Tenant {
+    quota_per_s: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct Setup {
+    #[serde(default)]
+    caps: Caps,
+    classes: Vec<Class>,
+    #[serde(default)]
+    discovery: String,
+    family_info: FamilyInfo,
+    #[serde(default = "unit")]
+    group_size: u32,
+    #[serde(default)]
+    locality: u16,
+    #[serde(default)]
+    my_number: u32,
+    #[serde(default = "one")]
+    over_share_worth: f64,
+    #[serde(default)]
+    prices: Prices,
+    #[serde(default)]
+    reporting: ReportingInfo,
+    #[serde(default)]
+    rules: Rules,
+    #[serde(default)]
+    tenants: Vec<Tenant>,
+    #[serde(default)]
+    weights: String,
+}
+
+fn unit() -> u32 {
+    1
+}
+
+/// The settings, and what the values of a load report mean, in order.
+pub struct Parsed {
+    /// What the module is told.
+    pub settings: api::Settings,
+    /// Meaning of each value of a load report.
+    pub fields: Vec<api::ReportField>,
+}
+
+/// Parses the settings text.
+pub fn parse(text: &[u8]) -> Result<Parsed, serde_json::Error> {
+    let s: Setup = serde_json::from_slice(text)?;
+    let f = &s.family_info;
+    let steps = f.rates_kb.len().max(1) as u8;
+    let classes = s
+        .classes
+        .iter()
+        .enumerate()
+        .map(|(i, c)| api::Class {
+            aim: api::Micros(c.aim_us),
+            deadline: api::Micros(c.deadline_us),
+            effect: match c.effect.as_str() {
+                "repeatable" => api::Effect::Repeatable,
+                "by_key" => api::Effect::Keyed {
+                    group: match c.group.as_str() {
+                        "all" => api::Group::All,
+                        "zone" | "same zone" => api::Group::Zone,
+                        _ => api::Group::Cell,
+                    },
+                    window: api::Micros(c.window_us),
+                },
+                _ => api::Effect::Once,
+            },
+            worth: c.points,
+            scale: f.scale_by_class.get(i).copied().unwrap_or(1.0),
+            floor: api::Rung(f.floor_by_class.get(i).copied().unwrap_or(0)),
+            top: api::Rung(f.top_by_class.get(i).copied().unwrap_or(steps - 1).min(steps - 1)),
+            seats: f.seats.get(i).copied().filter(|n| *n > 0),
+            join: match (f.is_live.get(i), f.join_adds) {
+                (Some(true), Some(j)) => j,
+                _ => 1.0,
+            },
+        })
+        .collect();
+    let fields = s.reporting.names.iter().map(|n| match n.as_str() {
+        "outstanding" => api::ReportField::Streams,
+        "utilization" | "x0" => api::ReportField::LinkUse,
+        "x1" => api::ReportField::UplinkUse,
+        _ => api::ReportField::Other,
+    });
+    let budget = match (s.rules.extra_per_request, s.rules.resend_span_us) {
+        (Some(share), Some(span)) => Some(api::RetryBudget {
+            free: s.rules.budget_free.unwrap_or(0.0),
+            share,
+            window: api::Micros(span),
+        }),
+        _ => None,
+    };
+    let settings = api::Settings {
+        classes,
+        tenants: s.tenants.iter().map(|t| api::Tenant { quota_per_s: t.quota_per_s }).collect(),
+        kind_streams: f.kind_streams.iter().map(|n| *n as u32).collect(),
+        ladder: api::Ladder {
+            rates_kb: f.rates_kb.clone(),
+            worth: f.worth_by_rung.clone(),
+            change_cost_s: f.change_costs_s,
+        },
+        cells: f.places,
+        racks: f.shelves,
+        all_links_kb: f.all_links_kb,
+        link_unit_kb: f.link_unit_kb,
+        uplink_kb: f.rack_link_kb.filter(|k| *k > 0.0),
+        guard: Some(f.guard).filter(|g| *g > 0.0),
+        note_delay: api::Micros(f.see_us),
+        fronts: s.group_size,
+        number: s.my_number,
+        zone: api::ZoneId(s.locality),
+        reporting: match s.reporting.how.as_str() {
+            "piggyback" => api::Reporting::InAnswers,
+            "pull" => api::Reporting::InProbes,
+            _ => api::Reporting::Silent,
+        },
+        sizes: match s.weights.as_str() {
+            "nominal" | "rough" => api::Sizes::Size,
+            "live" => api::Sizes::Live,
+            _ => api::Sizes::Silent,
+        },
+        discovery: if s.discovery == "ask" { api::Discovery::Ask } else { api::Discovery::Push },
+        limits: api::Limits {
+            max_attempts: s.caps.max_attempts,
+            probes: s.caps.probes,
+            cancel: s.caps.cancel,
+            retry_after: s.caps.retry_after.then_some(api::Micros(s.caps.max_retry_after_us)),
+        },
+        budget,
+        cold: api::ColdRule {
+            warm_after: api::Micros(s.rules.cold_us),
+            from: s.rules.cold_from,
+            multiple: s.rules.fall_multiple,
+            span: api::Micros(s.rules.fall_us),
+        },
+        probe_price: s.prices.probe,
+        move_price: s.prices.moves,
+        over_share_worth: s.over_share_worth,
+    };
+    Ok(Parsed { settings, fields: fields.collect() })
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,8 @@
+//! beechloft decides, for one session front, who plays, on which streaming server and at what rung.
+//!
+//! [`choice::Choice`] is a pure state machine: it is fed events with the time at which they happened and
+//! answers with actions. [`interface`] holds every type that passes between it and whatever drives it.
+#![forbid(unsafe_code)]
+
+pub mod choice;
+pub mod interface;
