--- a/src/interface.rs
+++ b/src/interface.rs
@@ -268,9 +268,10 @@
 }
 
 /// A server's state on the list.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum ServerState {
     /// Takes sessions.
+    #[default]
     Ready,
     /// Finishes what it has.
     Draining,
@@ -279,7 +280,7 @@
 }
 
 /// A line of the server list.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct ServerEntry {
     /// Which server.
     pub server: ServerId,
@@ -311,7 +312,7 @@
 }
 
 /// A viewer's wish to watch.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Request {
     /// The session.
     pub session: SessionId,
