--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,9 +3,10 @@
 //!
 //! In order: tuned values, state, events, placing (IS-C-SS of DIAR), trust and pace, rungs while playing, estimates.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::interface::*;
+use crate::state::*;
 
 /// Part of an announced size that is never promised, and that a rung above the base leaves spare on top.
 const MARGIN: f64 = 0.15;
@@ -46,21 +47,11 @@
 
 const TICK_TOKEN: TimerToken = TimerToken(1);
 
-/// One resource: its size, what own sessions ask, and what was heard of its use.
-#[derive(Debug, Default)]
-struct Gauge {
-    size: f64,
-    own: f64,
-    /// When, use over size, and what own sessions asked then.
-    heard: VecDeque<(Micros, f64, f64)>,
-}
-
 impl Gauge {
     fn hear(&mut self, now: Micros, ratio: f64) {
         if ratio.is_finite() && ratio >= 0.0 {
             self.heard.push_back((now, ratio.min(5.0), self.own));
-            self.heard.truncate(64);
-            while self.heard.front().is_some_and(|h| now - h.0 > REPORT_WINDOW) {
+            while self.heard.len() > 64 || self.heard.front().is_some_and(|h| now - h.0 > REPORT_WINDOW) {
                 self.heard.pop_front();
             }
         }
@@ -88,105 +79,62 @@
     }
 }
 
-#[derive(Debug, Default)]
-struct Server {
-    entry: ServerEntry,
-    rack: u32,
-    link: Gauge,
-    streams: Gauge,
-    /// Attempts out, and when set-ups went out lately.
-    out: u32,
-    sent: VecDeque<Micros>,
-    strikes: u32,
-    struck_at: Micros,
-    shut_until: Micros,
-    alive_at: Micros,
-    /// It may have restarted unseen; the first answer starts its cold time.
-    witnessed: bool,
-    cold_since: Option<Micros>,
-    short: Option<(Micros, f64)>,
-    probing: bool,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-enum Phase {
-    /// An answer is owed.
-    #[default]
-    Owed,
-    /// The viewer watches.
-    Playing,
-    /// Answered, but an attempt is still out.
-    Over,
-}
-
-#[derive(Debug, Default)]
-struct Session {
-    req: Request,
-    phase: Phase,
-    aim: Micros,
-    at: Option<ServerId>,
-    rung: Rung,
-    changed: Micros,
-    attempts: u32,
-    tried: Vec<ServerId>,
-    /// Attempts that may have run.
-    ran: Vec<(ServerId, Micros)>,
-    /// Past its tenant's share.
-    cheap: bool,
-}
-
 /// The controller of one front.
 #[derive(Debug)]
 pub struct Choice {
     set: Settings,
-    rng: u64,
+    rng: Random,
+    now: Micros,
+    out: Vec<Action>,
     born: Option<Micros>,
     servers: BTreeMap<ServerId, Server>,
     racks: BTreeMap<u32, Gauge>,
     sessions: BTreeMap<SessionId, Session>,
-    taken: VecDeque<Micros>,
-    extra: VecDeque<Micros>,
-    tenants: BTreeMap<TenantId, VecDeque<Micros>>,
+    taken: Recent,
+    extra: Recent,
+    tenants: BTreeMap<TenantId, Recent>,
 }
 
 impl Choice {
     /// A controller that knows its settings and nothing else.
     pub fn new(set: Settings, seed: u64) -> Self {
         let (servers, racks, sessions, tenants) = Default::default();
-        let (taken, extra) = Default::default();
-        Choice { set, rng: seed, born: None, servers, racks, sessions, taken, extra, tenants }
+        let (now, out, born, taken, extra) = Default::default();
+        Choice { set, rng: Random(seed), now, out, born, servers, racks, sessions, taken, extra, tenants }
     }
 
     /// Takes one event and appends what is to be done, in order.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        self.now = now;
         if self.born.is_none() {
             self.born = Some(now);
-            out.push(Action::SetTimer(TICK, TICK_TOKEN));
+            self.out.push(Action::SetTimer(TICK, TICK_TOKEN));
             if self.set.discovery == Discovery::Ask {
-                out.push(Action::Subscribe);
+                self.out.push(Action::Subscribe);
             }
         }
         match event {
-            Event::Servers(form, entries) => self.list(now, form, entries, out),
-            Event::Request(req) => self.request(now, req, out),
-            Event::HandedOver(req, server) => self.handed_over(now, req, server),
-            Event::Started { session, server, .. } => self.started(now, session, server),
+            Event::Servers(form, entries) => self.list(form, entries),
+            Event::Request(req) => self.request(req),
+            Event::HandedOver(req, server) => self.handed_over(req, server),
+            Event::Started { session, server, .. } => self.started(session, server),
             Event::Ended { session, server, outcome, closed, report, .. } => {
-                self.report(now, server, report);
-                self.ended(now, session, server, outcome, closed, out);
+                self.report(server, report);
+                self.ended(session, server, outcome, closed);
             }
-            Event::Withdrawn(id) => self.withdrawn(id, out),
-            Event::Noted { session, server, note } => self.noted(now, session, server, note),
-            Event::Probed { server, outcome, report } => self.probed(now, server, outcome, report, out),
-            Event::Timer(TICK_TOKEN) => self.tick(now, out),
+            Event::Withdrawn(id) => self.withdrawn(id),
+            Event::Noted { session, server, note } => self.noted(session, server, note),
+            Event::Probed { server, outcome, report } => self.probed(server, outcome, report),
+            Event::Timer(TICK_TOKEN) => self.tick(),
             Event::Timer(_) | Event::Peer(..) => {}
         }
+        out.append(&mut self.out);
     }
 
-    fn list(&mut self, now: Micros, form: ListForm, entries: Vec<ServerEntry>, out: &mut Vec<Action>) {
+    fn list(&mut self, form: ListForm, entries: Vec<ServerEntry>) {
         if form == ListForm::Failed {
             if self.set.discovery == Discovery::Ask {
-                out.push(Action::Subscribe);
+                self.out.push(Action::Subscribe);
             }
             return;
         }
@@ -231,36 +179,36 @@
             // The settings tell the mean uplink; it stays as the rack's servers come and go.
             self.racks.entry(s.rack).or_default().size = self.set.uplink_kb.unwrap_or(f64::INFINITY);
         }
-        self.recount();
+        recount(&self.set, &mut self.servers, &mut self.racks, &self.sessions);
     }
 
-    fn request(&mut self, now: Micros, req: Request, out: &mut Vec<Action>) {
-        self.taken.push_back(now);
+    fn request(&mut self, req: Request) {
+        self.taken.note(self.now, self.budget_window());
         let id = req.session;
         let Some(class) = self.set.classes.get(usize::from(req.class.0)) else {
-            out.push(Action::Fail(id));
+            self.out.push(Action::Fail(id));
             return;
         };
-        let aim = (now + class.aim).min(req.gives_up);
-        let cheap = self.past_share(now, &req);
+        let aim = (self.now + class.aim).min(req.gives_up);
+        let cheap = self.past_share(&req);
         self.sessions.insert(id, Session { req, aim, cheap, ..Session::default() });
-        self.place(now, id, out);
+        self.place(id);
     }
 
-    fn handed_over(&mut self, now: Micros, req: Request, server: ServerId) {
+    fn handed_over(&mut self, req: Request, server: ServerId) {
         self.servers.values_mut().for_each(|s| s.witnessed = false);
         let Some(class) = self.set.classes.get(usize::from(req.class.0)) else { return };
         let (phase, at, rung) = (Phase::Playing, Some(server), class.floor);
-        let session = Session { phase, at, rung, changed: now, attempts: 1, req, ..Session::default() };
+        let session = Session { phase, at, rung, changed: self.now, attempts: 1, req, ..Session::default() };
         self.sessions.insert(session.req.session, session);
-        self.recount();
+        recount(&self.set, &mut self.servers, &mut self.racks, &self.sessions);
     }
 
-    fn started(&mut self, now: Micros, id: SessionId, server: ServerId) {
-        self.alive(now, server);
+    fn started(&mut self, id: SessionId, server: ServerId) {
+        self.alive(server);
         let owed = |s: &&mut Session| s.at == Some(server) && s.phase == Phase::Owed;
         if let Some(s) = self.sessions.get_mut(&id).filter(owed) {
-            (s.phase, s.changed) = (Phase::Playing, now);
+            (s.phase, s.changed) = (Phase::Playing, self.now);
             self.back_in(server);
         }
     }
@@ -271,23 +219,13 @@
         }
     }
 
-    fn ended(
-        &mut self,
-        now: Micros,
-        id: SessionId,
-        server: ServerId,
-        outcome: Outcome,
-        closed: bool,
-        out: &mut Vec<Action>,
-    ) {
-        let sent = self.sessions.get(&id).and_then(|s| s.ran.last()).map_or(now, |r| r.1);
+    fn ended(&mut self, id: SessionId, server: ServerId, outcome: Outcome, closed: bool) {
+        let sent = self.sessions.get(&id).and_then(|s| s.ran.last()).map_or(self.now, |r| r.1);
         match outcome {
-            Outcome::Ok => self.alive(now, server),
-            Outcome::Full => {
-                self.report(now, server, LoadReport { link: self.set.guard, ..Default::default() })
-            }
+            Outcome::Ok => self.alive(server),
+            Outcome::Full => self.report(server, LoadReport { link: self.set.guard, ..Default::default() }),
             Outcome::Cancelled | Outcome::Moot => {}
-            failure => self.strike(now, server, sent, failure, out),
+            failure => self.strike(server, sent, failure),
         }
         let Some(s) = self.sessions.get_mut(&id) else { return };
         s.at = None;
@@ -301,19 +239,19 @@
         if over {
             self.sessions.remove(&id);
         }
-        self.recount();
+        recount(&self.set, &mut self.servers, &mut self.racks, &self.sessions);
         if !over {
-            self.place(now, id, out);
+            self.place(id);
         }
     }
 
-    fn withdrawn(&mut self, id: SessionId, out: &mut Vec<Action>) {
+    fn withdrawn(&mut self, id: SessionId) {
         let Some(s) = self.sessions.get_mut(&id).filter(|s| s.phase == Phase::Owed) else { return };
         s.phase = Phase::Over;
         if s.at.is_none() {
             self.sessions.remove(&id);
         } else if self.set.limits.cancel {
-            out.push(Action::Cancel(id, Attempt(s.attempts.saturating_sub(1) as u16)));
+            self.out.push(Action::Cancel(id, Attempt(s.attempts.saturating_sub(1) as u16)));
         }
     }
 
@@ -321,37 +259,37 @@
 
     /// Tries holders by rising load factor and sends to the first whose every resource covers the rung's rate;
     /// none: an answer at once.
-    fn place(&mut self, now: Micros, id: SessionId, out: &mut Vec<Action>) {
+    fn place(&mut self, id: SessionId) {
         let Some(s) = self.sessions.get(&id) else { return };
-        let (class, top, cheap) = (s.req.class, self.top(&s.req), s.cheap);
-        let floor = self.class(class).floor;
-        if top < floor || !self.may_try(now, s) || self.seats_taken(&s.req) {
-            return self.give_up(id, out);
+        let (class, top, cheap) = (s.req.class, self.set.top(&s.req), s.cheap);
+        let floor = self.set.class(class).floor;
+        if top < floor || !self.may_try(s) || self.seats_taken(&s.req) {
+            return self.give_up(id);
         }
         let base = if cheap { floor } else { self.base(class).min(top) };
-        let holders = self.holders(now, s);
-        let mut choice = self.first_covering(now, &holders, self.rate(class, base)).map(|h| (h, base));
+        let holders = self.holders(s);
+        let mut choice = self.first_covering(&holders, self.set.rate(class, base)).map(|h| (h, base));
         if choice.is_none() && !cheap {
-            choice = self.make_room(now, id, &holders, base, out).map(|h| (h, base));
+            choice = self.make_room(id, &holders, base).map(|h| (h, base));
         }
         for rung in (floor.0..base.0).rev().map(Rung) {
             choice =
-                choice.or_else(|| Some((self.first_covering(now, &holders, self.rate(class, rung))?, rung)));
+                choice.or_else(|| Some((self.first_covering(&holders, self.set.rate(class, rung))?, rung)));
         }
-        let Some((server, base)) = choice else { return self.give_up(id, out) };
+        let Some((server, base)) = choice else { return self.give_up(id) };
         // The highest rung that leaves the margin spare.
         let top = if cheap { base } else { top };
-        let spare = |up: &u8| self.fits(now, server, self.rate(class, Rung(*up)), 1.0 - 2.0 * MARGIN);
+        let spare = |up: &u8| self.fits(server, self.set.rate(class, Rung(*up)), 1.0 - 2.0 * MARGIN);
         let rung = (base.0 + 1..=top.0).rev().find(spare).map_or(base, Rung);
-        self.send(now, id, server, rung, out);
+        self.send(id, server, rung);
     }
 
-    fn first_covering(&mut self, now: Micros, holders: &[ServerId], rate: f64) -> Option<ServerId> {
+    fn first_covering(&mut self, holders: &[ServerId], rate: f64) -> Option<ServerId> {
         let mut best: Option<((i64, bool, u64), ServerId)> = None;
         for &id in holders {
             let Some(s) = self.servers.get(&id) else { continue };
-            let (factor, away) = (self.load_factor(now, s, rate), s.entry.zone != self.set.zone);
-            let key = ((factor / TIE) as i64, away, self.random());
+            let (factor, away) = (self.load_factor(s, rate), s.entry.zone != self.set.zone);
+            let key = ((factor / TIE) as i64, away, self.rng.next());
             if factor <= 1.0 && best.is_none_or(|(b, _)| key < b) {
                 best = Some((key, id));
             }
@@ -360,44 +298,37 @@
     }
 
     /// The maximum over link, streams, uplink and set-ups out of need over available.
-    fn load_factor(&self, now: Micros, s: &Server, rate: f64) -> f64 {
+    fn load_factor(&self, s: &Server, rate: f64) -> f64 {
         let part = |need: f64, (size, load): (f64, f64)| match (1.0 - MARGIN) * size - load {
             _ if size.is_infinite() => 0.0,
             left if left > 0.0 => need / left,
             _ => f64::INFINITY,
         };
         let out = 1.0 / (SETUPS_OUT - f64::from(s.out)).max(1e-9);
-        let (link, uplink) = (self.link(now, s), self.uplink(now, s.rack));
-        part(rate, link).max(part(rate, uplink)).max(part(1.0, self.streams(now, s))).max(out)
+        let (link, uplink) = (self.link(s), self.uplink(s.rack));
+        part(rate, link).max(part(rate, uplink)).max(part(1.0, self.streams(s))).max(out)
     }
 
     /// Whether the link and the uplink of a server stay under this part of their sizes with so much more.
-    fn fits(&self, now: Micros, id: ServerId, more: f64, part: f64) -> bool {
+    fn fits(&self, id: ServerId, more: f64, part: f64) -> bool {
         let under = |(size, load): (f64, f64)| load + more <= part * size;
-        self.servers.get(&id).is_some_and(|s| under(self.link(now, s)) && under(self.uplink(now, s.rack)))
+        self.servers.get(&id).is_some_and(|s| under(self.link(s)) && under(self.uplink(s.rack)))
     }
 
     /// Departure: before a viewer gets less than the base rung, own sessions above theirs step down where that
     /// costs less worth than the new session earns. Guards against full links that carry few sessions at high
     /// rungs, whatever filled them. It hurts when another front takes the room first.
-    fn make_room(
-        &mut self,
-        now: Micros,
-        id: SessionId,
-        holders: &[ServerId],
-        base: Rung,
-        out: &mut Vec<Action>,
-    ) -> Option<ServerId> {
+    fn make_room(&mut self, id: SessionId, holders: &[ServerId], base: Rung) -> Option<ServerId> {
         let class = self.sessions.get(&id)?.req.class;
-        let (rate, gain) = (self.rate(class, base), self.worth(class, base));
+        let (rate, gain) = (self.set.rate(class, base), self.set.worth(class, base));
         let lacks = |(size, load): (f64, f64), need: f64| load + need - (1.0 - MARGIN) * size;
         for &h in holders {
             let s = self.servers.get(&h)?;
-            if lacks(self.streams(now, s), 1.0) > 0.0 || f64::from(s.out) + 1.0 > SETUPS_OUT {
+            if lacks(self.streams(s), 1.0) > 0.0 || f64::from(s.out) + 1.0 > SETUPS_OUT {
                 continue;
             }
-            let mut link = lacks(self.link(now, s), rate);
-            let mut uplink = lacks(self.uplink(now, s.rack), rate);
+            let mut link = lacks(self.link(s), rate);
+            let mut uplink = lacks(self.uplink(s.rack), rate);
             let (mut loss, mut steps) = (0.0, Vec::new());
             for (cost, sid, at, freed) in self.steps_down(s.rack) {
                 if (link > 0.0 && at == h) || (link <= 0.0 && uplink > 0.0) {
@@ -408,79 +339,84 @@
                 }
             }
             if link <= 0.0 && uplink <= 0.0 && loss < gain {
-                steps.into_iter().for_each(|sid| self.step(now, sid, -1, out));
+                steps.into_iter().for_each(|sid| self.step(sid, -1));
                 return Some(h);
             }
         }
         None
     }
 
-    fn send(&mut self, now: Micros, id: SessionId, server: ServerId, rung: Rung, out: &mut Vec<Action>) {
+    fn send(&mut self, id: SessionId, server: ServerId, rung: Rung) {
         if self.sessions.get(&id).is_some_and(|s| s.attempts > 0) {
-            self.extra.push_back(now);
+            self.extra.note(self.now, self.budget_window());
         }
-        let more = self.budget_left(now);
+        let more = self.budget_left();
         let Some(s) = self.sessions.get_mut(&id) else { return };
         s.attempts += 1;
         let last = !more || s.attempts >= self.set.limits.max_attempts;
-        let left = s.aim - now;
+        let left = s.aim - self.now;
         let wait = if last { left } else { Micros::from_secs(left.secs() * FIRST_SHARE) };
         (s.at, s.rung) = (Some(server), rung);
         s.tried.push(server);
-        s.ran.push((server, now));
-        out.push(Action::SetRung(id, rung));
-        out.push(Action::SetUp(id, server, now + wait));
+        s.ran.push((server, self.now));
+        self.out.push(Action::SetRung(id, rung));
+        self.out.push(Action::SetUp(id, server, self.now + wait));
         if let Some(t) = self.servers.get_mut(&server) {
             t.out += 1;
-            t.sent.push_back(now);
-            while t.sent.front().is_some_and(|f| now - *f > self.set.cold.span) {
-                t.sent.pop_front();
-            }
+            t.sent.note(self.now, self.set.cold.span);
         }
-        self.recount();
+        recount(&self.set, &mut self.servers, &mut self.racks, &self.sessions);
     }
 
     /// One prompt final answer, the mildest that the class's effect allows.
-    fn give_up(&mut self, id: SessionId, out: &mut Vec<Action>) {
+    fn give_up(&mut self, id: SessionId) {
         let Some(s) = self.sessions.remove(&id) else { return };
         let harmless = matches!(
-            self.class(s.req.class).effect,
+            self.set.class(s.req.class).effect,
             Effect::Repeatable | Effect::Keyed { group: Group::All, .. }
         );
         let refuse = s.ran.is_empty() || harmless;
-        out.push(if refuse { Action::Refuse(id, self.set.limits.retry_after) } else { Action::Fail(id) });
+        self.out.push(if refuse {
+            Action::Refuse(id, self.set.limits.retry_after)
+        } else {
+            Action::Fail(id)
+        });
     }
 
     /// Whether one more attempt is allowed by time, count, budget and the class's effect.
-    fn may_try(&self, now: Micros, s: &Session) -> bool {
-        let safe = match self.class(s.req.class).effect {
+    fn may_try(&self, s: &Session) -> bool {
+        let safe = match self.set.class(s.req.class).effect {
             Effect::Repeatable => true,
-            Effect::Keyed { window, .. } => s.ran.iter().all(|r| now - r.1 < window),
+            Effect::Keyed { window, .. } => s.ran.iter().all(|r| self.now - r.1 < window),
             Effect::Once => s.ran.is_empty(),
         };
-        let further = s.aim - now > LEAST_TRY && s.attempts < self.set.limits.max_attempts;
-        if s.attempts == 0 { now < s.aim } else { safe && further && self.budget_left(now) }
+        let further = s.aim - self.now > LEAST_TRY && s.attempts < self.set.limits.max_attempts;
+        if s.attempts == 0 { self.now < s.aim } else { safe && further && self.budget_left() }
+    }
+
+    fn budget_window(&self) -> Micros {
+        self.set.budget.map_or(Micros(0), |b| b.window)
     }
 
     /// Whether one further attempt stays inside the budget.
-    fn budget_left(&self, now: Micros) -> bool {
+    fn budget_left(&self) -> bool {
         let Some(b) = self.set.budget else { return true };
-        let taken = self.taken.iter().filter(|t| now - **t < b.window).count() as f64;
-        let extra = self.extra.iter().filter(|t| now - **t <= b.window).count() as f64;
+        let taken = self.taken.inside(self.now, b.window) as f64;
+        let extra = self.extra.within(self.now, b.window) as f64;
         extra + 1.0 <= b.free + b.share * taken
     }
 
     fn seats_taken(&self, req: &Request) -> bool {
         let held = |s: &&Session| s.at.is_some() && s.req.title == req.title && s.req.class == req.class;
-        let seats = self.class(req.class).seats;
+        let seats = self.set.class(req.class).seats;
         seats.is_some_and(|n| self.sessions.values().filter(held).count() >= n as usize)
     }
 
-    /// Servers that hold the title and may take this session now.
-    fn holders(&self, now: Micros, session: &Session) -> Vec<ServerId> {
+    /// Servers that hold the title and may take this session self.now.
+    fn holders(&self, session: &Session) -> Vec<ServerId> {
         let req = &session.req;
         let cells = self.set.cells.max(1);
-        let group = match self.class(req.class).effect {
+        let group = match self.set.class(req.class).effect {
             Effect::Keyed { group, .. } => group,
             _ => Group::All,
         };
@@ -493,10 +429,10 @@
             });
             let untried = !session.tried.contains(&s.entry.server);
             let ready = s.entry.state == ServerState::Ready && place < req.holders.min(cells);
-            ready && kin && untried && self.pace_allows(now, s)
+            ready && kin && untried && self.pace_allows(s)
         };
         let open: Vec<&Server> = self.servers.values().filter(open).collect();
-        let trusted = |s: &&&Server| s.strikes == 0 || (now >= s.shut_until && s.out == 0);
+        let trusted = |s: &&&Server| s.strikes == 0 || (self.now >= s.shut_until && s.out == 0);
         let mut list: Vec<ServerId> = open.iter().filter(trusted).map(|s| s.entry.server).collect();
         if list.is_empty() {
             // All holders distrusted at once: the one whose rest ends first is tried, one set-up at a time.
@@ -512,7 +448,7 @@
     /// erring, dead and unreachable servers alike, whatever the list says. It hurts when a lossy network shuts out a
     /// sound server for a moment. Set-ups sent before the last strike add none, nor does a late answer of a server
     /// that has answered others since: that one is slow, not silent.
-    fn strike(&mut self, now: Micros, id: ServerId, sent: Micros, outcome: Outcome, out: &mut Vec<Action>) {
+    fn strike(&mut self, id: ServerId, sent: Micros, outcome: Outcome) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         if outcome == Outcome::Timeout && s.alive_at > sent {
             return;
@@ -522,35 +458,35 @@
             return;
         }
         s.strikes = (s.strikes + 1).min(MAX_STRIKES);
-        s.struck_at = now;
-        s.shut_until = now + Micros(SHUT.0 << (s.strikes - 1));
+        s.struck_at = self.now;
+        s.shut_until = self.now + Micros(SHUT.0 << (s.strikes - 1));
         if s.strikes == 1 {
-            out.push(Action::Log(format!("server {} distrusted: {outcome:?}", id.0)));
+            self.out.push(Action::Log(format!("server {} distrusted: {outcome:?}", id.0)));
         }
     }
 
-    fn alive(&mut self, now: Micros, id: ServerId) {
+    fn alive(&mut self, id: ServerId) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         s.strikes = s.strikes.saturating_sub(1);
-        (s.shut_until, s.alive_at) = (Micros(0), now);
+        (s.shut_until, s.alive_at) = (Micros(0), self.now);
         if std::mem::take(&mut s.witnessed) {
-            s.cold_since = Some(now);
+            s.cold_since = Some(self.now);
         }
     }
 
     /// How much of its capacity a server has for certain: less than 1 while it warms up.
-    fn warmth(&self, now: Micros, s: &Server) -> f64 {
+    fn warmth(&self, s: &Server) -> f64 {
         let c = &self.set.cold;
-        let age = s.cold_since.map_or(c.warm_after, |t| now - t).min(c.warm_after);
+        let age = s.cold_since.map_or(c.warm_after, |t| self.now - t).min(c.warm_after);
         if age == c.warm_after { 1.0 } else { c.from + (1.0 - c.from) * age.secs() / c.warm_after.secs() }
     }
 
     /// The pace of a server that started lately, or may have: this front's part of what all fronts may send within
     /// the rule's span if each does the same. Where a part is under one set-up, only some fronts send, chosen by
     /// the server's id and the front's number.
-    fn pace_allows(&self, now: Micros, s: &Server) -> bool {
+    fn pace_allows(&self, s: &Server) -> bool {
         let c = &self.set.cold;
-        if c.multiple <= 0.0 || (!s.witnessed && self.warmth(now, s) >= 1.0) {
+        if c.multiple <= 0.0 || (!s.witnessed && self.warmth(s) >= 1.0) {
             return true;
         }
         let spans = c.span.secs() / c.warm_after.secs().max(1e-6);
@@ -559,47 +495,40 @@
         let part = (all / f64::from(fronts)) as usize;
         let turn = (u64::from(s.entry.server.0) + u64::from(self.set.number)) % u64::from(fronts);
         let mine = if part == 0 && (turn as f64) < all.floor() { 1 } else { part };
-        s.sent.iter().filter(|t| now - **t <= c.span).count() < mine
+        s.sent.within(self.now, c.span) < mine
     }
 
     // ---- Rungs while playing ----
 
-    fn tick(&mut self, now: Micros, out: &mut Vec<Action>) {
-        out.push(Action::SetTimer(TICK, TICK_TOKEN));
-        let window = self.set.budget.map_or(Micros(0), |b| b.window);
-        for q in [&mut self.taken, &mut self.extra] {
-            while q.front().is_some_and(|t| now - *t > window) {
-                q.pop_front();
-            }
-        }
+    fn tick(&mut self) {
+        self.out.push(Action::SetTimer(TICK, TICK_TOKEN));
         // An answer is owed even if a driver forgets the outcome of an attempt cut to the viewer's time.
         for (&id, s) in &mut self.sessions {
-            if s.phase == Phase::Owed && now >= s.req.gives_up {
+            if s.phase == Phase::Owed && self.now >= s.req.gives_up {
                 s.phase = Phase::Over;
-                out.push(Action::Fail(id));
+                self.out.push(Action::Fail(id));
             }
         }
-        self.relieve(now, out);
-        self.raise(now, out);
-        self.probe_racks(now, out);
+        self.relieve();
+        self.raise();
+        self.probe_racks();
     }
 
     /// Steps own sessions down where a link or uplink is asked for more than it gives; each front takes off its own
     /// part of the excess.
-    fn relieve(&mut self, now: Micros, out: &mut Vec<Action>) {
+    fn relieve(&mut self) {
         let excess = |own: f64, (size, load): (f64, f64)| match load {
             l if l > RELIEVE_ABOVE * size => (l - RELIEVE_TO * size) * (own / l).min(1.0),
             _ => 0.0,
         };
-        let links =
-            self.servers.iter().map(|(&id, s)| (s.rack, Some(id), excess(s.link.own, self.link(now, s))));
-        let uplinks = self.racks.iter().map(|(&r, g)| (r, None, excess(g.own, self.uplink(now, r))));
+        let links = self.servers.iter().map(|(&id, s)| (s.rack, Some(id), excess(s.link.own, self.link(s))));
+        let uplinks = self.racks.iter().map(|(&r, g)| (r, None, excess(g.own, self.uplink(r))));
         let over: Vec<(u32, Option<ServerId>, f64)> = links.chain(uplinks).filter(|o| o.2 > 0.0).collect();
         for (rack, only, mut need) in over {
             for (_, sid, at, freed) in self.steps_down(rack) {
                 if need > freed * 0.5 && only.is_none_or(|o| o == at) {
                     need -= freed;
-                    self.step(now, sid, -1, out);
+                    self.step(sid, -1);
                 }
             }
         }
@@ -607,22 +536,22 @@
 
     /// Steps sessions up where there is room, those first that gain most for the rate. Each front waits its turn
     /// by chance, so that all of them do not take the same room.
-    fn raise(&mut self, now: Micros, out: &mut Vec<Action>) {
+    fn raise(&mut self) {
         let mut list = Vec::new();
         for (&id, s) in &self.sessions {
             let (Some(at), Phase::Playing, false) = (s.at, s.phase, s.cheap) else { continue };
-            if s.rung < self.top(&s.req) && now - s.changed >= RAISE_GAP {
-                let (gain, more) = self.stair(s.req.class, Rung(s.rung.0 + 1));
+            if s.rung < self.set.top(&s.req) && self.now - s.changed >= RAISE_GAP {
+                let (gain, more) = self.set.stair(s.req.class, Rung(s.rung.0 + 1));
                 list.push((gain / more, id, at, more));
             }
         }
         list.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         let mut done = BTreeSet::new();
         for (_, id, at, more) in list {
-            let turn = self.random().is_multiple_of(u64::from(self.set.fronts.max(1)));
-            if turn && !done.contains(&at) && self.fits(now, at, more, RAISE_TO) {
+            let turn = self.rng.next().is_multiple_of(u64::from(self.set.fronts.max(1)));
+            if turn && !done.contains(&at) && self.fits(at, more, RAISE_TO) {
                 done.insert(at);
-                self.step(now, id, 1, out);
+                self.step(id, 1);
             }
         }
     }
@@ -635,7 +564,7 @@
             let (Some(at), Phase::Playing) = (s.at, s.phase) else { continue };
             let here = self.servers.get(&at).is_some_and(|v| v.rack == rack);
             if here && s.rung > self.base(s.req.class) {
-                let (loss, freed) = self.stair(s.req.class, s.rung);
+                let (loss, freed) = self.set.stair(s.req.class, s.rung);
                 list.push((loss, id, at, freed));
             }
         }
@@ -643,80 +572,80 @@
         list
     }
 
-    fn step(&mut self, now: Micros, id: SessionId, by: i8, out: &mut Vec<Action>) {
+    fn step(&mut self, id: SessionId, by: i8) {
         if let Some(s) = self.sessions.get_mut(&id) {
-            (s.rung, s.changed) = (Rung(s.rung.0.saturating_add_signed(by)), now);
-            out.push(Action::SetRung(id, s.rung));
+            (s.rung, s.changed) = (Rung(s.rung.0.saturating_add_signed(by)), self.now);
+            self.out.push(Action::SetRung(id, s.rung));
         }
-        self.recount();
+        recount(&self.set, &mut self.servers, &mut self.racks, &self.sessions);
     }
 
     // ---- Estimates ----
 
-    fn report(&mut self, now: Micros, id: ServerId, report: LoadReport) {
+    fn report(&mut self, id: ServerId, report: LoadReport) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         if let Some(x) = report.link {
-            s.link.hear(now, x);
+            s.link.hear(self.now, x);
         }
         if let Some(n) = report.streams {
-            s.streams.hear(now, n / s.streams.size.max(1.0));
+            s.streams.hear(self.now, n / s.streams.size.max(1.0));
         }
         if let (Some(x), Some(g)) = (report.uplink, self.racks.get_mut(&s.rack)) {
-            g.hear(now, x);
+            g.hear(self.now, x);
         }
     }
 
-    fn noted(&mut self, now: Micros, id: SessionId, server: ServerId, note: Note) {
+    fn noted(&mut self, id: SessionId, server: ServerId, note: Note) {
         let none = LoadReport::default();
         match note {
             Note::Rung(rung) => {
                 if let Some(s) = self.sessions.get_mut(&id) {
                     s.rung = rung;
                 }
-                self.recount();
+                recount(&self.set, &mut self.servers, &mut self.racks, &self.sessions);
             }
-            Note::LinkUse(x) => self.report(now, server, LoadReport { link: Some(x), ..none }),
-            Note::UplinkUse(x) => self.report(now, server, LoadReport { uplink: Some(x), ..none }),
-            Note::Delivered(share) => self.delivered(now, server, share),
+            Note::LinkUse(x) => self.report(server, LoadReport { link: Some(x), ..none }),
+            Note::UplinkUse(x) => self.report(server, LoadReport { uplink: Some(x), ..none }),
+            Note::Delivered(share) => self.delivered(server, share),
         }
     }
 
     /// A note of short delivery counts as a report that the resource is asked for 1 / share of what it gives: of the
     /// uplink if that is known to be full or another server of the rack falls short alike, else of the link.
-    fn delivered(&mut self, now: Micros, id: ServerId, share: f64) {
+    fn delivered(&mut self, id: ServerId, share: f64) {
         let Some(s) = self.servers.get_mut(&id) else { return };
-        s.short = (share < SHORT).then_some((now, share));
+        s.short = (share < SHORT).then_some((self.now, share));
         if share >= SHORT {
             return;
         }
         let rack = s.rack;
         let alike = |s: &Server| {
-            let same = s.short.is_some_and(|(t, x)| now - t < FRESH && (x - share).abs() < 0.1);
+            let same = s.short.is_some_and(|(t, x)| self.now - t < FRESH && (x - share).abs() < 0.1);
             s.entry.server != id && s.rack == rack && same
         };
-        let up_full = self.racks.get(&rack).and_then(|g| g.last(now)).is_some_and(|x| x > SHORT);
+        let up_full = self.racks.get(&rack).and_then(|g| g.last(self.now)).is_some_and(|x| x > SHORT);
         let ratio = Some(1.0 / share.max(0.2));
         let none = LoadReport::default();
         if up_full || self.servers.values().any(alike) {
-            self.report(now, id, LoadReport { uplink: ratio, ..none });
+            self.report(id, LoadReport { uplink: ratio, ..none });
         } else {
-            self.report(now, id, LoadReport { link: ratio, ..none });
+            self.report(id, LoadReport { link: ratio, ..none });
         }
     }
 
-    fn probed(&mut self, now: Micros, id: ServerId, outcome: Outcome, r: LoadReport, out: &mut Vec<Action>) {
-        self.report(now, id, r);
+    fn probed(&mut self, id: ServerId, outcome: Outcome, r: LoadReport) {
+        self.report(id, r);
         if let Some(s) = self.servers.get_mut(&id) {
             s.probing = false;
         }
         if matches!(outcome, Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset) {
-            self.strike(now, id, now, outcome, out);
+            self.strike(id, self.now, outcome);
         }
     }
 
     /// Where only probes tell load, one server of each rack unheard for a while is probed, the stalest first. Without
     /// it a front that refuses would hear nothing and refuse for good.
-    fn probe_racks(&mut self, now: Micros, out: &mut Vec<Action>) {
+    fn probe_racks(&mut self) {
         if !self.set.limits.probes || self.set.reporting != Reporting::InProbes {
             return;
         }
@@ -725,131 +654,68 @@
                 let ready = s.entry.state == ServerState::Ready && s.strikes == 0;
                 ready && !s.probing && s.rack == *rack
             };
-            if g.heard_at().is_some_and(|t| now - t < PROBE_AGE) {
+            if g.heard_at().is_some_and(|t| self.now - t < PROBE_AGE) {
                 continue;
             }
             if let Some(s) = self.servers.values_mut().filter(able).min_by_key(|s| s.link.heard_at()) {
                 s.probing = true;
-                out.push(Action::Probe(s.entry.server));
+                self.out.push(Action::Probe(s.entry.server));
             }
         }
     }
 
     /// Size and load of a link; a cold server's is smaller.
-    fn link(&self, now: Micros, s: &Server) -> (f64, f64) {
-        (s.link.size * self.warmth(now, s), s.link.load(now, self.unheard(now, &s.link)))
+    fn link(&self, s: &Server) -> (f64, f64) {
+        (s.link.size * self.warmth(s), s.link.load(self.now, self.unheard(&s.link)))
     }
 
-    fn streams(&self, now: Micros, s: &Server) -> (f64, f64) {
-        (s.streams.size, s.streams.load(now, self.unheard(now, &s.link) / s.link.size * s.streams.size))
+    fn streams(&self, s: &Server) -> (f64, f64) {
+        (s.streams.size, s.streams.load(self.now, self.unheard(&s.link) / s.link.size * s.streams.size))
     }
 
     /// Size and load of a rack's uplink. Unheard, it carries what its links are thought to carry.
-    fn uplink(&self, now: Micros, rack: u32) -> (f64, f64) {
+    fn uplink(&self, rack: u32) -> (f64, f64) {
         let Some(g) = self.racks.get(&rack) else { return (f64::INFINITY, 0.0) };
         let links = self.servers.values().filter(|s| s.rack == rack && s.entry.state != ServerState::Gone);
-        let others: f64 = links.map(|s| self.link(now, s).1 - s.link.own).sum();
-        (g.size, g.load(now, others))
+        let others: f64 = links.map(|s| self.link(s).1 - s.link.own).sum();
+        (g.size, g.load(self.now, others))
     }
 
     /// What others have on an unheard link: as much as this front has on the mean link, for each of them. A front
     /// younger than the window knows too little for that: the mean use heard elsewhere, or half, if that is more.
-    fn unheard(&self, now: Micros, link: &Gauge) -> f64 {
+    fn unheard(&self, link: &Gauge) -> f64 {
         let (mut own, mut size, mut heard, mut n) = (0.0, 0.0, 0.0, 0.0);
         for s in self.servers.values().filter(|s| s.entry.state != ServerState::Gone) {
             own += s.link.own;
             size += s.link.size;
-            if let Some(x) = s.link.last(now) {
+            if let Some(x) = s.link.last(self.now) {
                 heard += x;
                 n += 1.0;
             }
         }
         let alike = f64::from(self.set.fronts.max(1) - 1) * own / f64::max(size, 1e-9);
-        let young = self.born.is_none_or(|b| now - b < REPORT_WINDOW);
+        let young = self.born.is_none_or(|b| self.now - b < REPORT_WINDOW);
         let mean = if n > 0.0 { heard / n } else { 0.5 };
         link.size * if young { mean.max(alike) } else { alike }
     }
 
-    /// Counts anew what own sessions ask of each link, uplink and server.
-    fn recount(&mut self) {
-        for s in self.servers.values_mut() {
-            (s.link.own, s.streams.own) = (0.0, 0.0);
-        }
-        self.racks.values_mut().for_each(|g| g.own = 0.0);
-        let mut live = BTreeSet::new();
-        for s in self.sessions.values() {
-            let Some(server) = s.at.and_then(|at| self.servers.get_mut(&at)) else { continue };
-            let class = &self.set.classes[usize::from(s.req.class.0)];
-            let first = class.join >= 1.0 || live.insert((s.at, s.req.class, s.req.title, s.rung));
-            let (part, place) = if first { (1.0, 1.0) } else { (class.join, 0.0) };
-            let rate = part * class.scale * rung_of(&self.set.ladder.rates_kb, s.rung);
-            server.link.own += rate;
-            server.streams.own += place;
-            if let Some(g) = self.racks.get_mut(&server.rack) {
-                g.own += rate;
-            }
-        }
-    }
-
     /// Whether the tenant asks for more than its share: this front's part of the quota over the report window.
-    fn past_share(&mut self, now: Micros, req: &Request) -> bool {
+    fn past_share(&mut self, req: &Request) -> bool {
         let quota = self.set.tenants.get(usize::from(req.tenant.0)).and_then(|t| t.quota_per_s);
         let Some(quota) = quota.filter(|_| self.set.over_share_worth < 1.0) else { return false };
         let seen = self.tenants.entry(req.tenant).or_default();
         if !req.again {
-            seen.push_back(now);
-        }
-        while seen.front().is_some_and(|t| now - *t > REPORT_WINDOW) {
-            seen.pop_front();
+            seen.note(self.now, REPORT_WINDOW);
         }
-        seen.len() as f64 * f64::from(self.set.fronts.max(1)) > PAST_SHARE * quota * REPORT_WINDOW.secs()
-    }
-
-    /// A known class; requests of unknown ones are answered before they get here.
-    fn class(&self, class: ClassId) -> &Class {
-        &self.set.classes[usize::from(class.0)]
-    }
-
-    fn steps(&self) -> u8 {
-        self.set.ladder.rates_kb.len().clamp(1, 256).saturating_sub(1) as u8
-    }
-
-    fn top(&self, req: &Request) -> Rung {
-        self.class(req.class).top.min(req.top).min(Rung(self.steps()))
+        seen.within(self.now, REPORT_WINDOW) as f64 * f64::from(self.set.fronts.max(1))
+            > PAST_SHARE * quota * REPORT_WINDOW.secs()
     }
 
     /// The rung from the class's floor up that earns most for its rate.
     fn base(&self, class: ClassId) -> Rung {
-        let floor = self.class(class).floor;
-        let per_kb = |r: &u8| self.worth(class, Rung(*r)) / self.rate(class, Rung(*r)).max(1e-9);
+        let floor = self.set.class(class).floor;
+        let per_kb = |r: &u8| self.set.worth(class, Rung(*r)) / self.set.rate(class, Rung(*r)).max(1e-9);
         let better = |a: &u8, b: &u8| per_kb(a).total_cmp(&per_kb(b)).then(b.cmp(a));
-        (floor.0..=self.steps()).max_by(better).map_or(floor, Rung)
-    }
-
-    /// Worth a second and rate that this rung adds to the one below.
-    fn stair(&self, class: ClassId, rung: Rung) -> (f64, f64) {
-        let below = Rung(rung.0.saturating_sub(1));
-        let more = self.rate(class, rung) - self.rate(class, below);
-        (self.worth(class, rung) - self.worth(class, below), more.max(1e-9))
-    }
-
-    fn rate(&self, class: ClassId, rung: Rung) -> f64 {
-        self.class(class).scale * rung_of(&self.set.ladder.rates_kb, rung)
-    }
-
-    fn worth(&self, class: ClassId, rung: Rung) -> f64 {
-        self.class(class).worth * rung_of(&self.set.ladder.worth, rung)
+        (floor.0..=self.set.ladder_top().0).max_by(better).map_or(floor, Rung)
     }
-
-    /// Splitmix64: ties and turns only.
-    fn random(&mut self) -> u64 {
-        self.rng = self.rng.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let z = (self.rng ^ (self.rng >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        z ^ (z >> 31)
-    }
-}
-
-fn rung_of(list: &[f64], rung: Rung) -> f64 {
-    list.get(usize::from(rung.0)).copied().unwrap_or(0.0)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,3 +6,4 @@
 
 pub mod choice;
 pub mod interface;
+mod state;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,161 @@
+//! What a front holds in mind: servers, sessions and sums over them. Book-keeping only; nothing is decided here.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::interface::*;
+
+/// One resource: its size, what own sessions ask, and what was heard of its use.
+#[derive(Debug, Default)]
+pub(crate) struct Gauge {
+    pub size: f64,
+    pub own: f64,
+    /// When, use over size, and what own sessions asked then.
+    pub heard: VecDeque<(Micros, f64, f64)>,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Server {
+    pub entry: ServerEntry,
+    pub rack: u32,
+    pub link: Gauge,
+    pub streams: Gauge,
+    /// Attempts out, and when set-ups went out lately.
+    pub out: u32,
+    pub sent: Recent,
+    pub strikes: u32,
+    pub struck_at: Micros,
+    pub shut_until: Micros,
+    pub alive_at: Micros,
+    /// It may have restarted unseen; the first answer starts its cold time.
+    pub witnessed: bool,
+    pub cold_since: Option<Micros>,
+    pub short: Option<(Micros, f64)>,
+    pub probing: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) enum Phase {
+    /// An answer is owed.
+    #[default]
+    Owed,
+    /// The viewer watches.
+    Playing,
+    /// Answered, but an attempt is still out.
+    Over,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Session {
+    pub req: Request,
+    pub phase: Phase,
+    pub aim: Micros,
+    pub at: Option<ServerId>,
+    pub rung: Rung,
+    pub changed: Micros,
+    pub attempts: u32,
+    pub tried: Vec<ServerId>,
+    /// Attempts that may have run.
+    pub ran: Vec<(ServerId, Micros)>,
+    /// Past its tenant's share.
+    pub cheap: bool,
+}
+
+/// Times of something that happened lately.
+#[derive(Debug, Default)]
+pub(crate) struct Recent(VecDeque<Micros>);
+
+impl Recent {
+    /// Notes one more and forgets those older than the span.
+    pub fn note(&mut self, now: Micros, span: Micros) {
+        while self.0.front().is_some_and(|t| now - *t > span) {
+            self.0.pop_front();
+        }
+        self.0.push_back(now);
+    }
+
+    /// How many are no older than the span.
+    pub fn within(&self, now: Micros, span: Micros) -> usize {
+        self.0.iter().filter(|t| now - **t <= span).count()
+    }
+
+    /// How many are younger than the span.
+    pub fn inside(&self, now: Micros, span: Micros) -> usize {
+        self.0.iter().filter(|t| now - **t < span).count()
+    }
+}
+
+/// Splitmix64, seeded by the driver.
+#[derive(Debug)]
+pub(crate) struct Random(pub u64);
+
+impl Random {
+    pub fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let z = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+}
+
+impl Settings {
+    /// A known class; requests of unknown ones are answered before anything asks for it.
+    pub(crate) fn class(&self, class: ClassId) -> &Class {
+        &self.classes[usize::from(class.0)]
+    }
+
+    /// The ladder's highest rung.
+    pub(crate) fn ladder_top(&self) -> Rung {
+        Rung((self.ladder.rates_kb.len().clamp(1, 256) - 1) as u8)
+    }
+
+    /// The highest rung that class, viewer and ladder allow.
+    pub(crate) fn top(&self, req: &Request) -> Rung {
+        self.class(req.class).top.min(req.top).min(self.ladder_top())
+    }
+
+    pub(crate) fn rate(&self, class: ClassId, rung: Rung) -> f64 {
+        self.class(class).scale * rung_of(&self.ladder.rates_kb, rung)
+    }
+
+    pub(crate) fn worth(&self, class: ClassId, rung: Rung) -> f64 {
+        self.class(class).worth * rung_of(&self.ladder.worth, rung)
+    }
+
+    /// Worth a second and rate that this rung adds to the one below.
+    pub(crate) fn stair(&self, class: ClassId, rung: Rung) -> (f64, f64) {
+        let below = Rung(rung.0.saturating_sub(1));
+        let more = self.rate(class, rung) - self.rate(class, below);
+        (self.worth(class, rung) - self.worth(class, below), more.max(1e-9))
+    }
+}
+
+fn rung_of(list: &[f64], rung: Rung) -> f64 {
+    list.get(usize::from(rung.0)).copied().unwrap_or(0.0)
+}
+
+/// Counts anew what own sessions ask of each link, uplink and server. A further viewer of a live title at the same
+/// server and rung adds only the class's part of the rate, and no stream.
+pub(crate) fn recount(
+    set: &Settings,
+    servers: &mut BTreeMap<ServerId, Server>,
+    racks: &mut BTreeMap<u32, Gauge>,
+    sessions: &BTreeMap<SessionId, Session>,
+) {
+    for s in servers.values_mut() {
+        (s.link.own, s.streams.own) = (0.0, 0.0);
+    }
+    racks.values_mut().for_each(|g| g.own = 0.0);
+    let mut live = BTreeSet::new();
+    for s in sessions.values() {
+        let Some(server) = s.at.and_then(|at| servers.get_mut(&at)) else { continue };
+        let join = set.class(s.req.class).join;
+        let first = join >= 1.0 || live.insert((s.at, s.req.class, s.req.title, s.rung));
+        let (part, place) = if first { (1.0, 1.0) } else { (join, 0.0) };
+        let rate = part * set.rate(s.req.class, s.rung);
+        server.link.own += rate;
+        server.streams.own += place;
+        if let Some(g) = racks.get_mut(&server.rack) {
+            g.own += rate;
+        }
+    }
+}
