--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,7 +1,7 @@
 //! Every decision of beechloft: who plays, on which server, at what rung, and what happens when things fail.
 //! The types it is fed and answers with are in `src/interface.rs`; `docs/design.md` gives the reasons.
 //!
-//! In order: tuned values, state, events, placing (IS-C-SS of DIAR), trust and pace, rungs while playing, estimates.
+//! In order: tuned values, events, placing (IS-C-SS of DIAR), trust and pace, rungs while playing, estimates.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -32,6 +32,8 @@
 const SHUT: Micros = Micros(500_000);
 /// ...up to this many.
 const MAX_STRIKES: u32 = 5;
+/// A server that turned a set-up away counts as full for this long.
+const FULL_FOR: Micros = Micros(1_000_000);
 /// Set-ups that this front has out at one server at most; the fourth resource of the load factor.
 const SETUPS_OUT: f64 = 4.0;
 /// Part of the set-ups that would topple a cold server that all fronts together may use.
@@ -66,8 +68,8 @@
         self.heard.back().filter(|h| now - h.0 <= REPORT_WINDOW).map(|h| h.1)
     }
 
-    /// Own load plus what others have: as the highest fresh report or the newest one says, fading with its age
-    /// into `unheard`, what they are thought to have without any.
+    /// Own load plus what others have: as the highest fresh report or the newest one says, fading with its
+    /// age into `unheard`, what they are thought to have without any.
     fn load(&self, now: Micros, unheard: f64) -> f64 {
         let others = |h: &(Micros, f64, f64)| {
             let weight = (1.0 - (now - h.0).secs() / REPORT_WINDOW.secs()).max(0.0);
@@ -142,8 +144,8 @@
             self.servers.values_mut().for_each(|s| s.entry.state = ServerState::Gone);
         }
         for entry in entries {
-            // A front that starts anew can't tell which server restarted meanwhile: each counts as perhaps cold,
-            // until sessions handed over show that this is the start of service.
+            // A front that starts anew can't tell which server restarted meanwhile: each counts as perhaps
+            // cold, until sessions handed over show that this is the start of service.
             let witnessed = form == ListForm::Cached;
             let fresh = Server { witnessed, ..Server::default() };
             let known = self.servers.entry(entry.server).or_insert(fresh);
@@ -223,7 +225,7 @@
         let sent = self.sessions.get(&id).and_then(|s| s.ran.last()).map_or(self.now, |r| r.1);
         match outcome {
             Outcome::Ok => self.alive(server),
-            Outcome::Full => self.report(server, LoadReport { link: self.set.guard, ..Default::default() }),
+            Outcome::Full => self.full(server),
             Outcome::Cancelled | Outcome::Moot => {}
             failure => self.strike(server, sent, failure),
         }
@@ -257,8 +259,8 @@
 
     // ---- Placing: IS-C-SS of DIAR ----
 
-    /// Tries holders by rising load factor and sends to the first whose every resource covers the rung's rate;
-    /// none: an answer at once.
+    /// Tries holders by rising load factor and sends to the first whose every resource covers the rung's
+    /// rate; none: an answer at once.
     fn place(&mut self, id: SessionId) {
         let Some(s) = self.sessions.get(&id) else { return };
         let (class, top, cheap) = (s.req.class, self.set.top(&s.req), s.cheap);
@@ -315,9 +317,9 @@
         self.servers.get(&id).is_some_and(|s| under(self.link(s)) && under(self.uplink(s.rack)))
     }
 
-    /// Departure: before a viewer gets less than the base rung, own sessions above theirs step down where that
-    /// costs less worth than the new session earns. Guards against full links that carry few sessions at high
-    /// rungs, whatever filled them. It hurts when another front takes the room first.
+    /// Departure: before a viewer gets less than the base rung, own sessions above theirs step down where
+    /// that costs less worth than the new session earns. Guards against full links that carry few sessions at
+    /// high rungs, whatever filled them. It hurts when another front takes the room first.
     fn make_room(&mut self, id: SessionId, holders: &[ServerId], base: Rung) -> Option<ServerId> {
         let class = self.sessions.get(&id)?.req.class;
         let (rate, gain) = (self.set.rate(class, base), self.set.worth(class, base));
@@ -412,7 +414,7 @@
         seats.is_some_and(|n| self.sessions.values().filter(held).count() >= n as usize)
     }
 
-    /// Servers that hold the title and may take this session self.now.
+    /// Servers that hold the title and may take this session now.
     fn holders(&self, session: &Session) -> Vec<ServerId> {
         let req = &session.req;
         let cells = self.set.cells.max(1);
@@ -432,7 +434,7 @@
             ready && kin && untried && self.pace_allows(s)
         };
         let open: Vec<&Server> = self.servers.values().filter(open).collect();
-        let trusted = |s: &&&Server| s.strikes == 0 || (self.now >= s.shut_until && s.out == 0);
+        let trusted = |s: &&&Server| self.now >= s.shut_until && (s.strikes == 0 || s.out == 0);
         let mut list: Vec<ServerId> = open.iter().filter(trusted).map(|s| s.entry.server).collect();
         if list.is_empty() {
             // All holders distrusted at once: the one whose rest ends first is tried, one set-up at a time.
@@ -444,10 +446,10 @@
 
     // ---- Trust and pace ----
 
-    /// A failure: the server rests, longer each time, and then takes one set-up at a time. Holds against silent,
-    /// erring, dead and unreachable servers alike, whatever the list says. It hurts when a lossy network shuts out a
-    /// sound server for a moment. Set-ups sent before the last strike add none, nor does a late answer of a server
-    /// that has answered others since: that one is slow, not silent.
+    /// A failure: the server rests, longer each time, and then takes one set-up at a time. Holds against
+    /// silent, erring, dead and unreachable servers alike, whatever the list says. It hurts when a lossy
+    /// network shuts out a sound server for a moment. Set-ups sent before the last strike add none, nor does
+    /// a late answer of a server that has answered others since: that one is slow, not silent.
     fn strike(&mut self, id: ServerId, sent: Micros, outcome: Outcome) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         if outcome == Outcome::Timeout && s.alive_at > sent {
@@ -465,6 +467,13 @@
         }
     }
 
+    /// A server that turns set-ups away is full for a while, whatever its reports say.
+    fn full(&mut self, id: ServerId) {
+        if let Some(s) = self.servers.get_mut(&id) {
+            s.shut_until = s.shut_until.max(self.now + FULL_FOR);
+        }
+    }
+
     fn alive(&mut self, id: ServerId) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         s.strikes = s.strikes.saturating_sub(1);
@@ -481,9 +490,9 @@
         if age == c.warm_after { 1.0 } else { c.from + (1.0 - c.from) * age.secs() / c.warm_after.secs() }
     }
 
-    /// The pace of a server that started lately, or may have: this front's part of what all fronts may send within
-    /// the rule's span if each does the same. Where a part is under one set-up, only some fronts send, chosen by
-    /// the server's id and the front's number.
+    /// The pace of a server that started lately, or may have: this front's part of what all fronts may send
+    /// within the rule's span if each does the same. Where a part is under one set-up, only some fronts send,
+    /// chosen by the server's id and the front's number.
     fn pace_allows(&self, s: &Server) -> bool {
         let c = &self.set.cold;
         if c.multiple <= 0.0 || (!s.witnessed && self.warmth(s) >= 1.0) {
@@ -514,8 +523,8 @@
         self.probe_racks();
     }
 
-    /// Steps own sessions down where a link or uplink is asked for more than it gives; each front takes off its own
-    /// part of the excess.
+    /// Steps own sessions down where a link or uplink is asked for more than it gives; each front takes off
+    /// its own part of the excess.
     fn relieve(&mut self) {
         let excess = |own: f64, (size, load): (f64, f64)| match load {
             l if l > RELIEVE_ABOVE * size => (l - RELIEVE_TO * size) * (own / l).min(1.0),
@@ -534,8 +543,8 @@
         }
     }
 
-    /// Steps sessions up where there is room, those first that gain most for the rate. Each front waits its turn
-    /// by chance, so that all of them do not take the same room.
+    /// Steps sessions up where there is room, those first that gain most for the rate. Each front waits its
+    /// turn by chance, so that all of them do not take the same room.
     fn raise(&mut self) {
         let mut list = Vec::new();
         for (&id, s) in &self.sessions {
@@ -556,8 +565,8 @@
         }
     }
 
-    /// Own sessions of a rack that can step down to no less than their base, cheapest for the rate freed first:
-    /// worth lost a second, session, server, rate freed.
+    /// Own sessions of a rack that can step down to no less than their base, cheapest for the rate freed
+    /// first: worth lost a second, session, server, rate freed.
     fn steps_down(&self, rack: u32) -> Vec<(f64, SessionId, ServerId, f64)> {
         let mut list = Vec::new();
         for (&id, s) in &self.sessions {
@@ -610,8 +619,8 @@
         }
     }
 
-    /// A note of short delivery counts as a report that the resource is asked for 1 / share of what it gives: of the
-    /// uplink if that is known to be full or another server of the rack falls short alike, else of the link.
+    /// A note of short delivery counts as a report that the resource is asked for 1 / share of what it gives:
+    /// the uplink if that is known to be full or another server of the rack falls short alike, else the link.
     fn delivered(&mut self, id: ServerId, share: f64) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         s.short = (share < SHORT).then_some((self.now, share));
@@ -643,8 +652,8 @@
         }
     }
 
-    /// Where only probes tell load, one server of each rack unheard for a while is probed, the stalest first. Without
-    /// it a front that refuses would hear nothing and refuse for good.
+    /// Where only probes tell load, one server of each rack unheard for a while is probed, the stalest first.
+    /// Without it a front that refuses would hear nothing and refuse for good.
     fn probe_racks(&mut self) {
         if !self.set.limits.probes || self.set.reporting != Reporting::InProbes {
             return;
@@ -681,8 +690,9 @@
         (g.size, g.load(self.now, others))
     }
 
-    /// What others have on an unheard link: as much as this front has on the mean link, for each of them. A front
-    /// younger than the window knows too little for that: the mean use heard elsewhere, or half, if that is more.
+    /// What others have on an unheard link: as much as this front has on the mean link, for each of them. A
+    /// front younger than the window knows too little for that: the mean use heard elsewhere, or half, if
+    /// that is more.
     fn unheard(&self, link: &Gauge) -> f64 {
         let (mut own, mut size, mut heard, mut n) = (0.0, 0.0, 0.0, 0.0);
         for s in self.servers.values().filter(|s| s.entry.state != ServerState::Gone) {
@@ -699,7 +709,8 @@
         link.size * if young { mean.max(alike) } else { alike }
     }
 
-    /// Whether the tenant asks for more than its share: this front's part of the quota over the report window.
+    /// Whether the tenant asks for more than its share: this front's part of the quota over the report
+    /// window.
     fn past_share(&mut self, req: &Request) -> bool {
         let quota = self.set.tenants.get(usize::from(req.tenant.0)).and_then(|t| t.quota_per_s);
         let Some(quota) = quota.filter(|_| self.set.over_share_worth < 1.0) else { return false };
--- /dev/null
+++ b/tests/property.rs
@@ -0,0 +1,364 @@
+//! Random legal event orders: whatever happens, the rules hold and nothing crashes.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use beechloft::choice::Choice;
+use beechloft::interface::*;
+use proptest::prelude::*;
+use support::*;
+
+#[derive(Debug, Clone)]
+enum Move {
+    Wait(u64),
+    Ask { class: u16, title: u64, home: u32, holders: u32, top: u8, patience: u64 },
+    HandOver { class: u16, server: u32, rung: u8 },
+    Start(usize),
+    End(usize, u8),
+    Leave(usize),
+    List(u8, u32, u8, bool),
+    Note(u32, u8, f64),
+    Probed(u32, u8, f64),
+    Tick,
+    Peer,
+}
+
+fn moves() -> impl Strategy<Value = Vec<Move>> {
+    let level = prop_oneof![
+        4 => 0.0..2.0f64,
+        1 => prop_oneof![Just(f64::NAN), Just(f64::INFINITY), Just(-3.0), Just(1e300)]
+    ];
+    let one = prop_oneof![
+        6 => (1_000..600_000u64).prop_map(Move::Wait),
+        6 => (0..3u16, 0..3u64, 0..6u32, 0..6u32, 0..5u8, 50_000..4_000_000u64).prop_map(
+            |(class, title, home, holders, top, patience)| Move::Ask {
+                class,
+                title,
+                home,
+                holders,
+                top,
+                patience
+            }
+        ),
+        1 => (0..3u16, 0..6u32, 0..4u8).prop_map(|(class, server, rung)| Move::HandOver {
+            class,
+            server,
+            rung
+        }),
+        4 => any::<usize>().prop_map(Move::Start),
+        6 => (any::<usize>(), 0..8u8).prop_map(|(i, o)| Move::End(i, o)),
+        1 => any::<usize>().prop_map(Move::Leave),
+        2 => (0..4u8, 0..6u32, 0..3u8, any::<bool>()).prop_map(|(f, s, st, n)| Move::List(f, s, st, n)),
+        2 => (0..7u32, 0..4u8, level.clone()).prop_map(|(s, k, l)| Move::Note(s, k, l)),
+        1 => (0..7u32, 0..8u8, level).prop_map(|(s, o, l)| Move::Probed(s, o, l)),
+        3 => Just(Move::Tick),
+        1 => Just(Move::Peer),
+    ];
+    prop::collection::vec(one, 1..160)
+}
+
+fn outcome(n: u8) -> Outcome {
+    use Outcome::*;
+    [Ok, Error, Full, Timeout, ConnectFailed, Reset, Cancelled, Moot][usize::from(n % 8)]
+}
+
+fn settings_of(kind: u8) -> Settings {
+    let keyed = |group| class(Effect::Keyed { group, window: Micros(2 * S) });
+    let floored = Class { floor: Rung(1), top: Rung(2), seats: Some(2), ..class(Effect::Once) };
+    let live = Class { join: 0.2, ..keyed(Group::Zone) };
+    let mut s = Settings {
+        classes: vec![class(Effect::Repeatable), floored, live],
+        budget: Some(RetryBudget { free: 2.0, share: 0.2, window: Micros(3 * S) }),
+        ..settings()
+    };
+    match kind % 4 {
+        0 => {}
+        1 => {
+            s.discovery = Discovery::Ask;
+            s.reporting = Reporting::InProbes;
+            s.limits = Limits { max_attempts: 2, probes: true, cancel: false, retry_after: None };
+            s.tenants = vec![Tenant { quota_per_s: Some(0.5) }];
+            s.over_share_worth = 0.1;
+        }
+        2 => {
+            s.reporting = Reporting::Silent;
+            (s.all_links_kb, s.link_unit_kb, s.uplink_kb) = (None, None, None);
+            s.budget = None;
+        }
+        _ => {
+            s.ladder = Ladder { rates_kb: vec![], worth: vec![], change_cost_s: 0.0 };
+            s.kind_streams = vec![];
+            (s.cells, s.racks, s.fronts) = (0, 0, 0);
+            s.cold.warm_after = Micros(0);
+        }
+    }
+    s
+}
+
+/// What the outside world knows of a request.
+#[derive(Default)]
+struct Life {
+    class: usize,
+    top: u8,
+    gives_up: u64,
+    answers: u32,
+    left: bool,
+    out: Option<u32>,
+    playing: bool,
+    attempts: u32,
+    ran: Vec<(u32, u64)>,
+}
+
+struct World {
+    set: Settings,
+    front: Front,
+    lives: BTreeMap<u64, Life>,
+    states: BTreeMap<u32, ServerState>,
+    extra: Vec<u64>,
+    taken: Vec<u64>,
+}
+
+impl World {
+    /// Checks actions against the rules and applies them.
+    fn apply(&mut self, actions: Vec<Action>) {
+        for a in actions {
+            match a {
+                Action::SetUp(id, server, until) => {
+                    let now = self.front.now;
+                    let life = self.lives.get_mut(&id.0).expect("a known request");
+                    let class = &self.set.classes[life.class];
+                    assert!(life.out.is_none(), "two attempts out");
+                    assert!(life.answers == 0 && !life.left, "sent after its end");
+                    assert_eq!(self.states.get(&server.0), Some(&ServerState::Ready), "not ready");
+                    assert!(until.0 <= life.gives_up, "outlives the viewer's time");
+                    assert!(life.attempts < self.set.limits.max_attempts);
+                    match class.effect {
+                        Effect::Once => assert!(life.ran.is_empty(), "once, twice"),
+                        Effect::Keyed { window, .. } => {
+                            let kin = |r: &(u32, u64)| r.0 % 2 == server.0 % 2 && now - r.1 < window.0;
+                            assert!(life.ran.iter().all(kin), "outside the group or window");
+                        }
+                        Effect::Repeatable => {}
+                    }
+                    if life.attempts > 0 {
+                        self.extra.push(now);
+                        if let Some(b) = self.set.budget {
+                            let within =
+                                |v: &[u64]| v.iter().filter(|t| now - **t < b.window.0).count() as f64;
+                            assert!(within(&self.extra) <= b.free + b.share * within(&self.taken) + 1e-9);
+                        }
+                    }
+                    (life.out, life.attempts) = (Some(server.0), life.attempts + 1);
+                    life.ran.push((server.0, now));
+                }
+                Action::SetRung(id, rung) => {
+                    let life = &self.lives[&id.0];
+                    let class = &self.set.classes[life.class];
+                    assert!(rung >= class.floor && rung.0 <= life.top, "{rung:?}");
+                }
+                Action::Refuse(id, _) => {
+                    let life = self.lives.get_mut(&id.0).expect("a known request");
+                    assert!(life.out.is_none() || life.left, "refused with an attempt out");
+                    let effect = self.set.classes[life.class].effect;
+                    assert!(effect == Effect::Repeatable || life.ran.is_empty(), "refused after it ran");
+                    life.answers += 1;
+                }
+                Action::Fail(id) => {
+                    if let Some(life) = self.lives.get_mut(&id.0) {
+                        life.answers += 1;
+                    }
+                }
+                Action::Cancel(id, _) => {
+                    assert!(self.set.limits.cancel && self.lives[&id.0].attempts > 0);
+                }
+                Action::Probe(_) => assert!(self.set.limits.probes),
+                Action::Move(id) => assert!(self.lives[&id.0].playing),
+                Action::Subscribe | Action::SetTimer(..) | Action::Log(_) => {}
+            }
+        }
+        for life in self.lives.values() {
+            assert!(life.answers <= 1, "answered twice");
+            let held = life.out.is_some() || life.playing || life.left;
+            assert!(held || life.answers == 1, "neither out, playing nor answered");
+        }
+        for (i, class) in self.set.classes.iter().enumerate() {
+            if let Some(seats) = class.seats {
+                let held = self.lives.values().filter(|l| l.class == i && l.out.is_some()).count();
+                let handed = self.lives.values().filter(|l| l.class == i && l.gives_up == 0).count();
+                assert!(held <= seats as usize * 3 + handed, "seats of three titles: {held}");
+            }
+        }
+    }
+
+    fn nth_out(&self, n: usize, started: bool) -> Option<u64> {
+        let able = |(_, l): &(&u64, &Life)| l.out.is_some() && (started || !l.playing);
+        let ids: Vec<u64> = self.lives.iter().filter(able).map(|(id, _)| *id).collect();
+        (!ids.is_empty()).then(|| ids[n % ids.len()])
+    }
+
+    fn step(&mut self, next: u64, m: Move) {
+        match m {
+            Move::Wait(us) => {
+                self.front.wait(us);
+                // Attempts are cut at the viewer's time, as on the wire.
+                let now = self.front.now;
+                let late = |l: &Life| l.out.is_some() && !l.playing && now >= l.gives_up;
+                let due: Vec<u64> = self.lives.iter().filter(|(_, l)| late(l)).map(|(id, _)| *id).collect();
+                for id in due {
+                    self.end(id, Outcome::Timeout);
+                }
+            }
+            Move::Ask { class, title, home, holders, top, patience } => {
+                let now = self.front.now;
+                let life = Life { class: class.into(), top, gives_up: now + patience, ..Life::default() };
+                let req = Request {
+                    class: ClassId(class),
+                    title: TitleId(title),
+                    home,
+                    holders,
+                    top: Rung(top),
+                    gives_up: Micros(now + patience),
+                    ..request(next, now)
+                };
+                self.lives.insert(next, life);
+                self.taken.push(now);
+                let actions = self.front.send(Event::Request(req));
+                self.apply(actions);
+            }
+            Move::HandOver { class, server, rung } => {
+                let floor = self.set.classes[usize::from(class)].floor;
+                let life = Life {
+                    class: class.into(),
+                    top: 3,
+                    out: Some(server),
+                    playing: true,
+                    attempts: 1,
+                    ..Life::default()
+                };
+                self.lives.insert(next, life);
+                let req = Request { class: ClassId(class), gives_up: Micros(0), ..request(next, 0) };
+                let mut actions = self.front.send(Event::HandedOver(req, ServerId(server)));
+                let note = Note::Rung(Rung(rung).max(floor));
+                let (session, server) = (SessionId(next), ServerId(server));
+                actions.extend(self.front.send(Event::Noted { session, server, note }));
+                self.apply(actions);
+            }
+            Move::Start(n) => {
+                let Some(id) = self.nth_out(n, false) else { return };
+                let life = self.lives.get_mut(&id).expect("it is out");
+                if life.left || life.answers > 0 {
+                    return;
+                }
+                life.playing = true;
+                let server = life.out.expect("it is out");
+                let actions = self.front.started(id, server);
+                self.apply(actions);
+            }
+            Move::End(n, o) => {
+                if let Some(id) = self.nth_out(n, true) {
+                    self.end(id, outcome(o));
+                }
+            }
+            Move::Leave(n) => {
+                let Some(id) = self.nth_out(n, true) else { return };
+                let life = self.lives.get_mut(&id).expect("it is out");
+                if life.left || life.answers > 0 {
+                    return;
+                }
+                life.left = true;
+                let actions = self.front.send(Event::Withdrawn(SessionId(id)));
+                self.apply(actions);
+            }
+            Move::List(form, n, state, new) => {
+                let state =
+                    [ServerState::Ready, ServerState::Draining, ServerState::Gone][usize::from(state)];
+                let form =
+                    [ListForm::Delta, ListForm::Full, ListForm::Cached, ListForm::Failed][usize::from(form)];
+                if matches!(form, ListForm::Full | ListForm::Cached) {
+                    self.states.clear();
+                }
+                let entries = if form == ListForm::Failed {
+                    vec![]
+                } else {
+                    self.states.insert(n, state);
+                    vec![entry(n, state, if new { self.front.now } else { 0 })]
+                };
+                let actions = self.front.send(Event::Servers(form, entries));
+                self.apply(actions);
+            }
+            Move::Note(server, kind, level) => {
+                let note = match kind {
+                    0 => Note::Delivered(level),
+                    1 => Note::LinkUse(level),
+                    _ => Note::UplinkUse(level),
+                };
+                self.front.note(server, note);
+            }
+            Move::Probed(server, o, x) => {
+                let report = LoadReport { streams: Some(x), link: Some(x), uplink: Some(x) };
+                let (server, outcome) = (ServerId(server), outcome(o));
+                let actions = self.front.send(Event::Probed { server, outcome, report });
+                self.apply(actions);
+            }
+            Move::Tick => {
+                let actions = self.front.tick();
+                self.apply(actions);
+            }
+            Move::Peer => {
+                let actions = self.front.send(Event::Peer(1, vec![1, 2]));
+                self.apply(actions);
+            }
+        }
+    }
+
+    fn end(&mut self, id: u64, how: Outcome) {
+        let life = self.lives.get_mut(&id).expect("a known request");
+        let server = life.out.take().expect("it is out");
+        if how.never_ran() && !life.playing {
+            life.ran.pop();
+        }
+        let closed = life.playing || life.left || life.answers > 0 || how == Outcome::Ok;
+        if closed {
+            life.left = true;
+            life.playing = false;
+        }
+        let actions = self.front.ended(id, server, how, closed);
+        self.apply(actions);
+    }
+}
+
+fn play(kind: u8, seed: u64, list: &[Move]) -> Vec<String> {
+    let set = settings_of(kind);
+    let front = Front { choice: Choice::new(set.clone(), seed), now: 50 * S };
+    let mut world = World {
+        set,
+        front,
+        lives: BTreeMap::new(),
+        states: (0..4).map(|n| (n, ServerState::Ready)).collect(),
+        extra: vec![],
+        taken: vec![],
+    };
+    let entries = (0..4).map(|n| entry(n, ServerState::Ready, 0)).collect();
+    let first = world.front.send(Event::Servers(ListForm::Cached, entries));
+    world.apply(first);
+    for (i, m) in list.iter().enumerate() {
+        world.step(i as u64 + 1, m.clone());
+    }
+    world.lives.iter().map(|(id, l)| format!("{id} {} {:?} {}", l.answers, l.ran, l.attempts)).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 400,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_201),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn rules_hold_for_any_order(kind in 0..4u8, seed: u64, list in moves()) {
+        let once = play(kind, seed, &list);
+        prop_assert_eq!(once, play(kind, seed, &list), "same events, same actions");
+    }
+}
