--- a/src/choice.rs
+++ b/src/choice.rs
@@ -471,6 +471,7 @@
     fn full(&mut self, id: ServerId) {
         if let Some(s) = self.servers.get_mut(&id) {
             s.shut_until = s.shut_until.max(self.now + FULL_FOR);
+            s.link.hear(self.now, self.set.guard.unwrap_or(1.0));
         }
     }
 
@@ -694,19 +695,18 @@
     /// front younger than the window knows too little for that: the mean use heard elsewhere, or half, if
     /// that is more.
     fn unheard(&self, link: &Gauge) -> f64 {
-        let (mut own, mut size, mut heard, mut n) = (0.0, 0.0, 0.0, 0.0);
+        let (mut own, mut size, mut heard, mut n) = (0.0, 0.0, 0.5, 1.0);
         for s in self.servers.values().filter(|s| s.entry.state != ServerState::Gone) {
             own += s.link.own;
             size += s.link.size;
             if let Some(x) = s.link.last(self.now) {
-                heard += x;
+                heard += x.min(1.0);
                 n += 1.0;
             }
         }
         let alike = f64::from(self.set.fronts.max(1) - 1) * own / f64::max(size, 1e-9);
         let young = self.born.is_none_or(|b| self.now - b < REPORT_WINDOW);
-        let mean = if n > 0.0 { heard / n } else { 0.5 };
-        link.size * if young { mean.max(alike) } else { alike }
+        link.size * if young { f64::max(heard / n, alike) } else { alike }
     }
 
     /// Whether the tenant asks for more than its share: this front's part of the quota over the report
