--- a/src/choice.rs
+++ b/src/choice.rs
@@ -13,7 +13,7 @@
 /// A report fades over this window into what the other fronts are thought to carry.
 const REPORT_WINDOW: Micros = Micros(10_000_000);
 /// Within this, the highest report counts; past it, the newest.
-const FRESH: Micros = Micros(1_500_000);
+const FRESH: Micros = Micros(500_000);
 /// How often rungs, overdue answers and stale figures are looked at.
 const TICK: Micros = Micros(500_000);
 /// A resource used above this part is relieved by stepping own sessions down...
@@ -44,8 +44,6 @@
 const SHORT: f64 = 0.98;
 /// Where only probes tell load, a rack unheard for this long is probed.
 const PROBE_AGE: Micros = Micros(2_000_000);
-/// A tenant is past its share above this multiple of its quota.
-const PAST_SHARE: f64 = 1.2;
 
 const TICK_TOKEN: TimerToken = TimerToken(1);
 
@@ -94,15 +92,14 @@
     sessions: BTreeMap<SessionId, Session>,
     taken: Recent,
     extra: Recent,
-    tenants: BTreeMap<TenantId, Recent>,
 }
 
 impl Choice {
     /// A controller that knows its settings and nothing else.
     pub fn new(set: Settings, seed: u64) -> Self {
-        let (servers, racks, sessions, tenants) = Default::default();
+        let (servers, racks, sessions) = Default::default();
         let (now, out, born, taken, extra) = Default::default();
-        Choice { set, rng: Random(seed), now, out, born, servers, racks, sessions, taken, extra, tenants }
+        Choice { set, rng: Random(seed), now, out, born, servers, racks, sessions, taken, extra }
     }
 
     /// Takes one event and appends what is to be done, in order.
@@ -192,8 +189,7 @@
             return;
         };
         let aim = (self.now + class.aim).min(req.gives_up);
-        let cheap = self.past_share(&req);
-        self.sessions.insert(id, Session { req, aim, cheap, ..Session::default() });
+        self.sessions.insert(id, Session { req, aim, ..Session::default() });
         self.place(id);
     }
 
@@ -263,15 +259,15 @@
     /// rate; none: an answer at once.
     fn place(&mut self, id: SessionId) {
         let Some(s) = self.sessions.get(&id) else { return };
-        let (class, top, cheap) = (s.req.class, self.set.top(&s.req), s.cheap);
+        let (class, top) = (s.req.class, self.set.top(&s.req));
         let floor = self.set.class(class).floor;
         if top < floor || !self.may_try(s) || self.seats_taken(&s.req) {
             return self.give_up(id);
         }
-        let base = if cheap { floor } else { self.base(class).min(top) };
+        let base = self.base(class).min(top);
         let holders = self.holders(s);
         let mut choice = self.first_covering(&holders, self.set.rate(class, base)).map(|h| (h, base));
-        if choice.is_none() && !cheap {
+        if choice.is_none() {
             choice = self.make_room(id, &holders, base).map(|h| (h, base));
         }
         for rung in (floor.0..base.0).rev().map(Rung) {
@@ -280,7 +276,6 @@
         }
         let Some((server, base)) = choice else { return self.give_up(id) };
         // The highest rung that leaves the margin spare.
-        let top = if cheap { base } else { top };
         let spare = |up: &u8| self.fits(server, self.set.rate(class, Rung(*up)), 1.0 - 2.0 * MARGIN);
         let rung = (base.0 + 1..=top.0).rev().find(spare).map_or(base, Rung);
         self.send(id, server, rung);
@@ -549,7 +544,7 @@
     fn raise(&mut self) {
         let mut list = Vec::new();
         for (&id, s) in &self.sessions {
-            let (Some(at), Phase::Playing, false) = (s.at, s.phase, s.cheap) else { continue };
+            let (Some(at), Phase::Playing) = (s.at, s.phase) else { continue };
             if s.rung < self.set.top(&s.req) && self.now - s.changed >= RAISE_GAP {
                 let (gain, more) = self.set.stair(s.req.class, Rung(s.rung.0 + 1));
                 list.push((gain / more, id, at, more));
@@ -709,19 +704,6 @@
         link.size * if young { f64::max(heard / n, alike) } else { alike }
     }
 
-    /// Whether the tenant asks for more than its share: this front's part of the quota over the report
-    /// window.
-    fn past_share(&mut self, req: &Request) -> bool {
-        let quota = self.set.tenants.get(usize::from(req.tenant.0)).and_then(|t| t.quota_per_s);
-        let Some(quota) = quota.filter(|_| self.set.over_share_worth < 1.0) else { return false };
-        let seen = self.tenants.entry(req.tenant).or_default();
-        if !req.again {
-            seen.note(self.now, REPORT_WINDOW);
-        }
-        seen.within(self.now, REPORT_WINDOW) as f64 * f64::from(self.set.fronts.max(1))
-            > PAST_SHARE * quota * REPORT_WINDOW.secs()
-    }
-
     /// The rung from the class's floor up that earns most for its rate.
     fn base(&self, class: ClassId) -> Rung {
         let floor = self.set.class(class).floor;
--- a/src/state.rs
+++ b/src/state.rs
@@ -56,8 +56,6 @@
     pub tried: Vec<ServerId>,
     /// Attempts that may have run.
     pub ran: Vec<(ServerId, Micros)>,
-    /// Past its tenant's share.
-    pub cheap: bool,
 }
 
 /// Times of something that happened lately.
