Steps of rung leave more spare the less they earn for their rate

One ceiling of 0.70 for all raises left good steps undone and let poor ones fill links. The ceiling now runs from the margin for the best step of any class down by 0.20.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -20,8 +20,8 @@
 const RELIEVE_ABOVE: f64 = 1.0;
 /// ...to here.
 const RELIEVE_TO: f64 = 0.95;
-/// Sessions that play step up while use stays under this part.
-const RAISE_TO: f64 = 0.70;
+/// Spare part left on top of the margin by a step that earns nothing for its rate.
+const SPARE: f64 = 0.2;
 /// A session steps up again no sooner than this after a change.
 const RAISE_GAP: Micros = Micros(6_000_000);
 /// An attempt that may be followed by another gets this part of the time left to the aim.
@@ -175,8 +175,17 @@
                 _ => 1.0,
             };
             s.link.size = unit.map_or(f64::INFINITY, |u| u * weight);
-            // The settings tell the mean uplink; it stays as the rack's servers come and go.
-            self.racks.entry(s.rack).or_default().size = self.set.uplink_kb.unwrap_or(f64::INFINITY);
+        }
+        // The settings tell the mean uplink: a rack's is thought to follow its links, as first listed.
+        let mut links: BTreeMap<u32, f64> = BTreeMap::new();
+        for s in self.servers.values() {
+            *links.entry(s.rack).or_default() += s.link.size;
+        }
+        let mean = links.values().sum::<f64>() / links.len().max(1) as f64;
+        for (rack, sum) in links {
+            let part = if sum > 0.0 && sum.is_finite() { sum / mean } else { 1.0 };
+            let size = self.set.uplink_kb.map_or(f64::INFINITY, |u| u * part);
+            self.racks.entry(rack).or_insert_with(|| Gauge { size, ..Gauge::default() });
         }
         recount(&self.set, &mut self.servers, &mut self.racks, &self.sessions);
     }
@@ -276,7 +285,8 @@
         }
         let Some((server, base)) = choice else { return self.give_up(id) };
         // The highest rung that leaves the margin spare.
-        let spare = |up: &u8| self.fits(server, self.set.rate(class, Rung(*up)), 1.0 - 2.0 * MARGIN);
+        let spare =
+            |up: &u8| self.fits(server, self.set.rate(class, Rung(*up)), self.ceiling(class, Rung(*up)));
         let rung = (base.0 + 1..=top.0).rev().find(spare).map_or(base, Rung);
         self.send(id, server, rung);
     }
@@ -547,14 +557,14 @@
             let (Some(at), Phase::Playing) = (s.at, s.phase) else { continue };
             if s.rung < self.set.top(&s.req) && self.now - s.changed >= RAISE_GAP {
                 let (gain, more) = self.set.stair(s.req.class, Rung(s.rung.0 + 1));
-                list.push((gain / more, id, at, more));
+                list.push((gain / more, id, at, more, self.ceiling(s.req.class, Rung(s.rung.0 + 1))));
             }
         }
         list.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         let mut done = BTreeSet::new();
-        for (_, id, at, more) in list {
+        for (_, id, at, more, ceiling) in list {
             let turn = self.rng.next().is_multiple_of(u64::from(self.set.fronts.max(1)));
-            if turn && !done.contains(&at) && self.fits(at, more, RAISE_TO) {
+            if turn && !done.contains(&at) && self.fits(at, more, ceiling) {
                 done.insert(at);
                 self.step(id, 1);
             }
@@ -704,6 +714,20 @@
         link.size * if young { f64::max(heard / n, alike) } else { alike }
     }
 
+    /// How full a link or uplink may be for a step to this rung: the less the step earns for its rate, against the
+    /// best step of any class, the more is left spare.
+    fn ceiling(&self, class: ClassId, rung: Rung) -> f64 {
+        let earns = |class: u16, rung: u8| {
+            let (gain, more) = self.set.stair(ClassId(class), Rung(rung));
+            gain / more
+        };
+        let rungs = 1..=self.set.ladder_top().0;
+        let classes = 0..self.set.classes.len() as u16;
+        let best = classes.flat_map(|c| rungs.clone().map(move |r| (c, r))).map(|(c, r)| earns(c, r));
+        let part = earns(class.0, rung.0) / best.fold(1e-9, f64::max);
+        1.0 - MARGIN - SPARE * (1.0 - part.clamp(0.0, 1.0))
+    }
+
     /// The rung from the class's floor up that earns most for its rate.
     fn base(&self, class: ClassId) -> Rung {
         let floor = self.set.class(class).floor;
