On an uplink, others are thought to grow as this front does; shorter text

Own growth since a report now counts once for every front there. A failed list call is repeated at the next tick, not at once.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -67,11 +67,17 @@
     }
 
     /// Own load plus what others have: as the highest fresh report or the newest one says, fading with its
-    /// age into `unheard`, what they are thought to have without any.
-    fn load(&self, now: Micros, unheard: f64) -> f64 {
+    /// age into `unheard`, what they are thought to have for the size without any. Each of `alike` others is
+    /// thought to have grown since as own sessions did, so that not all of them take the same room.
+    fn load(&self, now: Micros, unheard: f64, alike: f64) -> f64 {
+        if self.size.is_infinite() {
+            return self.own;
+        }
+        let unheard = unheard * self.size;
         let others = |h: &(Micros, f64, f64)| {
             let weight = (1.0 - (now - h.0).secs() / REPORT_WINDOW.secs()).max(0.0);
-            (h.1 * self.size - h.2).max(0.0) * weight + unheard * (1.0 - weight)
+            let then = (h.1 * self.size - h.2).max(0.0) + alike * (self.own - h.2).max(0.0);
+            then * weight + unheard * (1.0 - weight)
         };
         let newest = self.heard.back().map_or(unheard, others);
         let fresh = self.heard.iter().filter(|h| now - h.0 <= FRESH).map(others);
@@ -90,6 +96,8 @@
     servers: BTreeMap<ServerId, Server>,
     racks: BTreeMap<u32, Gauge>,
     sessions: BTreeMap<SessionId, Session>,
+    /// The list is to be asked for at the next tick.
+    subscribe: bool,
     taken: Recent,
     extra: Recent,
 }
@@ -98,8 +106,9 @@
     /// A controller that knows its settings and nothing else.
     pub fn new(set: Settings, seed: u64) -> Self {
         let (servers, racks, sessions) = Default::default();
-        let (now, out, born, taken, extra) = Default::default();
-        Choice { set, rng: Random(seed), now, out, born, servers, racks, sessions, taken, extra }
+        let (now, out, born, subscribe, taken, extra) = Default::default();
+        let rng = Random(seed);
+        Choice { set, rng, now, out, born, servers, racks, sessions, subscribe, taken, extra }
     }
 
     /// Takes one event and appends what is to be done, in order.
@@ -107,10 +116,8 @@
         self.now = now;
         if self.born.is_none() {
             self.born = Some(now);
-            self.out.push(Action::SetTimer(TICK, TICK_TOKEN));
-            if self.set.discovery == Discovery::Ask {
-                self.out.push(Action::Subscribe);
-            }
+            self.subscribe = self.set.discovery == Discovery::Ask;
+            self.tick();
         }
         match event {
             Event::Servers(form, entries) => self.list(form, entries),
@@ -132,9 +139,7 @@
 
     fn list(&mut self, form: ListForm, entries: Vec<ServerEntry>) {
         if form == ListForm::Failed {
-            if self.set.discovery == Discovery::Ask {
-                self.out.push(Action::Subscribe);
-            }
+            self.subscribe = self.set.discovery == Discovery::Ask;
             return;
         }
         if form != ListForm::Delta {
@@ -191,7 +196,7 @@
     }
 
     fn request(&mut self, req: Request) {
-        self.taken.note(self.now, self.budget_window());
+        self.taken.note(self.now, self.set.budget_window());
         let id = req.session;
         let Some(class) = self.set.classes.get(usize::from(req.class.0)) else {
             self.out.push(Action::Fail(id));
@@ -230,7 +235,6 @@
         let sent = self.sessions.get(&id).and_then(|s| s.ran.last()).map_or(self.now, |r| r.1);
         match outcome {
             Outcome::Ok => self.alive(server),
-            Outcome::Full => self.full(server),
             Outcome::Cancelled | Outcome::Moot => {}
             failure => self.strike(server, sent, failure),
         }
@@ -355,7 +359,7 @@
 
     fn send(&mut self, id: SessionId, server: ServerId, rung: Rung) {
         if self.sessions.get(&id).is_some_and(|s| s.attempts > 0) {
-            self.extra.note(self.now, self.budget_window());
+            self.extra.note(self.now, self.set.budget_window());
         }
         let more = self.budget_left();
         let Some(s) = self.sessions.get_mut(&id) else { return };
@@ -401,10 +405,6 @@
         if s.attempts == 0 { self.now < s.aim } else { safe && further && self.budget_left() }
     }
 
-    fn budget_window(&self) -> Micros {
-        self.set.budget.map_or(Micros(0), |b| b.window)
-    }
-
     /// Whether one further attempt stays inside the budget.
     fn budget_left(&self) -> bool {
         let Some(b) = self.set.budget else { return true };
@@ -455,8 +455,13 @@
     /// silent, erring, dead and unreachable servers alike, whatever the list says. It hurts when a lossy
     /// network shuts out a sound server for a moment. Set-ups sent before the last strike add none, nor does
     /// a late answer of a server that has answered others since: that one is slow, not silent.
+    /// One that turns set-ups away is just full for a while.
     fn strike(&mut self, id: ServerId, sent: Micros, outcome: Outcome) {
         let Some(s) = self.servers.get_mut(&id) else { return };
+        if outcome == Outcome::Full {
+            s.shut_until = s.shut_until.max(self.now + FULL_FOR);
+            return s.link.hear(self.now, self.set.guard.unwrap_or(1.0));
+        }
         if outcome == Outcome::Timeout && s.alive_at > sent {
             return;
         }
@@ -472,14 +477,6 @@
         }
     }
 
-    /// A server that turns set-ups away is full for a while, whatever its reports say.
-    fn full(&mut self, id: ServerId) {
-        if let Some(s) = self.servers.get_mut(&id) {
-            s.shut_until = s.shut_until.max(self.now + FULL_FOR);
-            s.link.hear(self.now, self.set.guard.unwrap_or(1.0));
-        }
-    }
-
     fn alive(&mut self, id: ServerId) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         s.strikes = s.strikes.saturating_sub(1);
@@ -517,6 +514,9 @@
 
     fn tick(&mut self) {
         self.out.push(Action::SetTimer(TICK, TICK_TOKEN));
+        if std::mem::take(&mut self.subscribe) {
+            self.out.push(Action::Subscribe);
+        }
         // An answer is owed even if a driver forgets the outcome of an attempt cut to the viewer's time.
         for (&id, s) in &mut self.sessions {
             if s.phase == Phase::Owed && self.now >= s.req.gives_up {
@@ -532,14 +532,18 @@
     /// Steps own sessions down where a link or uplink is asked for more than it gives; each front takes off
     /// its own part of the excess.
     fn relieve(&mut self) {
-        let excess = |own: f64, (size, load): (f64, f64)| match load {
-            l if l > RELIEVE_ABOVE * size => (l - RELIEVE_TO * size) * (own / l).min(1.0),
-            _ => 0.0,
-        };
-        let links = self.servers.iter().map(|(&id, s)| (s.rack, Some(id), excess(s.link.own, self.link(s))));
-        let uplinks = self.racks.iter().map(|(&r, g)| (r, None, excess(g.own, self.uplink(r))));
-        let over: Vec<(u32, Option<ServerId>, f64)> = links.chain(uplinks).filter(|o| o.2 > 0.0).collect();
-        for (rack, only, mut need) in over {
+        let links = self.servers.iter().filter(|(_, s)| s.strikes == 0).map(|(&id, s)| (s.rack, Some(id)));
+        let all: Vec<(u32, Option<ServerId>)> = links.chain(self.racks.keys().map(|&r| (r, None))).collect();
+        for (rack, only) in all {
+            let (own, (size, load)) = match (only.and_then(|id| self.servers.get(&id)), self.racks.get(&rack))
+            {
+                (Some(s), _) => (s.link.own, self.link(s)),
+                (None, uplink) => (uplink.map_or(0.0, |g| g.own), self.uplink(rack)),
+            };
+            if load <= RELIEVE_ABOVE * size {
+                continue;
+            }
+            let mut need = (load - RELIEVE_TO * size) * (own / load).min(1.0);
             for (_, sid, at, freed) in self.steps_down(rack) {
                 if need > freed * 0.5 && only.is_none_or(|o| o == at) {
                     need -= freed;
@@ -556,8 +560,9 @@
         for (&id, s) in &self.sessions {
             let (Some(at), Phase::Playing) = (s.at, s.phase) else { continue };
             if s.rung < self.set.top(&s.req) && self.now - s.changed >= RAISE_GAP {
-                let (gain, more) = self.set.stair(s.req.class, Rung(s.rung.0 + 1));
-                list.push((gain / more, id, at, more, self.ceiling(s.req.class, Rung(s.rung.0 + 1))));
+                let (class, up) = (s.req.class, Rung(s.rung.0 + 1));
+                let more = self.set.stair(class, up).1;
+                list.push((self.set.earns(class, up), id, at, more, self.ceiling(class, up)));
             }
         }
         list.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
@@ -650,9 +655,6 @@
 
     fn probed(&mut self, id: ServerId, outcome: Outcome, r: LoadReport) {
         self.report(id, r);
-        if let Some(s) = self.servers.get_mut(&id) {
-            s.probing = false;
-        }
         if matches!(outcome, Outcome::Timeout | Outcome::ConnectFailed | Outcome::Reset) {
             self.strike(id, self.now, outcome);
         }
@@ -665,15 +667,15 @@
             return;
         }
         for (rack, g) in &self.racks {
-            let able = |s: &&mut Server| {
-                let ready = s.entry.state == ServerState::Ready && s.strikes == 0;
-                ready && !s.probing && s.rack == *rack
-            };
             if g.heard_at().is_some_and(|t| self.now - t < PROBE_AGE) {
                 continue;
             }
+            let able = |s: &&mut Server| {
+                let ready = s.entry.state == ServerState::Ready && s.strikes == 0;
+                ready && s.rack == *rack && s.probed_at.is_none_or(|t| self.now - t > PROBE_AGE)
+            };
             if let Some(s) = self.servers.values_mut().filter(able).min_by_key(|s| s.link.heard_at()) {
-                s.probing = true;
+                s.probed_at = Some(self.now);
                 self.out.push(Action::Probe(s.entry.server));
             }
         }
@@ -681,11 +683,11 @@
 
     /// Size and load of a link; a cold server's is smaller.
     fn link(&self, s: &Server) -> (f64, f64) {
-        (s.link.size * self.warmth(s), s.link.load(self.now, self.unheard(&s.link)))
+        (s.link.size * self.warmth(s), s.link.load(self.now, self.unheard(), 0.0))
     }
 
     fn streams(&self, s: &Server) -> (f64, f64) {
-        (s.streams.size, s.streams.load(self.now, self.unheard(&s.link) / s.link.size * s.streams.size))
+        (s.streams.size, s.streams.load(self.now, self.unheard(), 0.0))
     }
 
     /// Size and load of a rack's uplink. Unheard, it carries what its links are thought to carry.
@@ -693,13 +695,13 @@
         let Some(g) = self.racks.get(&rack) else { return (f64::INFINITY, 0.0) };
         let links = self.servers.values().filter(|s| s.rack == rack && s.entry.state != ServerState::Gone);
         let others: f64 = links.map(|s| self.link(s).1 - s.link.own).sum();
-        (g.size, g.load(self.now, others))
+        (g.size, g.load(self.now, others / g.size, f64::from(self.set.fronts.max(1) - 1)))
     }
 
-    /// What others have on an unheard link: as much as this front has on the mean link, for each of them. A
-    /// front younger than the window knows too little for that: the mean use heard elsewhere, or half, if
-    /// that is more.
-    fn unheard(&self, link: &Gauge) -> f64 {
+    /// What others have on an unheard link, for its size: as much as this front has on the mean link, for
+    /// each of them. A front younger than the window knows too little for that: the mean use heard elsewhere
+    /// (and one half), if that is more.
+    fn unheard(&self) -> f64 {
         let (mut own, mut size, mut heard, mut n) = (0.0, 0.0, 0.5, 1.0);
         for s in self.servers.values().filter(|s| s.entry.state != ServerState::Gone) {
             own += s.link.own;
@@ -711,20 +713,13 @@
         }
         let alike = f64::from(self.set.fronts.max(1) - 1) * own / f64::max(size, 1e-9);
         let young = self.born.is_none_or(|b| self.now - b < REPORT_WINDOW);
-        link.size * if young { f64::max(heard / n, alike) } else { alike }
+        if young { f64::max(heard / n, alike) } else { alike }
     }
 
-    /// How full a link or uplink may be for a step to this rung: the less the step earns for its rate, against the
-    /// best step of any class, the more is left spare.
+    /// How full a link or uplink may be for a step to this rung: the less the step earns for its rate,
+    /// against the best step of any class, the more is left spare.
     fn ceiling(&self, class: ClassId, rung: Rung) -> f64 {
-        let earns = |class: u16, rung: u8| {
-            let (gain, more) = self.set.stair(ClassId(class), Rung(rung));
-            gain / more
-        };
-        let rungs = 1..=self.set.ladder_top().0;
-        let classes = 0..self.set.classes.len() as u16;
-        let best = classes.flat_map(|c| rungs.clone().map(move |r| (c, r))).map(|(c, r)| earns(c, r));
-        let part = earns(class.0, rung.0) / best.fold(1e-9, f64::max);
+        let part = self.set.earns(class, rung) / self.set.best_step();
         1.0 - MARGIN - SPARE * (1.0 - part.clamp(0.0, 1.0))
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -30,7 +30,7 @@
     pub witnessed: bool,
     pub cold_since: Option<Micros>,
     pub short: Option<(Micros, f64)>,
-    pub probing: bool,
+    pub probed_at: Option<Micros>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -119,6 +119,27 @@
         self.class(class).worth * rung_of(&self.ladder.worth, rung)
     }
 
+    /// What a step to this rung earns for its rate.
+    pub(crate) fn earns(&self, class: ClassId, rung: Rung) -> f64 {
+        let (gain, more) = self.stair(class, rung);
+        gain / more
+    }
+
+    /// The most that any step of any class earns for its rate.
+    pub(crate) fn best_step(&self) -> f64 {
+        let mut best = 1e-9;
+        for (n, class) in (0..).zip(&self.classes) {
+            let steps = class.floor.0 + 1..=class.top.min(self.ladder_top()).0;
+            best = steps.map(|r| self.earns(ClassId(n), Rung(r))).fold(best, f64::max);
+        }
+        best
+    }
+
+    /// The window of the budget for further attempts.
+    pub(crate) fn budget_window(&self) -> Micros {
+        self.budget.map_or(Micros(0), |b| b.window)
+    }
+
     /// Worth a second and rate that this rung adds to the one below.
     pub(crate) fn stair(&self, class: ClassId, rung: Rung) -> (f64, f64) {
         let below = Rung(rung.0.saturating_sub(1));
