--- a/src/choice.rs
+++ b/src/choice.rs
@@ -696,9 +696,9 @@
         (g.size, g.load(self.now, others / g.size, f64::from(self.set.fronts.max(1) - 1)))
     }
 
-    /// What others have of an unheard link or its streams, for the size: as much as this front has of the mean
-    /// one, for each of them. A front younger than the window knows too little for that: the mean use heard
-    /// elsewhere (and twice one half), if that is more.
+    /// What others have of an unheard link or its streams, for the size: as much as this front has of the
+    /// mean one, for each of them. A front younger than the window knows too little for that: the mean use
+    /// heard elsewhere (and twice one half), if that is more.
     fn unheard(&self, gauge: impl Fn(&Server) -> &Gauge) -> f64 {
         let (mut own, mut size, mut heard, mut n) = (0.0, 0.0, 1.0, 2.0);
         for s in self.servers.values().filter(|s| s.entry.state != ServerState::Gone) {
