Tell a short link from a sagging uplink by reports; serve at once after a restart

Reports decide now where they tell of uplinks; an unheard uplink is estimated like a link; sessions handed over tell what others carry.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -84,7 +84,7 @@
 }
 
 /// The controller of one front.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Choice {
     set: Settings,
     rng: Random,
@@ -96,6 +96,9 @@
     sessions: BTreeMap<SessionId, Session>,
     /// The list is to be asked for at the next tick.
     subscribe: bool,
+    /// Reports have told of uplinks; sessions were handed over at the start.
+    uplinks_told: bool,
+    handed: bool,
     /// Set-ups that may be risked on distrusted servers now.
     trials: f64,
     taken: Recent,
@@ -105,10 +108,7 @@
 impl Choice {
     /// A controller that knows its settings and nothing else.
     pub fn new(set: Settings, seed: u64) -> Self {
-        let (servers, racks, sessions) = Default::default();
-        let (now, out, born, subscribe, trials, taken, extra) = Default::default();
-        let rng = Random(seed);
-        Choice { set, rng, now, out, born, servers, racks, sessions, subscribe, trials, taken, extra }
+        Choice { set, rng: Random(seed), ..Choice::default() }
     }
 
     /// Takes one event and appends what is to be done, in order.
@@ -178,6 +178,7 @@
     }
 
     fn handed_over(&mut self, req: Request, server: ServerId) {
+        self.handed = true;
         self.servers.values_mut().for_each(|s| s.witnessed = false);
         let Some(class) = self.set.classes.get(usize::from(req.class.0)) else { return };
         let (phase, at, rung) = (Phase::Playing, Some(server), class.floor);
@@ -208,22 +209,18 @@
             Outcome::Cancelled | Outcome::Moot => {}
             failure => self.strike(server, sent, failure),
         }
-        let Some(s) = self.sessions.get_mut(&id) else { return };
+        let Some(mut s) = self.sessions.remove(&id) else { return };
+        if s.phase != Phase::Playing {
+            self.back_in(server);
+        }
         s.at = None;
         if outcome.never_ran() {
             s.ran.pop();
         }
-        let (over, was_out) = (closed || s.phase != Phase::Owed, s.phase != Phase::Playing);
-        if was_out {
-            self.back_in(server);
-        }
-        if over {
-            self.sessions.remove(&id);
-        }
+        let owed = !closed && s.phase == Phase::Owed;
+        self.sessions.extend(owed.then_some((id, s)));
         self.recount();
-        if !over {
-            self.place(id);
-        }
+        self.place(id);
     }
 
     fn withdrawn(&mut self, id: SessionId) {
@@ -402,11 +399,11 @@
         };
         let open = |s: &&Server| {
             let place = (u32::from(s.entry.cell.0) + cells - req.home % cells) % cells;
-            let kin = session.ran.iter().filter_map(|r| self.servers.get(&r.0)).all(|first| match group {
-                Group::All => true,
-                Group::Zone => first.entry.zone == s.entry.zone,
-                Group::Cell => first.entry.cell == s.entry.cell,
-            });
+            let kin = session
+                .ran
+                .iter()
+                .filter_map(|r| self.servers.get(&r.0))
+                .all(|r| group.joins(&r.entry, &s.entry));
             let untried = !session.tried.contains(&s.entry.server);
             let ready = s.entry.state == ServerState::Ready && place < req.holders.min(cells);
             ready && kin && untried && self.pace_allows(s)
@@ -605,15 +602,12 @@
 
     fn report(&mut self, id: ServerId, report: LoadReport) {
         let Some(s) = self.servers.get_mut(&id) else { return };
-        if let Some(x) = report.link {
-            s.link.hear(self.now, REPORT_WINDOW, x);
-        }
-        if let Some(n) = report.streams {
-            s.streams.hear(self.now, REPORT_WINDOW, n / s.streams.size.max(1.0));
-        }
-        if let (Some(x), Some(g)) = (report.uplink, self.racks.get_mut(&s.rack)) {
-            g.hear(self.now, REPORT_WINDOW, x);
+        s.link.hear(self.now, REPORT_WINDOW, report.link);
+        s.streams.hear(self.now, REPORT_WINDOW, report.streams.map(|n| n / s.streams.size.max(1.0)));
+        if let Some(g) = self.racks.get_mut(&s.rack) {
+            g.hear(self.now, REPORT_WINDOW, report.uplink);
         }
+        self.uplinks_told |= report.uplink.is_some();
     }
 
     fn noted(&mut self, id: SessionId, server: ServerId, note: Note) {
@@ -629,22 +623,23 @@
         }
     }
 
-    /// A note of short delivery counts as a report that the resource is asked for 1 / share of what it gives:
-    /// the uplink if that is known to be full or another server of the rack falls short alike, else the link.
+    /// A note of short delivery counts as a report that the resource is asked for 1 / share of what it gives.
+    /// Where reports tell of uplinks, it is the uplink that they show full, unless the link is; else the
+    /// uplink if another server of the rack falls short alike. In all other cases it is the link.
     fn delivered(&mut self, id: ServerId, share: f64) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         s.short = (share < SHORT).then_some((self.now, share));
         if share >= SHORT {
             return;
         }
-        let rack = s.rack;
+        let full = |g: &Gauge| g.last(self.now, REPORT_WINDOW).is_some_and(|x| x > SHORT);
+        let (rack, link_full) = (s.rack, full(&s.link));
         let alike = |s: &Server| {
             let same = s.short.is_some_and(|(t, x)| self.now - t < FRESH && (x - share).abs() < 0.1);
             s.entry.server != id && s.rack == rack && same
         };
-        let up_full =
-            self.racks.get(&rack).and_then(|g| g.last(self.now, REPORT_WINDOW)).is_some_and(|x| x > SHORT);
-        let at_uplink = up_full || self.servers.values().any(alike);
+        let up_full = self.racks.get(&rack).is_some_and(full) && !link_full;
+        let at_uplink = if self.uplinks_told { up_full } else { self.servers.values().any(alike) };
         let (uplink, link) = (self.racks.get_mut(&rack), self.servers.get_mut(&id).map(|s| &mut s.link));
         if let Some(g) = if at_uplink { uplink } else { link } {
             g.hear(self.now, REPORT_WINDOW, 1.0 / share.max(0.2));
@@ -681,36 +676,40 @@
 
     /// Size and load of a link; a cold server's is smaller.
     fn link(&self, s: &Server) -> (f64, f64) {
-        (s.link.size * self.warmth(s), s.link.load(self.now, self.unheard(|s| &s.link), 0.0))
+        (
+            s.link.size * self.warmth(s),
+            s.link.load(self.now, self.unheard(self.listed().map(|s| &s.link)), 0.0),
+        )
     }
 
     fn streams(&self, s: &Server) -> (f64, f64) {
-        (s.streams.size, s.streams.load(self.now, self.unheard(|s| &s.streams), 0.0))
+        (s.streams.size, s.streams.load(self.now, self.unheard(self.listed().map(|s| &s.streams)), 0.0))
     }
 
-    /// Size and load of a rack's uplink. Unheard, it carries what its links are thought to carry.
+    /// Size and load of a rack's uplink.
     fn uplink(&self, rack: u32) -> (f64, f64) {
         let Some(g) = self.racks.get(&rack) else { return (f64::INFINITY, 0.0) };
-        let links = self.servers.values().filter(|s| s.rack == rack && s.entry.state != ServerState::Gone);
-        let others: f64 = links.map(|s| self.link(s).1 - s.link.own).sum();
-        (g.size, g.load(self.now, others / g.size, f64::from(self.set.fronts.max(1) - 1)))
+        let unheard = self.unheard(self.racks.values());
+        (g.size, g.load(self.now, unheard, f64::from(self.set.fronts.max(1) - 1)))
+    }
+
+    fn listed(&self) -> impl Iterator<Item = &Server> {
+        self.servers.values().filter(|s| s.entry.state != ServerState::Gone)
     }
 
-    /// What others have of an unheard link or its streams, for the size: as much as this front has of the
-    /// mean one, for each of them. A front younger than the window knows too little for that: the mean use
-    /// heard elsewhere (and twice one half), if that is more.
-    fn unheard(&self, gauge: impl Fn(&Server) -> &Gauge) -> f64 {
+    /// What others have of an unheard resource, for its size: as much as this front has of the mean one, for
+    /// each of them. A young front that was handed no sessions knows too little for that: the mean use heard
+    /// elsewhere (and twice one half), if that is more.
+    fn unheard<'a>(&self, like: impl Iterator<Item = &'a Gauge>) -> f64 {
         let (mut own, mut size, mut heard, mut n) = (0.0, 0.0, 1.0, 2.0);
-        for s in self.servers.values().filter(|s| s.entry.state != ServerState::Gone) {
-            own += gauge(s).own;
-            size += gauge(s).size;
-            if let Some(x) = gauge(s).last(self.now, REPORT_WINDOW) {
-                heard += x.min(1.0);
-                n += 1.0;
+        for g in like {
+            (own, size) = (own + g.own, size + g.size);
+            if let Some(x) = g.last(self.now, REPORT_WINDOW) {
+                (heard, n) = (heard + x.min(1.0), n + 1.0);
             }
         }
         let alike = f64::from(self.set.fronts.max(1) - 1) * own / f64::max(size, 1e-9);
-        let young = self.born.is_none_or(|b| self.now - b < REPORT_WINDOW);
+        let young = !self.handed && self.born.is_none_or(|b| self.now - b < REPORT_WINDOW);
         if young { f64::max(heard / n, alike) } else { alike }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -138,20 +138,22 @@
 }
 
 /// How load reports reach a front.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Reporting {
     /// With answers, probe results and notes.
     InAnswers,
     /// With probe results alone.
     InProbes,
     /// Never.
+    #[default]
     Silent,
 }
 
 /// What the size in a server list says.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Sizes {
     /// Nothing: it is always 1.
+    #[default]
     Silent,
     /// The server's size, more or less exactly.
     Size,
@@ -160,16 +162,17 @@
 }
 
 /// How the server list reaches a front.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Discovery {
     /// Changes come by themselves.
+    #[default]
     Push,
     /// Only after a subscription or a fetch.
     Ask,
 }
 
 /// What the deployment permits.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Limits {
     /// Attempts for one session at most.
     pub max_attempts: u32,
@@ -193,7 +196,7 @@
 }
 
 /// How a freshly started server must be treated.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct ColdRule {
     /// It is warm after this long.
     pub warm_after: Micros,
@@ -206,7 +209,7 @@
 }
 
 /// The quality ladder and the sizes of links.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Ladder {
     /// Rate of each rung, kB a second.
     pub rates_kb: Vec<f64>,
@@ -217,7 +220,7 @@
 }
 
 /// Everything a front is told when it starts.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Settings {
     /// Classes of sessions.
     pub classes: Vec<Class>,
--- a/src/state.rs
+++ b/src/state.rs
@@ -17,9 +17,9 @@
 }
 
 impl Gauge {
-    /// Notes a figure of use over size and forgets those older than the window.
-    pub fn hear(&mut self, now: Micros, window: Micros, ratio: f64) {
-        if ratio.is_finite() && ratio >= 0.0 {
+    /// Notes a figure of use over size, if there is a sound one, and forgets those older than the window.
+    pub fn hear(&mut self, now: Micros, window: Micros, ratio: impl Into<Option<f64>>) {
+        if let Some(ratio) = ratio.into().filter(|x| x.is_finite() && *x >= 0.0) {
             self.heard.push_back((now, ratio.min(5.0), self.own));
             while self.heard.len() > 64 || self.heard.front().is_some_and(|h| now - h.0 > window) {
                 self.heard.pop_front();
@@ -107,7 +107,7 @@
 }
 
 /// Splitmix64, seeded by the driver.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Random(pub u64);
 
 impl Random {
@@ -119,6 +119,17 @@
     }
 }
 
+impl Group {
+    /// Whether two servers recognise each other's copies.
+    pub(crate) fn joins(self, a: &ServerEntry, b: &ServerEntry) -> bool {
+        match self {
+            Group::All => true,
+            Group::Zone => a.zone == b.zone,
+            Group::Cell => a.cell == b.cell,
+        }
+    }
+}
+
 impl Settings {
     /// A known class; requests of unknown ones are answered before anything asks for it.
     pub(crate) fn class(&self, class: ClassId) -> &Class {
