--- a/src/choice.rs
+++ b/src/choice.rs
@@ -182,7 +182,7 @@
         self.servers.values_mut().for_each(|s| s.witnessed = false);
         let Some(class) = self.set.classes.get(usize::from(req.class.0)) else { return };
         let (phase, at, rung) = (Phase::Playing, Some(server), class.floor);
-        let session = Session { phase, at, rung, changed: self.now, attempts: 1, req, ..Session::default() };
+        let session = Session { phase, at, rung, attempts: 1, req, ..Session::default() };
         self.sessions.insert(session.req.session, session);
         self.recount();
     }
