Doubt of servers after a front's start ends with the warm-up time

A restarted front paced every server until 12 s after its first answer there, and took cold links for smaller twice over where reports were heard.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -67,14 +67,14 @@
     /// Own load plus what others have: as the highest fresh report or the newest one says, fading with its
     /// age into `unheard`, what they are thought to have for the size without any. Each of `alike` others is
     /// thought to have grown since as own sessions did, so that not all of them take the same room.
-    fn load(&self, now: Micros, unheard: f64, alike: f64) -> f64 {
-        if self.size.is_infinite() {
+    fn load(&self, now: Micros, size: f64, unheard: f64, alike: f64) -> f64 {
+        if size.is_infinite() {
             return self.own;
         }
-        let unheard = unheard * self.size;
+        let unheard = unheard * size;
         let others = |h: &(Micros, f64, f64)| {
             let weight = (1.0 - (now - h.0).secs() / REPORT_WINDOW.secs()).max(0.0);
-            let then = (h.1 * self.size - h.2).max(0.0) + alike * (self.own - h.2).max(0.0);
+            let then = (h.1 * size - h.2).max(0.0) + alike * (self.own - h.2).max(0.0);
             then * weight + unheard * (1.0 - weight)
         };
         let newest = self.heard.back().map_or(unheard, others);
@@ -148,8 +148,9 @@
         for entry in entries {
             // A front that starts anew can't tell which server restarted meanwhile: each counts as perhaps
             // cold, until sessions handed over show that this is the start of service.
-            let witnessed = form == ListForm::Cached;
-            let fresh = Server { witnessed, ..Server::default() };
+            let doubt_until =
+                if form == ListForm::Cached { self.now + self.set.cold.warm_after } else { Micros(0) };
+            let fresh = Server { doubt_until, ..Server::default() };
             let known = self.servers.entry(entry.server).or_insert(fresh);
             if entry.started > known.entry.started {
                 // A new start ends old distrust; the cold time is known now.
@@ -179,7 +180,7 @@
 
     fn handed_over(&mut self, req: Request, server: ServerId) {
         self.handed = true;
-        self.servers.values_mut().for_each(|s| s.witnessed = false);
+        self.servers.values_mut().for_each(|s| s.doubt_until = Micros(0));
         let Some(class) = self.set.classes.get(usize::from(req.class.0)) else { return };
         let (phase, at, rung) = (Phase::Playing, Some(server), class.floor);
         let session = Session { phase, at, rung, attempts: 1, req, ..Session::default() };
@@ -488,7 +489,7 @@
     /// chosen by the server's id and the front's number.
     fn pace_allows(&self, s: &Server) -> bool {
         let c = &self.set.cold;
-        if c.multiple <= 0.0 || (!s.witnessed && self.warmth(s) >= 1.0) {
+        if c.multiple <= 0.0 || (!s.witnessed && self.warmth(s) >= 1.0 && self.now >= s.doubt_until) {
             return true;
         }
         let spans = c.span.secs() / c.warm_after.secs().max(1e-6);
@@ -676,21 +677,22 @@
 
     /// Size and load of a link; a cold server's is smaller.
     fn link(&self, s: &Server) -> (f64, f64) {
-        (
-            s.link.size * self.warmth(s),
-            s.link.load(self.now, self.unheard(self.listed().map(|s| &s.link)), 0.0),
-        )
+        let size = s.link.size * self.warmth(s);
+        (size, s.link.load(self.now, size, self.unheard(self.listed().map(|s| &s.link)), 0.0))
     }
 
     fn streams(&self, s: &Server) -> (f64, f64) {
-        (s.streams.size, s.streams.load(self.now, self.unheard(self.listed().map(|s| &s.streams)), 0.0))
+        (
+            s.streams.size,
+            s.streams.load(self.now, s.streams.size, self.unheard(self.listed().map(|s| &s.streams)), 0.0),
+        )
     }
 
     /// Size and load of a rack's uplink.
     fn uplink(&self, rack: u32) -> (f64, f64) {
         let Some(g) = self.racks.get(&rack) else { return (f64::INFINITY, 0.0) };
         let unheard = self.unheard(self.racks.values());
-        (g.size, g.load(self.now, unheard, f64::from(self.set.fronts.max(1) - 1)))
+        (g.size, g.load(self.now, g.size, unheard, f64::from(self.set.fronts.max(1) - 1)))
     }
 
     fn listed(&self) -> impl Iterator<Item = &Server> {
--- a/src/state.rs
+++ b/src/state.rs
@@ -53,6 +53,8 @@
     /// It may have restarted unseen; the first answer starts its cold time.
     pub witnessed: bool,
     pub cold_since: Option<Micros>,
+    /// Until then it may be cold from a start before this front's own.
+    pub doubt_until: Micros,
     pub short: Option<(Micros, f64)>,
     pub probed_at: Option<Micros>,
 }
