--- a/src/choice.rs
+++ b/src/choice.rs
@@ -55,11 +55,12 @@
 const TICK_TOKEN: TimerToken = TimerToken(1);
 
 impl Gauge {
-    /// No raise here for a while: twice as long each time, so that a link whose size swings settles at what
-    /// it gives when it is worst. It hurts when it was short for once only.
+    /// No raise here for a while: twice as long if the last one ended lately, so that a link whose size
+    /// swings settles at what it gives when it is worst. It hurts when it was short for once only.
     fn hold(&mut self, now: Micros) {
         if now >= self.held_until {
-            self.holds = (self.holds + 1).min(MAX_HOLDS);
+            let last = Micros(RAISE_GAP.0 << self.holds);
+            self.holds = if now > self.held_until + last { 1 } else { (self.holds + 1).min(MAX_HOLDS) };
             self.held_until = now + Micros(RAISE_GAP.0 << (self.holds - 1));
         }
     }
