--- a/src/choice.rs
+++ b/src/choice.rs
@@ -49,6 +49,8 @@
 const TIE: f64 = 0.05;
 /// Delivered under this share, a server is short.
 const SHORT: f64 = 0.98;
+/// Shares delivered that differ by less are taken for the doing of one uplink.
+const SAME: f64 = 0.03;
 /// Where only probes tell load, a rack unheard for this long is probed.
 const PROBE_AGE: Micros = Micros(2_000_000);
 
@@ -613,21 +615,20 @@
     }
 
     fn noted(&mut self, id: SessionId, server: ServerId, note: Note) {
-        let none = LoadReport::default();
         match note {
             Note::Rung(rung) => {
                 self.sessions.entry(id).and_modify(|s| s.rung = rung);
                 self.recount();
             }
-            Note::LinkUse(x) => self.report(server, LoadReport { link: Some(x), ..none }),
-            Note::UplinkUse(x) => self.report(server, LoadReport { uplink: Some(x), ..none }),
+            Note::LinkUse(x) => self.report(server, LoadReport { link: Some(x), ..Default::default() }),
+            Note::UplinkUse(x) => self.report(server, LoadReport { uplink: Some(x), ..Default::default() }),
             Note::Delivered(share) => self.delivered(server, share),
         }
     }
 
-    /// A note of short delivery counts as a report that the resource is asked for 1 / share of what it gives.
-    /// Where reports tell of uplinks, it is the uplink that they show full, unless the link is; else the
-    /// uplink if another server of the rack falls short alike. In all other cases it is the link.
+    /// A note of short delivery counts as a report that the resource is asked for 1 / share of what it gives:
+    /// the link if it is known to be full; else the uplink, if reports show it full or, where none tell of
+    /// uplinks, if another server of the rack falls short alike. In all other cases it is the link.
     fn delivered(&mut self, id: ServerId, share: f64) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         s.short = (share < SHORT).then_some((self.now, share));
@@ -637,11 +638,12 @@
         let full = |g: &Gauge| g.last(self.now, REPORT_WINDOW).is_some_and(|x| x > SHORT);
         let (rack, link_full) = (s.rack, full(&s.link));
         let alike = |s: &Server| {
-            let same = s.short.is_some_and(|(t, x)| self.now - t < FRESH && (x - share).abs() < 0.1);
+            let same = s.short.is_some_and(|(t, x)| self.now - t < FRESH && (x - share).abs() < SAME);
             s.entry.server != id && s.rack == rack && same
         };
-        let up_full = self.racks.get(&rack).is_some_and(full) && !link_full;
-        let at_uplink = if self.uplinks_told { up_full } else { self.servers.values().any(alike) };
+        let up_full = self.racks.get(&rack).is_some_and(full);
+        let at_uplink =
+            !link_full && if self.uplinks_told { up_full } else { self.servers.values().any(alike) };
         let (uplink, link) = (self.racks.get_mut(&rack), self.servers.get_mut(&id).map(|s| &mut s.link));
         if let Some(g) = if at_uplink { uplink } else { link } {
             g.hear(self.now, REPORT_WINDOW, 1.0 / share.max(0.2));
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -263,6 +263,20 @@
     assert_eq!(set_up(&f.ask(1)).map(|s| s.0), Some(0), "the rack's other server is free");
 }
 
+/// Found on head-office-media: links that were short by themselves were laid to an uplink of which nothing is told.
+#[test]
+fn links_known_to_be_full_are_not_laid_to_their_uplink() {
+    let mut f = Front::new(settings());
+    f.wait(20 * S);
+    f.list(4, ServerState::Ready, 0);
+    for server in 0..5 {
+        f.note(server, Note::LinkUse(if server == 2 { 0.2 } else { 1.1 }));
+    }
+    f.note(0, Note::Delivered(0.91));
+    f.note(4, Note::Delivered(0.92));
+    assert_eq!(set_up(&f.ask(1)).map(|s| s.0), Some(2), "its uplink is not the cause");
+}
+
 /// The same share missing on two servers of a rack is the uplink's doing, whatever their links say.
 #[test]
 fn a_sagging_uplink_is_told_from_a_short_link_without_its_reports() {
