--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,8 +41,6 @@
 const SETUPS_OUT: f64 = 4.0;
 /// Part of the sessions taken that may be risked on distrusted servers.
 const TRIALS: f64 = 0.25;
-/// Failed servers of one zone that put the others there in doubt.
-const LOST: u32 = 3;
 /// Part of the set-ups that would topple a cold server that all fronts together may use.
 const COLD_SAFETY: f64 = 0.75;
 /// Load factors are equal within this step; then the own zone and chance decide.
@@ -414,11 +412,7 @@
         };
         let open: Vec<&Server> = self.servers.values().filter(open).collect();
         let trial = session.attempts == 0 && self.trials >= 1.0;
-        let lost = self.lost_zones();
-        let trusted = |s: &&&Server| {
-            let clean = s.strikes == 0 && !lost.contains(&s.entry.zone);
-            self.now >= s.shut_until && (clean || (trial && s.out == 0))
-        };
+        let trusted = |s: &&&Server| self.now >= s.shut_until && (s.strikes == 0 || (trial && s.out == 0));
         let mut list: Vec<ServerId> = open.iter().filter(trusted).map(|s| s.entry.server).collect();
         if list.is_empty() {
             // All holders distrusted at once: the one whose rest ends first is tried, one set-up at a time.
@@ -456,20 +450,6 @@
         }
     }
 
-    /// Zones in which several servers failed lately and none has answered since: their other servers are
-    /// distrusted too. Guards against finding out one by one that a zone is lost, with attempts that the
-    /// budget lacks afterwards. It hurts for a moment when sound servers share a zone with a few that broke
-    /// together.
-    fn lost_zones(&self) -> BTreeSet<ZoneId> {
-        let mut seen: BTreeMap<ZoneId, (u32, Micros, Micros)> = BTreeMap::new();
-        for s in self.servers.values() {
-            let (failed, last, alive) = seen.entry(s.entry.zone).or_default();
-            *failed += u32::from(s.strikes > 0 && self.now - s.struck_at < REPORT_WINDOW);
-            (*last, *alive) = (s.struck_at.max(*last), s.alive_at.max(*alive));
-        }
-        seen.into_iter().filter(|(_, z)| z.0 >= LOST && z.2 < z.1).map(|(zone, _)| zone).collect()
-    }
-
     fn alive(&mut self, id: ServerId) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         self.trials += if s.strikes > 0 { 1.0 } else { 0.0 };
