--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -339,3 +339,37 @@
     let (alone, shared) = (count(1.0), count(0.1));
     assert!(shared > 2 * alone, "{shared} shared, {alone} alone");
 }
+
+/// Figures frozen at nearly nothing: what this front itself has on a link still bounds it.
+#[test]
+fn frozen_low_figures_do_not_hide_own_load() {
+    let mut f = Front::new(settings());
+    f.wait(20 * S);
+    let rates = settings().ladder.rates_kb;
+    let mut at = std::collections::BTreeMap::new();
+    let mut rungs = std::collections::BTreeMap::new();
+    for id in 0..400 {
+        f.wait(20 * MS);
+        for server in 0..4 {
+            f.note(server, Note::LinkUse(0.01));
+            f.note(server, Note::UplinkUse(0.01));
+        }
+        for action in f.ask(id) {
+            match action {
+                Action::SetRung(s, r) => drop(rungs.insert(s, r)),
+                Action::SetUp(s, server, _) => drop(at.insert(s, server.0)),
+                _ => {}
+            }
+        }
+        if let Some(server) = at.get(&SessionId(id)) {
+            f.started(id, *server);
+        }
+    }
+    let mut asked = [0.0; 4];
+    for (session, server) in at {
+        asked[server as usize] += rates[usize::from(rungs[&session].0)];
+    }
+    for own in asked {
+        assert!((4_000.0..=8_500.0).contains(&own), "{asked:?}");
+    }
+}
