Announced sizes are worked out in the decision module again

They hold an inference (links by streams, uplinks by their rack's links), which belongs with the decisions.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -162,10 +162,36 @@
             known.rack = u32::from(entry.cell.0) % self.set.racks.max(1);
             known.entry = entry;
         }
-        announce(&self.set, &mut self.servers, &mut self.racks);
+        self.announced();
         self.recount();
     }
 
+    /// Announced sizes. Where the list tells none, links are shared out by the kinds' streams. The settings
+    /// tell the mean uplink; each is thought to follow its rack's links, as first listed.
+    fn announced(&mut self) {
+        let set = &self.set;
+        let count = self.listed().count().max(1) as f64;
+        let mean_places = self.listed().map(|s| set.places(s.entry.kind)).sum::<f64>() / count;
+        let unit = set.link_unit_kb.or(set.all_links_kb.map(|all| all / count));
+        let mut links: BTreeMap<u32, f64> = BTreeMap::new();
+        for s in self.servers.values_mut() {
+            s.streams.size = set.places(s.entry.kind);
+            let weight = match set.sizes {
+                Sizes::Size if s.entry.size > 0.0 => s.entry.size,
+                _ if mean_places > 0.0 => s.streams.size / mean_places,
+                _ => 1.0,
+            };
+            s.link.size = unit.map_or(f64::INFINITY, |u| u * weight);
+            *links.entry(s.rack).or_default() += s.link.size;
+        }
+        let mean = links.values().sum::<f64>() / links.len().max(1) as f64;
+        for (rack, sum) in links {
+            let part = if sum > 0.0 && sum.is_finite() { sum / mean } else { 1.0 };
+            let size = set.uplink_kb.map_or(f64::INFINITY, |u| u * part);
+            self.racks.entry(rack).or_insert_with(|| Gauge { size, ..Gauge::default() });
+        }
+    }
+
     fn request(&mut self, req: Request) {
         self.taken.note(self.now, self.set.budget_window());
         self.trials = (self.trials + TRIALS).min(1.0);
@@ -194,13 +220,7 @@
         let owed = |s: &&mut Session| s.at == Some(server) && s.phase == Phase::Owed;
         if let Some(s) = self.sessions.get_mut(&id).filter(owed) {
             (s.phase, s.changed) = (Phase::Playing, self.now);
-            self.back_in(server);
-        }
-    }
-
-    fn back_in(&mut self, server: ServerId) {
-        if let Some(s) = self.servers.get_mut(&server) {
-            s.out = s.out.saturating_sub(1);
+            self.servers.entry(server).and_modify(|s| s.out = s.out.saturating_sub(1));
         }
     }
 
@@ -213,7 +233,7 @@
         }
         let Some(mut s) = self.sessions.remove(&id) else { return };
         if s.phase != Phase::Playing {
-            self.back_in(server);
+            self.servers.entry(server).and_modify(|s| s.out = s.out.saturating_sub(1));
         }
         s.at = None;
         if outcome.never_ran() {
@@ -399,13 +419,10 @@
             Effect::Keyed { group, .. } => group,
             _ => Group::All,
         };
+        let ran: Vec<_> = session.ran.iter().filter_map(|r| Some(&self.servers.get(&r.0)?.entry)).collect();
         let open = |s: &&Server| {
             let place = (u32::from(s.entry.cell.0) + cells - req.home % cells) % cells;
-            let kin = session
-                .ran
-                .iter()
-                .filter_map(|r| self.servers.get(&r.0))
-                .all(|r| group.joins(&r.entry, &s.entry));
+            let kin = ran.iter().all(|r| group.joins(r, &s.entry));
             let untried = !session.tried.contains(&s.entry.server);
             let ready = s.entry.state == ServerState::Ready && place < req.holders.min(cells);
             ready && kin && untried && self.pace_allows(s)
@@ -679,7 +696,7 @@
     }
 
     fn listed(&self) -> impl Iterator<Item = &Server> {
-        self.servers.values().filter(|s| s.entry.state != ServerState::Gone)
+        self.servers.values().filter(|s| s.listed())
     }
 
     /// What others have of an unheard resource, for its size: as much as this front has of the mean one, for
--- a/src/state.rs
+++ b/src/state.rs
@@ -84,6 +84,13 @@
     pub ran: Vec<(ServerId, Micros)>,
 }
 
+impl Server {
+    /// Whether it is on the list, ready or draining.
+    pub fn listed(&self) -> bool {
+        self.entry.state != ServerState::Gone
+    }
+}
+
 /// Times of something that happened lately.
 #[derive(Debug, Default)]
 pub(crate) struct Recent(VecDeque<Micros>);
@@ -133,6 +140,11 @@
 }
 
 impl Settings {
+    /// Streams that a server of this kind runs at most.
+    pub(crate) fn places(&self, kind: KindId) -> f64 {
+        f64::from(self.kind_streams.get(usize::from(kind.0)).copied().unwrap_or(u32::MAX))
+    }
+
     /// A known class; requests of unknown ones are answered before anything asks for it.
     pub(crate) fn class(&self, class: ClassId) -> &Class {
         &self.classes[usize::from(class.0)]
@@ -215,37 +227,3 @@
         }
     }
 }
-
-/// Announced sizes. Where the list tells none, links are shared out by the kinds' streams. The settings tell the mean
-/// uplink; each is thought to follow its rack's links, as first listed.
-pub(crate) fn announce(
-    set: &Settings,
-    servers: &mut BTreeMap<ServerId, Server>,
-    racks: &mut BTreeMap<u32, Gauge>,
-) {
-    let places = |s: &Server| {
-        let kind = usize::from(s.entry.kind.0);
-        f64::from(set.kind_streams.get(kind).copied().unwrap_or(u32::MAX))
-    };
-    let listed = || servers.values().filter(|s| s.entry.state != ServerState::Gone);
-    let count = listed().count().max(1) as f64;
-    let mean_places = listed().map(places).sum::<f64>() / count;
-    let unit = set.link_unit_kb.or(set.all_links_kb.map(|all| all / count));
-    let mut links: BTreeMap<u32, f64> = BTreeMap::new();
-    for s in servers.values_mut() {
-        s.streams.size = places(s);
-        let weight = match set.sizes {
-            Sizes::Size if s.entry.size > 0.0 => s.entry.size,
-            _ if mean_places > 0.0 => s.streams.size / mean_places,
-            _ => 1.0,
-        };
-        s.link.size = unit.map_or(f64::INFINITY, |u| u * weight);
-        *links.entry(s.rack).or_default() += s.link.size;
-    }
-    let mean = links.values().sum::<f64>() / links.len().max(1) as f64;
-    for (rack, sum) in links {
-        let part = if sum > 0.0 && sum.is_finite() { sum / mean } else { 1.0 };
-        let size = set.uplink_kb.map_or(f64::INFINITY, |u| u * part);
-        racks.entry(rack).or_insert_with(|| Gauge { size, ..Gauge::default() });
-    }
-}
