--- a/src/choice.rs
+++ b/src/choice.rs
@@ -88,6 +88,8 @@
 #[derive(Debug, Default)]
 pub struct Choice {
     set: Settings,
+    /// The most that any step of any class earns for its rate.
+    best_step: f64,
     rng: Random,
     now: Micros,
     out: Vec<Action>,
@@ -109,7 +111,7 @@
 impl Choice {
     /// A controller that knows its settings and nothing else.
     pub fn new(set: Settings, seed: u64) -> Self {
-        Choice { set, rng: Random(seed), ..Choice::default() }
+        Choice { best_step: set.best_step(), set, rng: Random(seed), ..Choice::default() }
     }
 
     /// Takes one event and appends what is to be done, in order.
@@ -210,7 +212,7 @@
         self.servers.values_mut().for_each(|s| s.doubt_until = Micros(0));
         let Some(class) = self.set.classes.get(usize::from(req.class.0)) else { return };
         let (phase, at, rung) = (Phase::Playing, Some(server), class.floor);
-        let session = Session { phase, at, rung, attempts: 1, req, ..Session::default() };
+        let session = Session { phase, at, rung, req, ..Session::default() };
         self.sessions.insert(session.req.session, session);
         self.recount();
     }
@@ -251,7 +253,7 @@
         if s.at.is_none() {
             self.sessions.remove(&id);
         } else if self.set.limits.cancel {
-            self.out.push(Action::Cancel(id, Attempt(s.attempts.saturating_sub(1) as u16)));
+            self.out.push(Action::Cancel(id, Attempt(s.tried.len().saturating_sub(1) as u16)));
         }
     }
 
@@ -352,17 +354,16 @@
     }
 
     fn send(&mut self, id: SessionId, server: ServerId, rung: Rung) {
-        if self.sessions.get(&id).is_some_and(|s| s.attempts > 0) {
+        if self.sessions.get(&id).is_some_and(|s| !s.tried.is_empty()) {
             self.extra.note(self.now, self.set.budget_window());
         }
         let more = self.budget_left();
         let Some(s) = self.sessions.get_mut(&id) else { return };
-        s.attempts += 1;
-        let last = !more || s.attempts >= self.set.limits.max_attempts;
+        s.tried.push(server);
+        let last = !more || s.tried.len() >= self.set.limits.max_attempts as usize;
         let left = s.aim - self.now;
         let wait = if last { left } else { Micros::from_secs(left.secs() * FIRST_SHARE) };
         (s.at, s.rung) = (Some(server), rung);
-        s.tried.push(server);
         s.ran.push((server, self.now));
         self.out.push(Action::SetRung(id, rung));
         self.out.push(Action::SetUp(id, server, self.now + wait));
@@ -393,8 +394,8 @@
             Effect::Keyed { window, .. } => s.ran.iter().all(|r| self.now - r.1 < window),
             Effect::Once => s.ran.is_empty(),
         };
-        let further = s.aim - self.now > LEAST_TRY && s.attempts < self.set.limits.max_attempts;
-        if s.attempts == 0 { self.now < s.aim } else { safe && further && self.budget_left() }
+        let further = s.aim - self.now > LEAST_TRY && s.tried.len() < self.set.limits.max_attempts as usize;
+        if s.tried.is_empty() { self.now < s.aim } else { safe && further && self.budget_left() }
     }
 
     /// Whether one further attempt stays inside the budget.
@@ -428,7 +429,7 @@
             ready && kin && untried && self.pace_allows(s)
         };
         let open: Vec<&Server> = self.servers.values().filter(open).collect();
-        let trial = session.attempts == 0 && self.trials >= 1.0;
+        let trial = session.tried.is_empty() && self.trials >= 1.0;
         let trusted = |s: &&&Server| self.now >= s.shut_until && (s.strikes == 0 || (trial && s.out == 0));
         let mut list: Vec<ServerId> = open.iter().filter(trusted).map(|s| s.entry.server).collect();
         if list.is_empty() {
@@ -692,7 +693,7 @@
     fn uplink(&self, rack: u32) -> (f64, f64) {
         let Some(g) = self.racks.get(&rack) else { return (f64::INFINITY, 0.0) };
         let unheard = self.unheard(self.racks.values());
-        (g.size, g.load(self.now, g.size, unheard, f64::from(self.set.fronts.max(1) - 1)))
+        (g.size, g.load(self.now, g.size, unheard, self.set.others()))
     }
 
     fn listed(&self) -> impl Iterator<Item = &Server> {
@@ -710,7 +711,7 @@
                 (heard, n) = (heard + x.min(1.0), n + 1.0);
             }
         }
-        let alike = f64::from(self.set.fronts.max(1) - 1) * own / f64::max(size, 1e-9);
+        let alike = self.set.others() * own / f64::max(size, 1e-9);
         let young = !self.handed && self.born.is_none_or(|b| self.now - b < REPORT_WINDOW);
         if young { f64::max(heard / n, alike) } else { alike }
     }
@@ -718,7 +719,7 @@
     /// How full a link or uplink may be for a step to this rung: the less the step earns for its rate,
     /// against the best step of any class, the more is left spare.
     fn ceiling(&self, class: ClassId, rung: Rung) -> f64 {
-        let part = self.set.earns(class, rung) / self.set.best_step();
+        let part = self.set.earns(class, rung) / self.best_step;
         1.0 - MARGIN - SPARE * (1.0 - part.clamp(0.0, 1.0))
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -59,6 +59,13 @@
     pub probed_at: Option<Micros>,
 }
 
+impl Server {
+    /// Whether it is on the list, ready or draining.
+    pub fn listed(&self) -> bool {
+        self.entry.state != ServerState::Gone
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub(crate) enum Phase {
     /// An answer is owed.
@@ -78,19 +85,12 @@
     pub at: Option<ServerId>,
     pub rung: Rung,
     pub changed: Micros,
-    pub attempts: u32,
+    /// Where each attempt so far went.
     pub tried: Vec<ServerId>,
     /// Attempts that may have run.
     pub ran: Vec<(ServerId, Micros)>,
 }
 
-impl Server {
-    /// Whether it is on the list, ready or draining.
-    pub fn listed(&self) -> bool {
-        self.entry.state != ServerState::Gone
-    }
-}
-
 /// Times of something that happened lately.
 #[derive(Debug, Default)]
 pub(crate) struct Recent(VecDeque<Micros>);
@@ -140,6 +140,11 @@
 }
 
 impl Settings {
+    /// How many other fronts there are.
+    pub(crate) fn others(&self) -> f64 {
+        f64::from(self.fronts.max(1) - 1)
+    }
+
     /// Streams that a server of this kind runs at most.
     pub(crate) fn places(&self, kind: KindId) -> f64 {
         f64::from(self.kind_streams.get(usize::from(kind.0)).copied().unwrap_or(u32::MAX))
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -144,12 +144,10 @@
 fn few_sessions_are_risked_on_distrusted_servers() {
     let mut set = settings();
     set.cells = 16;
-    let mut f = Front { choice: beechloft::choice::Choice::new(set, 1), now: 100 * S };
     let place = |n: u32| ServerEntry { cell: CellId(n as u16), ..entry(n, ServerState::Ready, 0) };
-    f.send(Event::Servers(ListForm::Cached, (0..16).map(place).collect()));
+    let mut f = Front::with_list(set, (0..16).map(place).collect());
     for n in 0..8u32 {
-        let req = Request { gives_up: Micros(0), ..request(900 + u64::from(n), 0) };
-        f.send(Event::HandedOver(req, ServerId(2 * n)));
+        f.hand_over(900 + u64::from(n), 2 * n);
     }
     for n in 0..8u32 {
         f.ended(900 + u64::from(n), 2 * n, Outcome::Reset, true);
@@ -241,9 +239,7 @@
 /// Found in an incident on trznice-brno: a front that had just restarted refused everyone for ten seconds.
 #[test]
 fn a_front_that_starts_anew_serves_from_the_first_second() {
-    let mut f = Front { choice: beechloft::choice::Choice::new(settings(), 1), now: 100 * S };
-    let all = (0..4).map(|n| entry(n, ServerState::Ready, 0)).collect();
-    f.send(Event::Servers(ListForm::Cached, all));
+    let mut f = Front::started_anew(settings());
     f.wait(100 * MS);
     assert!(set_up(&f.ask(1)).is_some());
 }
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -191,12 +191,20 @@
         }
     }
 
+    /// One of the requests with an attempt out, those that play only if asked for.
     fn nth_out(&self, n: usize, started: bool) -> Option<u64> {
         let able = |(_, l): &(&u64, &Life)| l.out.is_some() && (started || !l.playing);
         let ids: Vec<u64> = self.lives.iter().filter(able).map(|(id, _)| *id).collect();
         (!ids.is_empty()).then(|| ids[n % ids.len()])
     }
 
+    /// The same, unless its viewer has left or was answered.
+    fn nth_unanswered(&mut self, n: usize, started: bool) -> Option<(u64, &mut Life)> {
+        let id = self.nth_out(n, started)?;
+        let life = self.lives.get_mut(&id).expect("it is out");
+        (!life.left && life.answers == 0).then_some((id, life))
+    }
+
     fn step(&mut self, next: u64, m: Move) {
         match m {
             Move::Wait(us) => {
@@ -245,11 +253,7 @@
                 self.apply(actions);
             }
             Move::Start(n) => {
-                let Some(id) = self.nth_out(n, false) else { return };
-                let life = self.lives.get_mut(&id).expect("it is out");
-                if life.left || life.answers > 0 {
-                    return;
-                }
+                let Some((id, life)) = self.nth_unanswered(n, false) else { return };
                 life.playing = true;
                 let server = life.out.expect("it is out");
                 let actions = self.front.started(id, server);
@@ -261,11 +265,7 @@
                 }
             }
             Move::Leave(n) => {
-                let Some(id) = self.nth_out(n, true) else { return };
-                let life = self.lives.get_mut(&id).expect("it is out");
-                if life.left || life.answers > 0 {
-                    return;
-                }
+                let Some((id, life)) = self.nth_unanswered(n, true) else { return };
                 life.left = true;
                 let actions = self.front.send(Event::Withdrawn(SessionId(id)));
                 self.apply(actions);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -192,7 +192,7 @@
 fn a_server_seen_to_break_is_paced_before_the_list_tells() {
     for outcome in [Outcome::Reset, Outcome::ConnectFailed] {
         let sent = crowd_of_all_fronts(|f| {
-            f.send(Event::HandedOver(Request { gives_up: Micros(0), ..request(9_999, 0) }, ServerId(0)));
+            f.hand_over(9_999, 0);
             f.ended(9_999, 0, outcome, true);
         });
         assert!((1.0..=ALLOWED).contains(&sent), "{outcome:?}: {sent}");
@@ -203,10 +203,7 @@
 fn a_front_that_starts_anew_paces_every_server() {
     let sent: usize = (0..2)
         .map(|number| {
-            let choice = beechloft::choice::Choice::new(Settings { number, ..settings() }, 1);
-            let mut f = Front { choice, now: 100 * S };
-            let all = (0..4).map(|n| entry(n, ServerState::Ready, 0)).collect();
-            f.send(Event::Servers(ListForm::Cached, all));
+            let mut f = Front::started_anew(Settings { number, ..settings() });
             crowd(&mut f)
         })
         .sum();
@@ -252,7 +249,7 @@
 fn seats_count_set_ups_and_sessions_handed_over() {
     let seated = Class { seats: Some(2), ..class(Effect::Repeatable) };
     let mut f = Front::new(Settings { classes: vec![seated], ..settings() });
-    f.send(Event::HandedOver(Request { gives_up: Micros(0), ..request(50, 0) }, ServerId(3)));
+    f.hand_over(50, 3);
     let (server, _) = set_up(&f.ask(1)).expect("one seat is left");
     assert!(refused(&f.ask(2)));
     let other = Request { title: TitleId(8), ..request(3, f.now) };
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -85,15 +85,31 @@
 impl Front {
     /// A front in service: four servers listed and known to be up.
     pub fn new(settings: Settings) -> Self {
-        let mut front = Front { choice: Choice::new(settings, 1), now: 100 * S };
-        let all = (0..4).map(|n| entry(n, ServerState::Ready, 0)).collect();
-        front.send(Event::Servers(ListForm::Cached, all));
-        let handed = Request { gives_up: Micros(0), ..request(1_000_000, 0) };
-        front.send(Event::HandedOver(handed, ServerId(0)));
+        let mut front = Front::started_anew(settings);
+        front.hand_over(1_000_000, 0);
         front.ended(1_000_000, 0, Outcome::Ok, true);
         front
     }
 
+    /// A front that has just started and knows nothing but its cached list of four servers.
+    pub fn started_anew(settings: Settings) -> Self {
+        let all = (0..4).map(|n| entry(n, ServerState::Ready, 0)).collect();
+        Front::with_list(settings, all)
+    }
+
+    /// The same with another cached list.
+    pub fn with_list(settings: Settings, list: Vec<ServerEntry>) -> Self {
+        let mut front = Front { choice: Choice::new(settings, 1), now: 100 * S };
+        front.send(Event::Servers(ListForm::Cached, list));
+        front
+    }
+
+    /// Hands over a session that plays already.
+    pub fn hand_over(&mut self, id: u64, server: u32) {
+        let req = Request { gives_up: Micros(0), ..request(id, 0) };
+        self.send(Event::HandedOver(req, ServerId(server)));
+    }
+
     pub fn send(&mut self, event: Event) -> Vec<Action> {
         let mut out = Vec::new();
         self.choice.handle(Micros(self.now), event, &mut out);
