Raises take turns by own part of the link; relief rounds its part by chance

Cause: a turn of one in the number of fronts came less often than a session lasts, and a relief of a small part of the excess rounded to nothing.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -541,9 +541,11 @@
             };
             let mut need = (load - RELIEVE_TO * size) * (own / load).min(1.0);
             for (_, sid, at, freed) in self.steps_down(rack) {
-                if need > freed * 0.5 && only.is_none_or(|o| o == at) {
+                if need > 0.0 && only.is_none_or(|o| o == at) {
+                    if need >= freed || self.rng.chance(need / freed) {
+                        self.step(sid, -1);
+                    }
                     need -= freed;
-                    self.step(sid, -1);
                 }
             }
         }
@@ -564,7 +566,7 @@
         list.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         let mut done = BTreeSet::new();
         for (_, id, at, more, ceiling) in list {
-            let turn = self.rng.next().is_multiple_of(u64::from(self.set.fronts.max(1)));
+            let turn = self.rng.chance(self.own_part(at));
             if turn && !done.contains(&at) && !self.held(at) && self.fits(at, more, ceiling) {
                 done.insert(at);
                 self.step(id, 1);
@@ -572,6 +574,11 @@
         }
     }
 
+    /// This front's part of what a link is thought to carry.
+    fn own_part(&self, id: ServerId) -> f64 {
+        self.servers.get(&id).map_or(0.0, |s| s.link.own / self.link(s).1.max(1e-9))
+    }
+
     /// Own sessions of a rack that can step down to no less than their base, cheapest for the rate freed
     /// first: worth lost a second, session, server, rate freed.
     fn steps_down(&self, rack: u32) -> Vec<(f64, SessionId, ServerId, f64)> {
--- a/src/state.rs
+++ b/src/state.rs
@@ -126,6 +126,11 @@
         let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
         z ^ (z >> 31)
     }
+
+    /// True with this probability.
+    pub fn chance(&mut self, p: f64) -> bool {
+        ((self.next() >> 11) as f64) < p * (1u64 << 53) as f64
+    }
 }
 
 impl Group {
