--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,6 +3,7 @@
 //!
 //! In order: tuned values, events, placing (IS-C-SS of DIAR), trust and pace, rungs while playing, estimates.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::interface::*;
@@ -51,6 +52,8 @@
 const SAME: f64 = 0.03;
 /// Where only probes tell load, a rack unheard for this long is probed.
 const PROBE_AGE: Micros = Micros(2_000_000);
+/// Part of the result that probes may cost; each session pays for so much, and for one probe at most.
+const PROBE_SPEND: f64 = 0.01;
 
 const TICK_TOKEN: TimerToken = TimerToken(1);
 
@@ -104,6 +107,8 @@
     handed: bool,
     /// Set-ups that may be risked on distrusted servers now.
     trials: f64,
+    /// Probes that the sessions so far have paid for.
+    probes: f64,
     taken: Recent,
     extra: Recent,
 }
@@ -197,6 +202,7 @@
     fn request(&mut self, req: Request) {
         self.taken.note(self.now, self.set.budget_window());
         self.trials = (self.trials + TRIALS).min(1.0);
+        self.pay_for_probe();
         let id = req.session;
         let Some(class) = self.set.classes.get(usize::from(req.class.0)) else {
             self.out.push(Action::Fail(id));
@@ -207,8 +213,13 @@
         self.place(id);
     }
 
+    fn pay_for_probe(&mut self) {
+        self.probes += (PROBE_SPEND / self.set.probe_price.max(1e-9)).min(1.0);
+    }
+
     fn handed_over(&mut self, req: Request, server: ServerId) {
         self.handed = true;
+        self.pay_for_probe();
         self.servers.values_mut().for_each(|s| s.doubt_until = Micros(0));
         let Some(class) = self.set.classes.get(usize::from(req.class.0)) else { return };
         let (phase, at, rung) = (Phase::Playing, Some(server), class.floor);
@@ -518,7 +529,7 @@
         }
         self.relieve();
         self.raise();
-        self.probe_racks();
+        self.probe();
     }
 
     /// Steps own sessions down where a link or uplink is asked for more than it gives; each front takes off
@@ -662,24 +673,36 @@
         }
     }
 
-    /// Where only probes tell load, one server of each rack unheard for a while is probed, the stalest first.
-    /// Without it a front that refuses would hear nothing and refuse for good.
-    fn probe_racks(&mut self) {
+    /// Where only probes tell load, own servers unheard for a while are probed, first those where a session may
+    /// step up, then the stalest of all. Each session taken pays for a part of a probe, so that their price
+    /// stays the same however many fronts and racks there are. Guards against stepping up blind; it hurts
+    /// when few sessions come and the little that is heard grows old.
+    fn probe(&mut self) {
         if !self.set.limits.probes || self.set.reporting != Reporting::InProbes {
             return;
         }
-        for (rack, g) in &self.racks {
-            if g.heard_at().is_some_and(|t| self.now - t < PROBE_AGE) {
-                continue;
-            }
-            let able = |s: &&mut Server| {
+        let mut wish: BTreeMap<ServerId, usize> = BTreeMap::new();
+        for s in self.sessions.values().filter(|s| s.phase == Phase::Playing) {
+            let up = s.rung < self.set.top(&s.req) && self.now + TICK - s.changed >= RAISE_GAP;
+            *wish.entry(s.at.unwrap_or_default()).or_default() += if up { 2 } else { 1 };
+        }
+        while self.probes >= 1.0 {
+            let able = |s: &&Server| {
                 let ready = s.entry.state == ServerState::Ready && s.strikes == 0;
-                ready && s.rack == *rack && s.probed_at.is_none_or(|t| self.now - t > PROBE_AGE)
+                let stale = |t: Option<Micros>| t.is_none_or(|t| self.now - t > PROBE_AGE);
+                let rack = self.racks.get(&s.rack).and_then(Gauge::heard_at);
+                ready && stale(s.probed_at) && stale(rack)
             };
-            if let Some(s) = self.servers.values_mut().filter(able).min_by_key(|s| s.link.heard_at()) {
-                s.probed_at = Some(self.now);
-                self.out.push(Action::Probe(s.entry.server));
-            }
+            let key = |s: &&Server| {
+                let rack = self.racks.get(&s.rack).map(|g| (g.own <= 0.0, g.heard_at()));
+                (rack, Reverse(wish.get(&s.entry.server).copied()), s.link.heard_at())
+            };
+            let Some(id) = self.servers.values().filter(able).min_by_key(key).map(|s| s.entry.server) else {
+                return;
+            };
+            self.probes -= 1.0;
+            self.servers.entry(id).and_modify(|s| s.probed_at = Some(self.now));
+            self.out.push(Action::Probe(id));
         }
     }
 
