--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,10 +9,10 @@
 use crate::state::*;
 
 const MARGIN: f64 = 0.15; // part of an announced size never promised, and left spare by a rung above the base
-const REPORT_WINDOW: Micros = Micros(10_000_000); // a report fades over this into what others are thought to have
+const REPORT_WINDOW: Micros = Micros(10_000_000); // a report fades over this into the rest
 const FRESH: Micros = Micros(500_000); // within this, the highest report counts; past it, the newest
 const TICK: Micros = Micros(500_000); // how often rungs, overdue answers and stale figures are looked at
-const RELIEVE_ABOVE: f64 = 1.0; // a resource used above this part is relieved by stepping own sessions down...
+const RELIEVE_ABOVE: f64 = 1.0; // a resource used above this is relieved by stepping down...
 const RELIEVE_TO: f64 = 0.95; // ...to here
 const SPARE: f64 = 0.2; // left on top of the margin by a step that earns nothing for its rate
 const RAISE_GAP: Micros = Micros(6_000_000); // from a change of rung to a step up, doubled by each relief...
@@ -24,7 +24,7 @@
 const FULL_FOR: Micros = Micros(1_000_000); // a server that turned a set-up away counts as full so long
 const SETUPS_OUT: f64 = 4.0; // set-ups out at one server at most; the fourth resource of the load factor
 const TRIALS: f64 = 0.25; // part of the sessions taken that may be risked on distrusted servers
-const COLD_SAFETY: f64 = 0.75; // part of the set-ups that would topple a cold server used by all fronts together
+const COLD_SAFETY: f64 = 0.75; // part of the set-ups that would topple a cold server, for all fronts
 const TIE: f64 = 0.05; // load factors are equal within this; then the own zone and chance decide
 const SHORT: f64 = 0.98; // delivered under this share, a server is short
 const SAME: f64 = 0.03; // shares delivered that differ by less are taken for the doing of one uplink
@@ -417,9 +417,9 @@
     }
 
     /// A failure: the server rests, longer each time, and then takes one set-up at a time. Holds against
-    /// silent, erring, dead and unreachable servers alike, whatever the list says; it hurts when a lossy network
-    /// shuts out a sound one. Set-ups sent before the last strike add none, nor does a late answer of a server
-    /// that has answered others since: it is slow, not silent. One that turns set-ups away is full for a while.
+    /// silent, erring, dead and unreachable servers alike, whatever the list says; it hurts when a lossy
+    /// network shuts out a sound one. Set-ups sent before the last strike add none, nor a late answer of one
+    /// that has answered others since: it is slow. One that turns set-ups away is full for a while.
     fn strike(&mut self, id: ServerId, sent: Micros, outcome: Outcome) {
         let Some(s) = self.servers.get_mut(&id) else { return };
         if outcome == Outcome::Full {
@@ -493,8 +493,8 @@
         self.probe();
     }
 
-    /// Steps own sessions down where a link or uplink is asked for more than it gives; each front takes off its
-    /// own part of the excess. A part of a step is rounded by chance, once for each figure heard: of many
+    /// Steps own sessions down where a link or uplink is asked for more than it gives; each front takes
+    /// its own part of the excess off. A part of a step is rounded by chance, once for each figure heard: of many
     /// fronts with a small part each, none would step otherwise, or all would.
     fn relieve(&mut self) {
         let links = self.servers.iter().filter(|(_, s)| s.strikes == 0).map(|(&id, s)| (s.rack, Some(id)));
@@ -632,8 +632,8 @@
         }
     }
 
-    /// Where only probes tell load, a server of each rack unheard for a while is probed, the stalest first and
-    /// those with own sessions before others. Each session taken pays for a part of a probe, so that their price
+    /// Where only probes tell load, a server of each rack unheard for a while is probed, the stalest
+    /// first, own before others. Each session taken pays for a part of a probe, so that their price
     /// stays the same however many fronts and racks there are. Guards against stepping up blind; it hurts
     /// when few sessions come and the little that is heard grows old.
     fn probe(&mut self) {
@@ -681,8 +681,8 @@
     }
 
     /// Works out what others have of unheard resources, for their size; once in a tick, as it moves slowly.
-    /// The sums of own sessions show a part of one in the number of fronts; each report shows what others have
-    /// of one resource. Each weighs as much as it shows, a report less as it ages, and half use (for uplinks:
+    /// The sums of own sessions show a part of one in the number of fronts; each report shows what others
+    /// have of one resource. Each weighs as much as it shows, a report less as it ages, and half use (for uplinks:
     /// what the links are thought to carry) as much as two reports.
     fn think(&mut self) {
         // Past the guard nothing more is taken, so that a higher figure is brief, or absurd.
