--- a/src/choice.rs
+++ b/src/choice.rs
@@ -494,8 +494,8 @@
     }
 
     /// Steps own sessions down where a link or uplink is asked for more than it gives; each front takes
-    /// its own part of the excess off. A part of a step is rounded by chance, once for each figure heard: of many
-    /// fronts with a small part each, none would step otherwise, or all would.
+    /// its own part of the excess off. A part of a step is rounded by chance, once for each figure heard:
+    /// of many fronts with a small part each, none would step otherwise, or all would.
     fn relieve(&mut self) {
         let links = self.servers.iter().filter(|(_, s)| s.strikes == 0).map(|(&id, s)| (s.rack, Some(id)));
         let all: Vec<(u32, Option<ServerId>)> = links.chain(self.racks.keys().map(|&r| (r, None))).collect();
@@ -682,8 +682,8 @@
 
     /// Works out what others have of unheard resources, for their size; once in a tick, as it moves slowly.
     /// The sums of own sessions show a part of one in the number of fronts; each report shows what others
-    /// have of one resource. Each weighs as much as it shows, a report less as it ages, and half use (for uplinks:
-    /// what the links are thought to carry) as much as two reports.
+    /// have of one resource. Each weighs as much as it shows, a report less as it ages, and half use (for
+    /// uplinks: what the links are thought to carry) as much as two reports.
     fn think(&mut self) {
         // Past the guard nothing more is taken, so that a higher figure is brief, or absurd.
         let cap = self.set.guard.unwrap_or(1.0);
