Tests at 300 servers: bounded work, sums against a fresh count, raises and relief at any size

Work is counted in steps (loads looked up, sessions entered in the sums): at most 20 for each of 300 holders in a request, 3 for an outcome. Steps down of a rack are listed once for a request.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -58,7 +58,7 @@
             let then = (h.1 * size - h.2).max(0.0) + alike * (self.own - h.2).max(0.0);
             then * weight + unheard * (1.0 - weight)
         };
-        let newest = self.heard.back().map_or(unheard, others);
+        let newest = self.newest().map_or(unheard, others);
         let fresh = self.heard.iter().filter(|h| now - h.0 <= FRESH).map(others);
         self.own + fresh.fold(newest, f64::max)
     }
@@ -67,16 +67,16 @@
 /// The controller of one front.
 #[derive(Debug, Default)]
 pub struct Choice {
-    set: Settings,
+    pub(crate) set: Settings,
     best_step: f64, // the most that any step of any class earns for its rate
     rng: Random,
     now: Micros,
     out: Vec<Action>,
     born: bool,
-    servers: BTreeMap<ServerId, Server>,
-    racks: BTreeMap<u32, Gauge>,
-    sessions: BTreeMap<SessionId, Session>,
-    books: Books,
+    pub(crate) servers: BTreeMap<ServerId, Server>,
+    pub(crate) racks: BTreeMap<u32, Gauge>,
+    pub(crate) sessions: BTreeMap<SessionId, Session>,
+    pub(crate) books: Books,
     unheard: [f64; 3],  // what others have of an unheard link, server's streams and uplink
     stale: bool,        // which is to be worked out anew
     subscribe: bool,    // the list is to be asked for at the next tick
@@ -308,6 +308,7 @@
         let class = self.sessions.get(&id)?.req.class;
         let (rate, gain) = (self.set.rate(class, base), self.set.worth(class, base));
         let lacks = |(size, load): (f64, f64), need: f64| load + need - (1.0 - MARGIN) * size;
+        let mut lists = BTreeMap::new();
         for &h in holders {
             let s = self.servers.get(&h)?;
             if lacks(self.streams(s), 1.0) > 0.0 || f64::from(s.out) + 1.0 > SETUPS_OUT {
@@ -315,7 +316,8 @@
             }
             let (mut link, mut uplink) = (lacks(self.link(s), rate), lacks(self.uplink(s.rack), rate));
             let (mut loss, mut steps) = (0.0, Vec::new());
-            for (cost, sid, at, freed) in self.steps_down(s.rack) {
+            let list = lists.entry(s.rack).or_insert_with(|| self.steps_down(s.rack));
+            for &mut (cost, sid, at, freed) in list {
                 if (link > 0.0 && at == h) || (link <= 0.0 && uplink > 0.0) {
                     loss += cost;
                     uplink -= freed;
@@ -552,8 +554,7 @@
         }
     }
 
-    /// Own sessions of a rack that can step down to no less than their base, cheapest for the rate freed
-    /// first: worth lost a second, session, server, rate freed.
+    /// Own sessions of a rack above their base, cheapest for the rate freed first: loss, id, server, rate.
     fn steps_down(&self, rack: u32) -> Vec<(f64, SessionId, ServerId, f64)> {
         let mut list = Vec::new();
         for &id in self.books.at_rack.get(&rack).into_iter().flatten() {
@@ -691,7 +692,7 @@
             let (mut own, mut size, mut heard, mut n, mut total) = (0.0, 0.0, PRIOR * prior, PRIOR, 0.0);
             for g in like {
                 (own, size, total) = (own + g.own, size + g.size, total + 1.0);
-                if let Some(h) = g.heard.back().filter(|h| self.now - h.0 <= REPORT_WINDOW) {
+                if let Some(h) = g.newest().filter(|h| self.now - h.0 <= REPORT_WINDOW) {
                     let weight = 1.0 - (self.now - h.0).secs() / REPORT_WINDOW.secs();
                     heard += weight * (h.1.min(cap) - h.2 / g.size.max(1e-9)).max(0.0);
                     n += weight;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! answers with actions. [`interface`] holds every type that passes between it and whatever drives it.
 #![forbid(unsafe_code)]
 
+mod audit;
 pub mod choice;
 pub mod interface;
 mod state;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,6 @@
 //! What a front holds in mind: servers, sessions and sums over them. Book-keeping only; nothing is decided here.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::interface::*;
@@ -14,6 +15,8 @@
     pub held_until: Micros,
     /// When, use over size, and what own sessions asked then.
     pub heard: VecDeque<(Micros, f64, f64)>,
+    /// How often its load was asked for.
+    pub reads: Cell<u64>,
 }
 
 impl Gauge {
@@ -27,6 +30,12 @@
         }
     }
 
+    /// The figure heard last.
+    pub fn newest(&self) -> Option<&(Micros, f64, f64)> {
+        self.reads.set(self.reads.get() + 1);
+        self.heard.back()
+    }
+
     pub fn heard_at(&self) -> Option<Micros> {
         self.heard.back().map(|h| h.0)
     }
@@ -222,6 +231,8 @@
     shared: BTreeMap<(ServerId, ClassId, TitleId, Rung), u32>,
     /// Own sessions of one class and title, set-ups included.
     seated: BTreeMap<(ClassId, TitleId), BTreeSet<SessionId>>,
+    /// Sessions entered or taken out so far.
+    pub entries: u64,
 }
 
 impl Books {
@@ -235,6 +246,7 @@
         s: &Session,
         entered: bool,
     ) {
+        self.entries += 1;
         let Some(at) = s.at else { return };
         let seat = (s.req.class, s.req.title);
         let seated = self.seated.entry(seat).or_default();
@@ -285,7 +297,7 @@
         racks: &mut BTreeMap<u32, Gauge>,
         sessions: &BTreeMap<SessionId, Session>,
     ) {
-        *self = Books::default();
+        *self = Books { entries: self.entries, ..Books::default() };
         for s in servers.values_mut() {
             (s.link.own, s.streams.own) = (0.0, 0.0);
         }
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -122,6 +122,8 @@
 impl World {
     /// Checks actions against the rules and applies them.
     fn apply(&mut self, actions: Vec<Action>) {
+        let kept = self.front.choice.sums();
+        assert_eq!(kept, self.front.choice.sums_anew(), "sums kept up by events, and counted anew");
         for a in actions {
             match a {
                 Action::SetUp(id, server, until) => {
--- /dev/null
+++ b/tests/scale.rs
@@ -0,0 +1,113 @@
+//! A front of a large service: what a decision costs, counted in steps of work, and how many act on one figure.
+
+mod support;
+
+use beechloft::interface::*;
+use support::*;
+
+const SERVERS: u32 = 300;
+const SESSIONS: u64 = 3_000;
+
+/// A front with 300 servers in 30 racks, all of which hold the title, and thousands of sessions.
+fn large(fronts: u32) -> Front {
+    let set = Settings { cells: SERVERS, racks: 30, fronts, all_links_kb: None, ..settings() };
+    let place = |n: u32| ServerEntry { cell: CellId(n as u16), ..entry(n, ServerState::Ready, 0) };
+    let mut front = Front::with_list(set, (0..SERVERS).map(place).collect());
+    for id in 0..SESSIONS {
+        front.hand_over(1_000_000 + id, id as u32 % SERVERS);
+    }
+    front
+}
+
+fn everywhere(id: u64, now: u64) -> Event {
+    Event::Request(Request { holders: SERVERS, ..request(id, now) })
+}
+
+/// Found on the grown deployments: what a holder costs grew with the number of servers, an outcome with sessions.
+#[test]
+fn the_work_of_a_decision_is_bounded() {
+    for use_heard in [0.3, 2.0] {
+        let mut f = large(250);
+        for server in 0..SERVERS {
+            f.note(server, Note::LinkUse(use_heard));
+        }
+        f.tick();
+        let cost = |f: &mut Front, event| {
+            let before = f.choice.work();
+            f.send(event);
+            f.choice.work() - before
+        };
+        for id in 0..50 {
+            let asked = everywhere(id, f.now);
+            let steps = cost(&mut f, asked);
+            assert!(steps > 0 && steps <= 20 * u64::from(SERVERS), "{steps} steps for a request");
+        }
+        for id in 0..50 {
+            let ended = Event::Ended {
+                session: SessionId(1_000_000 + id),
+                attempt: Attempt(0),
+                server: ServerId(id as u32),
+                outcome: Outcome::Ok,
+                closed: true,
+                took: Micros(S),
+                report: LoadReport::default(),
+            };
+            let steps = cost(&mut f, ended);
+            assert!((1..=3).contains(&steps), "{steps} steps for an outcome");
+        }
+    }
+}
+
+/// Found on the grown deployments: with 250 fronts a raise came up less often than a session lasts.
+#[test]
+fn sessions_step_up_at_any_number_of_fronts() {
+    for fronts in [2, 250] {
+        let mut f = Front::new(Settings { fronts, ..settings() });
+        f.hand_over(1, 0);
+        let mut ups = 0;
+        for _ in 0..60 {
+            f.wait(500 * MS);
+            f.note(0, Note::LinkUse(0.2));
+            f.note(0, Note::UplinkUse(0.2));
+            ups += f.tick().iter().filter(|a| matches!(a, Action::SetRung(..))).count();
+        }
+        assert!(ups > 0, "{fronts} fronts");
+    }
+}
+
+/// Found on the grown deployments: a small part of a relief rounded to nothing at each of many fronts.
+#[test]
+fn many_fronts_together_relieve_a_full_link_by_about_the_excess() {
+    let mut steps = 0;
+    for seed in 0..200 {
+        let mut f = Front::new(Settings { fronts: 200, ..settings() });
+        f.choice = beechloft::choice::Choice::new(Settings { fronts: 200, ..settings() }, seed);
+        f.send(Event::Servers(ListForm::Cached, (0..4).map(|n| entry(n, ServerState::Ready, 0)).collect()));
+        f.hand_over(1, 0);
+        f.send(Event::Noted { session: SessionId(1), server: ServerId(0), note: Note::Rung(Rung(3)) });
+        f.note(0, Note::LinkUse(1.5));
+        steps += f.tick().iter().filter(|a| matches!(a, Action::SetRung(..))).count();
+    }
+    // Each has 2,000 of 15,000 kB a second and takes its part of 5,500 too many, in steps of 1,000 kB.
+    assert!((60..=195).contains(&steps), "{steps} of 200 fronts stepped");
+}
+
+/// A front that has hardly a session of its own must neither think the fleet empty nor full.
+#[test]
+fn what_is_heard_weighs_more_than_a_sample_of_one_in_many() {
+    let sent = |heard: f64| {
+        let mut f = large(250);
+        for id in 0..SESSIONS {
+            f.ended(1_000_000 + id, id as u32 % SERVERS, Outcome::Ok, true);
+        }
+        for server in 0..60 {
+            f.note(server, Note::LinkUse(heard));
+            f.note(server, Note::UplinkUse(heard));
+        }
+        f.tick();
+        let event = everywhere(1, f.now);
+        set_up(&f.send(event)).is_some()
+    };
+    assert!(sent(0.3), "there is room");
+    assert!(!sent(1.2), "all that is heard of is full");
+}
