--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -111,3 +111,37 @@
     assert!(sent(0.3), "there is room");
     assert!(!sent(1.2), "all that is heard of is full");
 }
+
+/// Odd but possible input at this size: nothing crashes, and each request gets a set-up or one answer at once.
+#[test]
+fn odd_lists_reports_and_fronts_are_taken_as_they_come() {
+    for fronts in [0, 1, 250] {
+        let set = Settings { cells: 40, racks: 30, fronts, ..settings() };
+        // Out of order, with gaps, and every third server named twice, the second time as gone.
+        let mut list = Vec::new();
+        for n in (0..900u32).rev().filter(|n| n % 5 != 0) {
+            list.push(ServerEntry { cell: CellId((n % 40) as u16), ..entry(n, ServerState::Ready, 0) });
+            if n % 3 == 0 {
+                list.push(ServerEntry { cell: CellId((n % 40) as u16), ..entry(n, ServerState::Gone, 0) });
+            }
+        }
+        let mut f = Front::with_list(set, list);
+        f.wait(20 * S);
+        f.note(5, Note::LinkUse(0.9));
+        f.note(100_000, Note::UplinkUse(9e9));
+        for (id, holders, home) in [(1, 40, 7), (2, 0, 7), (3, 4_000_000, 3), (4, 3, u32::MAX)] {
+            let now = f.now;
+            let actions = f.send(Event::Request(Request { holders, home, ..request(id, now) }));
+            let answers =
+                actions.iter().filter(|a| matches!(a, Action::Refuse(..) | Action::Fail(_))).count();
+            assert_eq!(set_ups(&actions) + answers, 1, "holders {holders}, fronts {fronts}: {actions:?}");
+            assert!(holders > 0 || answers == 1, "no server holds the title");
+            if let Some((server, _)) = set_up(&actions) {
+                assert!(server % 5 != 0 && server % 3 != 0, "server {server} is not there");
+                let again = f.ended(id, server, Outcome::Reset, false);
+                assert_ne!(set_up(&again).map(|s| s.0), Some(server));
+            }
+        }
+        f.tick();
+    }
+}
