--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,7 +9,7 @@
 use crate::state::*;
 
 const MARGIN: f64 = 0.15; // part of an announced size never promised, and left spare by a rung above the base
-const REPORT_WINDOW: Micros = Micros(10_000_000); // a report fades over this into the rest
+const REPORT_WINDOW: Micros = Micros(10_000_000); // a report fades over this into what is thought unheard
 const FRESH: Micros = Micros(500_000); // within this, the highest report counts; past it, the newest
 const TICK: Micros = Micros(500_000); // how often rungs, overdue answers and stale figures are looked at
 const RELIEVE_ABOVE: f64 = 1.0; // a resource used above this is relieved by stepping down...
@@ -54,7 +54,7 @@
         }
         let unheard = unheard * size;
         let others = |h: &(Micros, f64, f64)| {
-            let weight = (1.0 - (now - h.0).secs() / REPORT_WINDOW.secs()).max(0.0);
+            let weight = fading(now, h.0, REPORT_WINDOW);
             let then = (h.1 * size - h.2).max(0.0) + alike * (self.own - h.2).max(0.0);
             then * weight + unheard * (1.0 - weight)
         };
@@ -692,8 +692,8 @@
             let (mut own, mut size, mut heard, mut n, mut total) = (0.0, 0.0, PRIOR * prior, PRIOR, 0.0);
             for g in like {
                 (own, size, total) = (own + g.own, size + g.size, total + 1.0);
-                if let Some(h) = g.newest().filter(|h| self.now - h.0 <= REPORT_WINDOW) {
-                    let weight = 1.0 - (self.now - h.0).secs() / REPORT_WINDOW.secs();
+                if let Some(h) = g.newest() {
+                    let weight = fading(self.now, h.0, REPORT_WINDOW);
                     heard += weight * (h.1.min(cap) - h.2 / g.size.max(1e-9)).max(0.0);
                     n += weight;
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -46,6 +46,16 @@
     }
 }
 
+/// The weight of a figure: 1 when it was just heard, falling to 0 at the end of the window.
+pub(crate) fn fading(now: Micros, heard: Micros, window: Micros) -> f64 {
+    (1.0 - (now - heard).secs() / window.secs()).max(0.0)
+}
+
+/// Puts a session into a set or takes it out; whether that changed the set.
+fn put(set: &mut BTreeSet<SessionId>, id: SessionId, entered: bool) -> bool {
+    if entered { set.insert(id) } else { set.remove(&id) }
+}
+
 #[derive(Debug, Default)]
 pub(crate) struct Server {
     pub entry: ServerEntry,
@@ -250,17 +260,12 @@
         let Some(at) = s.at else { return };
         let seat = (s.req.class, s.req.title);
         let seated = self.seated.entry(seat).or_default();
-        if entered {
-            seated.insert(s.req.session)
-        } else {
-            seated.remove(&s.req.session)
-        };
+        put(seated, s.req.session, entered);
         if seated.is_empty() {
             self.seated.remove(&seat);
         }
         let Some(server) = servers.get_mut(&at) else { return };
-        let (sign, here) = (if entered { 1.0 } else { -1.0 }, self.at_rack.entry(server.rack).or_default());
-        if if entered { !here.insert(s.req.session) } else { !here.remove(&s.req.session) } {
+        if !put(self.at_rack.entry(server.rack).or_default(), s.req.session, entered) {
             return;
         }
         let join = set.class(s.req.class).join;
@@ -276,6 +281,7 @@
         }
         let (part, place) = if first { (1.0, 1.0) } else { (join, 0.0) };
         // Whole parts of a power of two add up and cancel without a remainder.
+        let sign = if entered { 1.0 } else { -1.0 };
         let rate = sign * (part * set.rate(s.req.class, s.rung) * 1024.0).round() / 1024.0;
         server.link.own += rate;
         server.streams.own += sign * place;
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -23,6 +23,13 @@
     Event::Request(Request { holders: SERVERS, ..request(id, now) })
 }
 
+/// Steps of work that something takes.
+fn cost(f: &mut Front, act: impl FnOnce(&mut Front) -> Vec<Action>) -> u64 {
+    let before = f.choice.work();
+    act(f);
+    f.choice.work() - before
+}
+
 /// Found on the grown deployments: what a holder costs grew with the number of servers, an outcome with sessions.
 #[test]
 fn the_work_of_a_decision_is_bounded() {
@@ -32,27 +39,12 @@
             f.note(server, Note::LinkUse(use_heard));
         }
         f.tick();
-        let cost = |f: &mut Front, event| {
-            let before = f.choice.work();
-            f.send(event);
-            f.choice.work() - before
-        };
         for id in 0..50 {
-            let asked = everywhere(id, f.now);
-            let steps = cost(&mut f, asked);
+            let steps = cost(&mut f, |f| f.send(everywhere(id, f.now)));
             assert!(steps > 0 && steps <= 20 * u64::from(SERVERS), "{steps} steps for a request");
         }
         for id in 0..50 {
-            let ended = Event::Ended {
-                session: SessionId(1_000_000 + id),
-                attempt: Attempt(0),
-                server: ServerId(id as u32),
-                outcome: Outcome::Ok,
-                closed: true,
-                took: Micros(S),
-                report: LoadReport::default(),
-            };
-            let steps = cost(&mut f, ended);
+            let steps = cost(&mut f, |f| f.ended(1_000_000 + id, id as u32, Outcome::Ok, true));
             assert!((1..=3).contains(&steps), "{steps} steps for an outcome");
         }
     }
@@ -80,9 +72,7 @@
 fn many_fronts_together_relieve_a_full_link_by_about_the_excess() {
     let mut steps = 0;
     for seed in 0..200 {
-        let mut f = Front::new(Settings { fronts: 200, ..settings() });
-        f.choice = beechloft::choice::Choice::new(Settings { fronts: 200, ..settings() }, seed);
-        f.send(Event::Servers(ListForm::Cached, (0..4).map(|n| entry(n, ServerState::Ready, 0)).collect()));
+        let mut f = Front::seeded(Settings { fronts: 200, ..settings() }, seed);
         f.hand_over(1, 0);
         f.send(Event::Noted { session: SessionId(1), server: ServerId(0), note: Note::Rung(Rung(3)) });
         f.note(0, Note::LinkUse(1.5));
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -93,13 +93,22 @@
 
     /// A front that has just started and knows nothing but its cached list of four servers.
     pub fn started_anew(settings: Settings) -> Self {
+        Front::seeded(settings, 1)
+    }
+
+    /// The same with another seed.
+    pub fn seeded(settings: Settings, seed: u64) -> Self {
         let all = (0..4).map(|n| entry(n, ServerState::Ready, 0)).collect();
-        Front::with_list(settings, all)
+        Front::from_start(Choice::new(settings, seed), all)
     }
 
     /// The same with another cached list.
     pub fn with_list(settings: Settings, list: Vec<ServerEntry>) -> Self {
-        let mut front = Front { choice: Choice::new(settings, 1), now: 100 * S };
+        Front::from_start(Choice::new(settings, 1), list)
+    }
+
+    fn from_start(choice: Choice, list: Vec<ServerEntry>) -> Self {
+        let mut front = Front { choice, now: 100 * S };
         front.send(Event::Servers(ListForm::Cached, list));
         front
     }
