--- a/crates/simhost/src/host.rs
+++ b/crates/simhost/src/host.rs
@@ -90,6 +90,7 @@
         viewer: api::ViewerId(v.item),
         home: whole(v.home),
         holders: whole(v.holders),
+        on: None,
         top: api::Rung(whole(v.top.floor()).min(u8::MAX.into()) as u8),
         gives_up: api::Micros(v.drop_dead_us),
         hint: (v.flags & 1 != 0).then_some(api::Micros(v.hint_us.into())),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -401,9 +401,11 @@
         let ran: Vec<_> = session.ran.iter().filter_map(|r| Some(&self.servers.get(&r.0)?.entry)).collect();
         let open = |s: &&Server| {
             let place = (u32::from(s.entry.cell.0) + cells - req.home % cells) % cells;
+            let in_row = || place < req.holders.min(cells);
+            let holds = req.on.as_ref().map_or_else(in_row, |on| on.contains(&s.entry.server));
             let kin = ran.iter().all(|r| group.joins(r, &s.entry));
             let untried = !session.tried.contains(&s.entry.server);
-            let ready = s.entry.state == ServerState::Ready && place < req.holders.min(cells);
+            let ready = s.entry.state == ServerState::Ready && holds;
             ready && kin && untried && self.pace_allows(s)
         };
         let open: Vec<&Server> = self.servers.values().filter(open).collect();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,6 +1,8 @@
 //! What passes between the decision module and the front that drives it: settings, events, actions, ids.
 
+use std::collections::BTreeSet;
 use std::ops::{Add, Sub};
+use std::sync::Arc;
 
 /// A point in time or a span, in microseconds, on the driver's own monotonic clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
@@ -329,6 +331,8 @@
     pub home: u32,
     /// How many cells in a row hold it.
     pub holders: u32,
+    /// The servers that hold it, where they are known by name; `home` and `holders` are not looked at then.
+    pub on: Option<Arc<BTreeSet<ServerId>>>,
     /// The highest rung the viewer can use.
     pub top: Rung,
     /// When the viewer gives up.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -386,3 +386,17 @@
         assert!((4_000.0..=8_500.0).contains(&own), "{asked:?}");
     }
 }
+
+#[test]
+fn a_request_that_names_its_holders_goes_to_one_of_them_whatever_the_cells_say() {
+    for named in 0..4 {
+        let mut front = Front::new(settings());
+        // The cells in a row would allow server 0 alone.
+        let on = Some(std::sync::Arc::new([ServerId(named)].into()));
+        let req = Request { home: 0, holders: 1, on, ..request(1, front.now) };
+        assert_eq!(set_up(&front.send(Event::Request(req))).map(|s| s.0), Some(named));
+    }
+    let mut front = Front::new(settings());
+    let nowhere = Request { on: Some(Default::default()), ..request(1, front.now) };
+    assert!(refused(&front.send(Event::Request(nowhere))), "a title that no server holds is refused");
+}
