--- /dev/null
+++ b/crates/core/src/catalog.rs
@@ -0,0 +1,257 @@
+//! The list as a front knows it: boxes, and which of them hold each title.
+//!
+//! Three rules keep a sick list service from doing harm. A failed call or a lost stream changes nothing. An empty
+//! snapshot is taken for a failure while boxes are known: a service that lost its own data says the same. A box named
+//! twice in one message counts in its least ready state, and the contradiction is said.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use beechloft::interface::*;
+
+/// Boxes in one message at most; a longer one is refused whole.
+pub const MAX_BOXES: usize = 20_000;
+/// Titles at most, over all messages.
+pub const MAX_TITLES: usize = 200_000;
+
+/// A box, as the list tells it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct BoxLine {
+    /// Its number, the same for every front.
+    pub id: ServerId,
+    /// Its name, for people.
+    pub name: Arc<str>,
+    /// Where it listens: `host:port`.
+    pub url: Arc<str>,
+    /// Its state.
+    pub state: ServerState,
+    /// The rack it stands in.
+    pub rack: u16,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Its kind.
+    pub kind: KindId,
+    /// Latest start of its process; zero: long ago or unknown.
+    pub started: Micros,
+    /// Its size, as [`Sizes`] says.
+    pub size: f64,
+}
+
+/// A title, as the list tells it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TitleLine {
+    /// Its name in addresses.
+    pub name: Arc<str>,
+    /// Class of those who watch it.
+    pub class: ClassId,
+    /// Who pays for it.
+    pub tenant: TenantId,
+    /// The boxes that hold it.
+    pub holders: BTreeSet<ServerId>,
+    /// How long a session of it lasts, roughly.
+    pub length: Option<Micros>,
+}
+
+/// A message of the list service.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ListUpdate {
+    /// All there is.
+    Snapshot {
+        /// Read from a copy that this front kept, perhaps long ago.
+        cached: bool,
+        /// All boxes.
+        boxes: Vec<BoxLine>,
+        /// All titles.
+        titles: Vec<TitleLine>,
+    },
+    /// What changed. A box that is gone comes with that state; a title that is gone by name.
+    Change {
+        /// Boxes that changed.
+        boxes: Vec<BoxLine>,
+        /// Titles that changed.
+        titles: Vec<TitleLine>,
+        /// Titles that are gone.
+        gone: Vec<Arc<str>>,
+    },
+    /// The stream broke or a call failed.
+    Failed,
+}
+
+/// A title, ready to be asked for.
+#[derive(Debug, Clone)]
+pub struct Title {
+    /// Its number inside this front.
+    pub id: TitleId,
+    /// Class of those who watch it.
+    pub class: ClassId,
+    /// Who pays for it.
+    pub tenant: TenantId,
+    /// The boxes that hold it.
+    pub holders: Arc<BTreeSet<ServerId>>,
+    /// How long a session of it lasts, roughly.
+    pub length: Option<Micros>,
+}
+
+/// What a message came to.
+#[derive(Debug, Default)]
+pub struct Applied {
+    /// For the module.
+    pub event: Option<Event>,
+    /// Boxes whose address is new.
+    pub moved: Vec<ServerId>,
+    /// Boxes that went off the list.
+    pub gone: Vec<ServerId>,
+    /// What was wrong with it.
+    pub faults: Vec<String>,
+}
+
+/// The list as known now.
+#[derive(Debug, Default)]
+pub struct Catalog {
+    boxes: BTreeMap<ServerId, BoxLine>,
+    titles: BTreeMap<Arc<str>, Title>,
+    next_title: u64,
+    heard: bool,
+}
+
+fn readiness(state: ServerState) -> u8 {
+    match state {
+        ServerState::Gone => 0,
+        ServerState::Draining => 1,
+        ServerState::Ready => 2,
+    }
+}
+
+impl Catalog {
+    /// Takes a message over.
+    pub fn apply(&mut self, update: ListUpdate) -> Applied {
+        let mut done = Applied::default();
+        let (form, boxes, titles, gone) = match update {
+            ListUpdate::Failed => {
+                done.event = Some(Event::Servers(ListForm::Failed, Vec::new()));
+                return done;
+            }
+            ListUpdate::Snapshot { boxes, .. } if boxes.is_empty() && !self.boxes.is_empty() => {
+                done.faults.push("an empty list is taken for a failure; the boxes known stay".into());
+                done.event = Some(Event::Servers(ListForm::Failed, Vec::new()));
+                return done;
+            }
+            ListUpdate::Snapshot { cached, boxes, titles } => {
+                (if cached { ListForm::Cached } else { ListForm::Full }, boxes, titles, Vec::new())
+            }
+            ListUpdate::Change { boxes, titles, gone } => (ListForm::Delta, boxes, titles, gone),
+        };
+        if boxes.len() > MAX_BOXES || titles.len() > MAX_TITLES {
+            done.faults.push(format!(
+                "a list of {} boxes and {} titles is refused",
+                boxes.len(),
+                titles.len()
+            ));
+            return done;
+        }
+        self.heard = true;
+        let boxes = self.merge(boxes, &mut done.faults);
+        let whole = form != ListForm::Delta;
+        if whole {
+            done.gone.extend(self.boxes.keys().filter(|id| !boxes.contains_key(id)));
+        }
+        done.gone.extend(boxes.values().filter(|b| b.state == ServerState::Gone).map(|b| b.id));
+        done.moved.extend(boxes.values().filter(|b| self.is_new_address(b)).map(|b| b.id));
+        done.event = Some(Event::Servers(form, boxes.values().map(entry).collect()));
+        self.boxes.extend(boxes);
+        for id in &done.gone {
+            self.boxes.remove(id);
+        }
+        self.apply_titles(whole, titles, gone, &mut done.faults);
+        done
+    }
+
+    fn merge(&self, boxes: Vec<BoxLine>, faults: &mut Vec<String>) -> BTreeMap<ServerId, BoxLine> {
+        let mut merged: BTreeMap<ServerId, BoxLine> = BTreeMap::new();
+        for line in boxes {
+            let Some(known) = merged.get_mut(&line.id) else {
+                merged.insert(line.id, line);
+                continue;
+            };
+            if *known != line {
+                faults.push(format!(
+                    "box {} ({}) is named twice; its least ready state holds",
+                    line.id.0, line.name
+                ));
+            }
+            if readiness(line.state) < readiness(known.state) {
+                known.state = line.state;
+            }
+            known.started = known.started.max(line.started);
+        }
+        merged
+    }
+
+    fn is_new_address(&self, line: &BoxLine) -> bool {
+        line.state != ServerState::Gone && self.boxes.get(&line.id).is_none_or(|b| b.url != line.url)
+    }
+
+    fn apply_titles(
+        &mut self,
+        whole: bool,
+        titles: Vec<TitleLine>,
+        gone: Vec<Arc<str>>,
+        faults: &mut Vec<String>,
+    ) {
+        let mut before = if whole { std::mem::take(&mut self.titles) } else { BTreeMap::new() };
+        for name in gone {
+            self.titles.remove(&name);
+        }
+        for line in titles {
+            // Numbers stay with names, so that seats are counted on.
+            let known = self.titles.get(&line.name).map(|t| t.id).or(before.remove(&line.name).map(|t| t.id));
+            if known.is_none() && self.titles.len() >= MAX_TITLES {
+                faults.push(format!("title {} is left out: {MAX_TITLES} are known", line.name));
+                continue;
+            }
+            let id = known.unwrap_or_else(|| {
+                self.next_title += 1;
+                TitleId(self.next_title)
+            });
+            let TitleLine { name, class, tenant, holders, length } = line;
+            self.titles.insert(name, Title { id, class, tenant, holders: Arc::new(holders), length });
+        }
+    }
+
+    /// Whether any list has been seen.
+    pub fn heard(&self) -> bool {
+        self.heard
+    }
+
+    /// A title by name.
+    pub fn title(&self, name: &str) -> Option<&Title> {
+        self.titles.get(name)
+    }
+
+    /// A box by number.
+    pub fn server(&self, id: ServerId) -> Option<&BoxLine> {
+        self.boxes.get(&id)
+    }
+
+    /// All boxes known.
+    pub fn boxes(&self) -> impl Iterator<Item = &BoxLine> {
+        self.boxes.values()
+    }
+
+    /// Names of all titles known.
+    pub fn titles(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.titles.keys()
+    }
+}
+
+fn entry(b: &BoxLine) -> ServerEntry {
+    ServerEntry {
+        server: b.id,
+        state: b.state,
+        cell: CellId(b.rack),
+        zone: b.zone,
+        kind: b.kind,
+        started: b.started,
+        size: b.size,
+    }
+}
