--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -257,9 +257,16 @@
         };
         let (resource, reply) = match verdict {
             Verdict::Accepted { resource, reply } => (resource, reply),
-            Verdict::Late { resource } => {
+            Verdict::Undone { resource, outcome } => {
                 self.releases.add(self.now, server, resource);
-                return self.attempt_over(id, server, Outcome::Timeout, took, load);
+                return self.attempt_over(id, server, outcome, took, load);
+            }
+            Verdict::Declined(status) => {
+                if let Some(owed) = self.close(id.session) {
+                    out.push(owed.settle(Answer::Declined(status)));
+                    self.queue.push_back(Event::Withdrawn(id.session));
+                }
+                return self.attempt_over(id, server, Outcome::Cancelled, took, load);
             }
             Verdict::Ended(outcome) => return self.attempt_over(id, server, outcome, took, load),
         };
@@ -271,6 +278,7 @@
         let playing = Playing {
             server,
             resource: resource.clone(),
+            layers: reply.layers.as_deref().map(Into::into),
             number: id.number,
             since: self.now,
             reply: session.repeat.is_some().then(|| reply.clone()),
@@ -291,7 +299,7 @@
 
     /// Told twice, or of a session long forgotten. What was set up and is nobody's must not stay at the box.
     fn stray(&mut self, id: AttemptId, server: ServerId, verdict: Verdict) {
-        let (Verdict::Accepted { resource, .. } | Verdict::Late { resource }) = verdict else { return };
+        let (Verdict::Accepted { resource, .. } | Verdict::Undone { resource, .. }) = verdict else { return };
         let ours = self.playing.get(&server).and_then(|p| p.get(&resource));
         if ours != Some(&id.session) {
             self.releases.add(self.now, server, resource);
@@ -498,9 +506,9 @@
             Action::SetRung(id, rung) => {
                 let Some(session) = self.sessions.get_mut(&id) else { return };
                 session.rung = rung;
-                if let Stage::Playing(p) = &session.stage {
-                    let (server, resource) = (p.server, p.resource.clone());
-                    out.push(Output::SetRung { server, session: id, resource, rung });
+                if let Stage::Playing(Playing { server, layers: Some(layers), .. }) = &session.stage {
+                    let (server, layers) = (*server, layers.to_string());
+                    out.push(Output::SetRung { server, session: id, layers, rung });
                 }
             }
             Action::Refuse(id, advice) => {
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -56,6 +56,8 @@
     pub etag: Option<String>,
     /// `Link` values that are for the client.
     pub links: Vec<String>,
+    /// Path at the box where its layers are chosen (WHEP's layer selection extension).
+    pub layers: Option<String>,
 }
 
 /// How an attempt ended, as far as the shell can tell.
@@ -68,11 +70,16 @@
         /// What it answered.
         reply: Arc<BoxReply>,
     },
-    /// The box took it, but only after the attempt had been dropped; nothing of it was used.
-    Late {
+    /// The box took it, but nothing of it can be used: it came after the drop, or makes no sense.
+    Undone {
         /// Path of the session at the box.
         resource: String,
+        /// What the attempt counts as.
+        outcome: Outcome,
     },
+    /// The box found fault with the client's request itself, and said so with this HTTP status. It says nothing
+    /// about the box, so that no client can talk a front out of its boxes.
+    Declined(u16),
     /// It ended without a session.
     Ended(Outcome),
 }
@@ -177,6 +184,8 @@
     Refused(Option<Micros>),
     /// It failed.
     Failed,
+    /// Its request was at fault; the status that the box gave.
+    Declined(u16),
     /// No such title.
     NoTitle,
     /// The same offer is being worked on.
@@ -239,8 +248,8 @@
         server: ServerId,
         /// The session.
         session: SessionId,
-        /// Its path at the box.
-        resource: String,
+        /// Path at the box where its layers are chosen.
+        layers: String,
         /// The rung.
         rung: Rung,
     },
--- a/crates/core/src/session.rs
+++ b/crates/core/src/session.rs
@@ -61,6 +61,8 @@
     pub server: ServerId,
     /// Its path there.
     pub resource: String,
+    /// Path there at which its rung is set, if the box lets it be set.
+    pub layers: Option<Box<str>>,
     /// The attempt that brought it there.
     pub number: u16,
     /// Since when.
--- a/crates/core/tests/cases.rs
+++ b/crates/core/tests/cases.rs
@@ -38,7 +38,8 @@
     f.now = until;
     assert!(set_up(&f.input(Input::Tick)).is_none(), "dropped is not over");
     f.now += GRACE.0 / 2;
-    let out = f.verdict(attempt, server, Verdict::Late { resource: "/late".into() });
+    let out =
+        f.verdict(attempt, server, Verdict::Undone { resource: "/late".into(), outcome: Outcome::Timeout });
     assert_eq!(released(&out), ["/late"]);
     let (again, elsewhere, _) = set_up(&out).expect("a further attempt");
     assert_eq!(again.number, 1);
@@ -181,3 +182,16 @@
     };
     assert!(rung.0 <= 1 && *rate_kb <= 450.0);
 }
+
+#[test]
+fn a_client_at_fault_is_told_so_and_its_box_is_not_blamed() {
+    let mut f = Front::new(1);
+    for n in 0..20 {
+        let (attempt, server, _) = set_up(&f.ask(n, "title-1")).expect("the boxes stay trusted");
+        let out = f.verdict(attempt, server, Verdict::Declined(401));
+        assert!(matches!(replies(&out)[..], [Answer::Declined(401)]));
+        assert!(set_up(&out).is_none(), "no further box is asked");
+        f.now += S;
+    }
+    assert!(f.core.is_idle());
+}
--- a/crates/core/tests/orders.rs
+++ b/crates/core/tests/orders.rs
@@ -152,7 +152,7 @@
             self.ledger.out.remove(&attempt.session);
             self.ledger.past.push((attempt, server));
         }
-        if let Verdict::Accepted { resource, .. } | Verdict::Late { resource } = &verdict {
+        if let Verdict::Accepted { resource, .. } | Verdict::Undone { resource, .. } = &verdict {
             self.ledger.at_box.insert((server, resource.clone()), attempt.session);
         }
         let sent = Micros(self.front.now.saturating_sub(1000));
@@ -177,8 +177,9 @@
                 };
                 let resource = format!("/r/{}-{}", id.session.0, id.number);
                 let verdict = match kind {
-                    0 | 1 | 7 | 8 => Verdict::Accepted { resource, reply: Default::default() },
-                    6 => Verdict::Late { resource },
+                    0 | 1 | 8 => Verdict::Accepted { resource, reply: Default::default() },
+                    6 => Verdict::Undone { resource, outcome: Outcome::Timeout },
+                    7 => Verdict::Declined(401),
                     kind => Verdict::Ended(outcome(kind)),
                 };
                 self.verdict(id, server, verdict)
