WHIP and WHEP without I/O: offers checked, rungs written, boxes' answers judged

crates/whep reads addresses, checks offers, answers and trickled fragments with a kept SDP parser, writes a rung as the one b=TIAS limit of an offer, selects layers while playing, reads boxes' load in ORCA's form and their events, and gives the statuses of RFC 9725 and the WHEP draft. Unit and property tests for each.

--- /dev/null
+++ b/crates/whep/src/answer.rs
@@ -0,0 +1,201 @@
+//! The front as a server: its answers to players and publishers, as RFC 9725 and the WHEP draft have them.
+
+use beechloft_core::api::Micros;
+use beechloft_core::io::Answer;
+use beechloft_http::{HeaderName, Method, Request, Response, StatusCode, header};
+
+use crate::{FRAG, SDP, accepts, is_type, route};
+
+const ACCEPT_POST: HeaderName = HeaderName::from_static("accept-post");
+const ACCEPT_PATCH: HeaderName = HeaderName::from_static("accept-patch");
+const ENDPOINT_METHODS: &str = "OPTIONS, POST";
+const SESSION_METHODS: &str = "DELETE, OPTIONS, PATCH";
+
+/// Lets scripts of any page read an answer (Fetch standard, CORS protocol).
+pub fn for_browsers(response: Response) -> Response {
+    response
+        .with(header::ACCESS_CONTROL_ALLOW_ORIGIN, "*")
+        .with(header::ACCESS_CONTROL_EXPOSE_HEADERS, "Location, Link, ETag, Retry-After, Accept-Patch")
+}
+
+fn preflight(response: Response, methods: &str) -> Response {
+    response
+        .with(header::ACCESS_CONTROL_ALLOW_METHODS, methods)
+        .with(header::ACCESS_CONTROL_ALLOW_HEADERS, "Authorization, Content-Type, If-Match")
+        .with(header::ACCESS_CONTROL_MAX_AGE, "600")
+}
+
+/// Checks a call to an endpoint; the response, if it is not an offer to be looked at.
+pub fn endpoint_call(request: &Request) -> Option<Response> {
+    if request.method == Method::OPTIONS {
+        let ok = Response::new(StatusCode::NO_CONTENT)
+            .with(ACCEPT_POST, SDP)
+            .with(header::ALLOW, ENDPOINT_METHODS);
+        return Some(preflight(ok, ENDPOINT_METHODS));
+    }
+    if request.method != Method::POST {
+        // Other methods are kept for later versions (RFC 9725, section 4.2).
+        return Some(not_allowed(ENDPOINT_METHODS));
+    }
+    if !is_type(request.field(header::CONTENT_TYPE), SDP) {
+        let wrong =
+            Response::text(StatusCode::UNSUPPORTED_MEDIA_TYPE, format_args!("an offer must be {SDP}"));
+        return Some(wrong.with(ACCEPT_POST, SDP));
+    }
+    if !accepts(request.field(header::ACCEPT), SDP) {
+        return Some(Response::text(StatusCode::NOT_ACCEPTABLE, format_args!("the answer is {SDP}")));
+    }
+    None
+}
+
+/// What a call to a session asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SessionCall {
+    /// To be answered at once.
+    Answer(Response),
+    /// End it.
+    Delete,
+    /// Pass candidates or an ICE restart on.
+    Patch,
+}
+
+/// Checks a call to a session.
+pub fn session_call(request: &Request) -> SessionCall {
+    match request.method {
+        Method::DELETE => SessionCall::Delete,
+        Method::OPTIONS => {
+            let ok = Response::new(StatusCode::NO_CONTENT)
+                .with(ACCEPT_PATCH, FRAG)
+                .with(header::ALLOW, SESSION_METHODS);
+            SessionCall::Answer(preflight(ok, SESSION_METHODS))
+        }
+        Method::PATCH => SessionCall::Answer(if !is_type(request.field(header::CONTENT_TYPE), FRAG) {
+            let wrong =
+                Response::text(StatusCode::UNSUPPORTED_MEDIA_TYPE, format_args!("a change must be {FRAG}"));
+            wrong.with(ACCEPT_PATCH, FRAG)
+        } else if request.headers.get(header::IF_MATCH).is_none() {
+            // RFC 9725, section 4.3.1.
+            Response::text(StatusCode::PRECONDITION_REQUIRED, "If-Match with the session's ETag is needed")
+        } else if let Err(e) = crate::frag::check(&request.body) {
+            Response::text(StatusCode::BAD_REQUEST, e)
+        } else {
+            return SessionCall::Patch;
+        }),
+        _ => SessionCall::Answer(not_allowed(SESSION_METHODS)),
+    }
+}
+
+fn not_allowed(methods: &str) -> Response {
+    let text = format!("allowed here: {methods}");
+    Response::text(StatusCode::METHOD_NOT_ALLOWED, text).with(header::ALLOW, methods)
+}
+
+/// Whole seconds, as `Retry-After` has them, never sooner than advised.
+fn seconds(advice: Micros) -> u64 {
+    advice.0.div_ceil(1_000_000).max(1)
+}
+
+fn unavailable(text: &str, advice: Option<Micros>) -> Response {
+    let response = Response::text(StatusCode::SERVICE_UNAVAILABLE, text);
+    match advice {
+        Some(advice) => response.with(header::RETRY_AFTER, seconds(advice).to_string()),
+        None => response,
+    }
+}
+
+/// The response that carries the core's answer.
+pub fn response(answer: &Answer) -> Response {
+    match answer {
+        Answer::Playing { session, secret, reply, .. } => {
+            let mut created = Response::new(StatusCode::CREATED)
+                .body(SDP, reply.sdp.clone())
+                .with(header::LOCATION, route::session_path(*session, *secret))
+                .with(ACCEPT_PATCH, FRAG);
+            if let Some(etag) = &reply.etag {
+                created = created.with(header::ETAG, etag);
+            }
+            reply.links.iter().fold(created, |r, link| r.with(header::LINK, link))
+        }
+        Answer::Refused(advice) => unavailable("no room for this session now", *advice),
+        Answer::Failed => Response::text(StatusCode::GATEWAY_TIMEOUT, "the session could not be set up"),
+        Answer::Declined(status) => {
+            let status = StatusCode::from_u16(*status).unwrap_or(StatusCode::BAD_REQUEST);
+            Response::text(status, "the streaming server declined the request")
+        }
+        Answer::NoTitle => Response::text(StatusCode::NOT_FOUND, "no such title"),
+        Answer::Busy => {
+            let text = "the same offer is being set up, or its session is not there yet";
+            Response::text(StatusCode::CONFLICT, text).with(header::RETRY_AFTER, "1")
+        }
+        Answer::NoSession => Response::text(StatusCode::NOT_FOUND, "no such session"),
+        Answer::Deleted | Answer::At { .. } => Response::new(StatusCode::OK),
+    }
+}
+
+/// The response of a box to a passed-on change, as the client may see it.
+pub fn passed_on(from_box: &Response) -> Response {
+    let known = matches!(
+        from_box.status.as_u16(),
+        200 | 204 | 400 | 401 | 403 | 404 | 405 | 409 | 412 | 415 | 422 | 428
+    );
+    if !known {
+        return Response::text(StatusCode::BAD_GATEWAY, "the streaming server could not take the change");
+    }
+    let mut response = Response::new(from_box.status);
+    response.body.clone_from(&from_box.body);
+    for name in [header::CONTENT_TYPE, header::ETAG] {
+        if let Some(value) = from_box.headers.get(&name) {
+            response.headers.insert(name, value.clone());
+        }
+    }
+    response
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn post(kind: &'static str, accept: Option<&str>) -> Request {
+        let request = Request::new(Method::POST, "/whep/a").body(kind, "v=0");
+        accept.map_or(request.clone(), |a| request.with(header::ACCEPT, a))
+    }
+
+    #[test]
+    fn calls_out_of_the_standard_get_its_statuses() {
+        let status = |r: &Request| endpoint_call(r).map(|r| r.status.as_u16());
+        assert_eq!(status(&post(SDP, None)), None);
+        assert_eq!(status(&post("text/plain", None)), Some(415));
+        assert_eq!(status(&post(SDP, Some("text/html"))), Some(406));
+        assert_eq!(status(&Request::new(Method::GET, "/whep/a")), Some(405));
+        let options = endpoint_call(&Request::new(Method::OPTIONS, "/whep/a")).expect("answered");
+        assert_eq!(options.field(ACCEPT_POST), Some(SDP));
+        assert!(options.field(header::ACCESS_CONTROL_ALLOW_METHODS).is_some());
+
+        let frag = "a=ice-ufrag:EsAw\r\na=ice-pwd:P2uYro0UCOQ4zxjKXaWCBui1\r\n";
+        let patch = |kind, tag: bool, body: &str| {
+            let r = Request::new(Method::PATCH, "/").body(kind, body);
+            match session_call(&if tag { r.with(header::IF_MATCH, "\"1\"") } else { r }) {
+                SessionCall::Answer(r) => r.status.as_u16(),
+                _ => 0,
+            }
+        };
+        assert_eq!(patch(SDP, true, frag), 415);
+        assert_eq!(patch(FRAG, false, frag), 428);
+        assert_eq!(patch(FRAG, true, "a=mid"), 400);
+        assert_eq!(patch(FRAG, true, frag), 0);
+        assert!(
+            matches!(session_call(&Request::new(Method::POST, "/")), SessionCall::Answer(r) if r.status == 405)
+        );
+    }
+
+    #[test]
+    fn a_time_to_come_back_is_never_sooner_than_advised() {
+        let wait =
+            |us| response(&Answer::Refused(Some(Micros(us)))).field(header::RETRY_AFTER).map(str::to_owned);
+        assert_eq!(
+            (wait(0), wait(500_000), wait(1_000_001)),
+            (Some("1".into()), Some("1".into()), Some("2".into()))
+        );
+        assert!(response(&Answer::Refused(None)).field(header::RETRY_AFTER).is_none());
+    }
+}
--- /dev/null
+++ b/crates/whep/src/lib.rs
@@ -0,0 +1,57 @@
+//! WHIP (RFC 9725) and WHEP (draft-ietf-wish-whep) as the front speaks them to players and boxes. No I/O.
+//!
+//! The same texts are spoken on both sides: a player posts its offer to the front, the front posts it to a box, and
+//! the box's answer goes back. In between the front checks the descriptions ([`sdp`], [`frag`]), sets the rung by a
+//! bandwidth line (RFC 3890) at set-up and by WHEP's layer selection while playing ([`layers`]), and hears of boxes'
+//! load in ORCA's published form ([`load`]) and on one event stream for each box ([`news`]).
+#![forbid(unsafe_code)]
+
+pub mod answer;
+pub mod boxes;
+pub mod frag;
+pub mod layers;
+pub mod load;
+pub mod news;
+pub mod route;
+pub mod sdp;
+
+/// Media type of offers and answers.
+pub const SDP: &str = "application/sdp";
+/// Media type of trickled candidates and ICE restarts (RFC 8840).
+pub const FRAG: &str = "application/trickle-ice-sdpfrag";
+/// Media type of events.
+pub const EVENTS: &str = "text/event-stream";
+
+/// Whether a `Content-Type` names this media type, whatever its parameters.
+pub fn is_type(value: Option<&str>, media: &str) -> bool {
+    value.is_some_and(|v| v.split(';').next().unwrap_or_default().trim().eq_ignore_ascii_case(media))
+}
+
+/// Whether an `Accept` value admits this media type (RFC 9110, section 12.5.1); none admits all.
+pub fn accepts(value: Option<&str>, media: &str) -> bool {
+    let Some(value) = value else { return true };
+    let (main, _) = media.split_once('/').unwrap_or((media, ""));
+    value.split(',').any(|range| {
+        let mut parts = range.split(';').map(str::trim);
+        let name = parts.next().unwrap_or_default();
+        let refused = parts.any(|p| {
+            let weight = p.strip_prefix("q=").or_else(|| p.strip_prefix("Q="));
+            weight.and_then(|w| w.parse::<f64>().ok()).is_some_and(|w| w <= 0.0)
+        });
+        let named = name == "*/*" || name.eq_ignore_ascii_case(media);
+        !refused && (named || name.strip_suffix("/*").is_some_and(|m| m.eq_ignore_ascii_case(main)))
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn media_types_are_compared_without_their_parameters() {
+        assert!(is_type(Some("Application/SDP; charset=utf-8"), SDP));
+        assert!(!is_type(Some("application/json"), SDP) && !is_type(None, SDP));
+        assert!(accepts(None, SDP) && accepts(Some("text/html, application/*;q=0.5"), SDP));
+        assert!(!accepts(Some("text/html, application/sdp;q=0"), SDP));
+    }
+}
--- /dev/null
+++ b/crates/whep/src/load.rs
@@ -0,0 +1,87 @@
+//! A box's load in ORCA's form: the `endpoint-load-metrics` field, or the same as a body.
+//!
+//! The form is that of xds ORCA's `OrcaLoadReport`: `JSON {...}` or `TEXT key=value, ...`. Of its `named_metrics` the
+//! front knows `streams` (sessions run or being set up), `link` (what is asked of the link over what it gives) and
+//! `uplink` (the same of the rack's).
+
+use beechloft_core::api::LoadReport;
+use beechloft_http::HeaderName;
+use serde_json::Value;
+
+/// The field.
+pub const FIELD: HeaderName = HeaderName::from_static("endpoint-load-metrics");
+/// Media type of a body of that form.
+pub const BODY: &str = "application/json";
+
+fn set(report: &mut LoadReport, name: &str, value: f64) {
+    let value = Some(value).filter(|v| v.is_finite() && *v >= 0.0);
+    match name {
+        "streams" => report.streams = value,
+        "link" => report.link = value,
+        "uplink" => report.uplink = value,
+        _ => {}
+    }
+}
+
+/// Reads a field's value. What can't be read says nothing.
+pub fn field(value: Option<&str>) -> LoadReport {
+    let mut report = LoadReport::default();
+    let Some((form, text)) = value.and_then(|v| v.trim().split_once(' ')) else { return report };
+    if form.eq_ignore_ascii_case("json") {
+        return body(text.as_bytes());
+    }
+    if form.eq_ignore_ascii_case("text") {
+        for (key, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
+            let name = key.trim().strip_prefix("named_metrics.").unwrap_or_default();
+            if let Ok(value) = value.trim().parse() {
+                set(&mut report, name, value);
+            }
+        }
+    }
+    report
+}
+
+/// Reads a body. What can't be read says nothing.
+pub fn body(text: &[u8]) -> LoadReport {
+    let mut report = LoadReport::default();
+    if let Ok(Value::Object(all)) = serde_json::from_slice(text)
+        && let Some(Value::Object(named)) = all.get("named_metrics")
+    {
+        for (name, value) in named {
+            set(&mut report, name, value.as_f64().unwrap_or(f64::NAN));
+        }
+    }
+    report
+}
+
+/// Writes a body.
+pub fn write(report: &LoadReport) -> String {
+    let named = [("streams", report.streams), ("link", report.link), ("uplink", report.uplink)];
+    let named: serde_json::Map<String, Value> =
+        named.iter().filter_map(|(k, v)| Some(((*k).to_owned(), Value::from((*v)?)))).collect();
+    serde_json::json!({ "named_metrics": named }).to_string()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn all_forms_say_the_same_and_nonsense_says_nothing() {
+        let report = LoadReport { streams: Some(3.0), link: Some(0.5), uplink: None };
+        assert_eq!(body(write(&report).as_bytes()), report);
+        assert_eq!(field(Some(&format!("JSON {}", write(&report)))), report);
+        let text = "TEXT cpu_utilization=0.3, named_metrics.streams=3,named_metrics.link=0.5, named_metrics.uplink=x";
+        assert_eq!(field(Some(text)), report);
+        for odd in [
+            "",
+            "JSON",
+            "JSON [1]",
+            "JSON {\"named_metrics\":{\"link\":-1}}",
+            "TEXT named_metrics.link=NaN",
+            "BIN AA",
+        ] {
+            assert_eq!(field(Some(odd)), LoadReport::default(), "{odd}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/whep/src/news.rs
@@ -0,0 +1,79 @@
+//! What a box tells a front about the sessions that play there: server-sent events, one stream for each front.
+//!
+//! WHEP's server-sent events extension has a stream for each session. A front with a thousand sessions at a box would
+//! hold a thousand streams, so the box offers one for all sessions of a front, with the event names below.
+
+use beechloft_core::api::{Micros, Note};
+use beechloft_core::io::BoxNews;
+use beechloft_http::sse::Event;
+use serde::{Deserialize, Serialize};
+
+/// Path of the stream at a box.
+pub const PATH: &str = "/front-events";
+/// Path of the load at a box.
+pub const LOAD_PATH: &str = "/load";
+/// Longest event, bytes.
+pub const EVENT_BYTES: usize = 4096;
+/// A box sends at least a comment this often; a stream silent for three times as long is broken.
+pub const BEAT: Micros = Micros(1_000_000);
+
+/// An event's data.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Default)]
+#[serde(default)]
+struct Data {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    boot: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    share: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    resource: Option<String>,
+}
+
+/// Reads an event; none: it says nothing that a front knows.
+pub fn read(event: &Event) -> Option<BoxNews> {
+    let data: Data = serde_json::from_str(&event.data).ok()?;
+    let share = data.share.filter(|s| s.is_finite() && *s >= 0.0);
+    match event.name.as_str() {
+        "hello" => Some(BoxNews::Hello { boot: data.boot? }),
+        "delivered" => Some(BoxNews::Note(Note::Delivered(share?))),
+        "link" => Some(BoxNews::Note(Note::LinkUse(share?))),
+        "uplink" => Some(BoxNews::Note(Note::UplinkUse(share?))),
+        "over" => Some(BoxNews::Over { resource: data.resource? }),
+        _ => None,
+    }
+}
+
+/// Writes an event; none: it is not one that a box sends.
+pub fn write(news: &BoxNews) -> Option<Event> {
+    let (name, data) = match news {
+        BoxNews::Hello { boot } => ("hello", Data { boot: Some(*boot), ..Data::default() }),
+        BoxNews::Note(Note::Delivered(x)) => ("delivered", Data { share: Some(*x), ..Data::default() }),
+        BoxNews::Note(Note::LinkUse(x)) => ("link", Data { share: Some(*x), ..Data::default() }),
+        BoxNews::Note(Note::UplinkUse(x)) => ("uplink", Data { share: Some(*x), ..Data::default() }),
+        BoxNews::Over { resource } => ("over", Data { resource: Some(resource.clone()), ..Data::default() }),
+        BoxNews::Note(Note::Rung(_)) | BoxNews::Broken | BoxNews::Refused => return None,
+    };
+    Some(Event { name: name.into(), data: serde_json::to_string(&data).ok()? })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn news_is_read_as_written_and_the_rest_is_passed_over() {
+        for news in [
+            BoxNews::Hello { boot: 7 },
+            BoxNews::Note(Note::Delivered(0.9)),
+            BoxNews::Note(Note::UplinkUse(1.2)),
+            BoxNews::Over { resource: "/r/1".into() },
+        ] {
+            assert_eq!(write(&news).as_ref().and_then(read), Some(news));
+        }
+        for (name, data) in
+            [("hello", "{}"), ("link", "{\"share\":-1}"), ("link", "1"), ("viewercount", "{}"), ("over", "")]
+        {
+            assert_eq!(read(&Event { name: name.into(), data: data.into() }), None);
+        }
+    }
+}
