--- /dev/null
+++ b/crates/config/src/front.rs
@@ -0,0 +1,252 @@
+//! One front: where it listens, where its list comes from, its bounds and logs.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use beechloft::interface::{Settings, ZoneId};
+use beechloft_core::catalog::{BoxLine, TitleLine};
+use beechloft_http::Limits;
+use beechloft_http::server::Sizes;
+
+use crate::list;
+use crate::reader::{self, Faults, Section};
+use crate::service::{self, Service};
+
+/// Where the list comes from.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ListSource {
+    /// A list service that pushes changes.
+    Pushed {
+        /// Where it listens.
+        address: SocketAddr,
+        /// The path of its stream.
+        path: String,
+        /// Where the copy for the next start is kept.
+        cache: Option<PathBuf>,
+    },
+    /// The settings themselves.
+    Written(Vec<BoxLine>, Vec<TitleLine>),
+}
+
+/// How logs are written.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogSettings {
+    /// JSON lines rather than lines for people.
+    pub json: bool,
+    /// Level, and levels of parts: `info,list=debug`.
+    pub filter: String,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        LogSettings { json: false, filter: "info".into() }
+    }
+}
+
+/// Everything a front is told.
+#[derive(Debug, Clone)]
+pub struct FrontSettings {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// The deployment.
+    pub service: Service,
+    /// For the module, complete.
+    pub settings: Settings,
+    /// Seed of its random numbers; none: drawn at the start.
+    pub seed: Option<u64>,
+    /// Where the list comes from.
+    pub list: ListSource,
+    /// Bounds of its sockets.
+    pub sizes: Sizes,
+    /// For a connection to a box.
+    pub connect_time: Duration,
+    /// For a call to a box that is no set-up.
+    pub call_time: Duration,
+    /// Logs.
+    pub log: LogSettings,
+}
+
+/// Reads a front's settings file; all its faults, if it has any.
+pub fn parse(text: &str) -> Result<FrontSettings, Faults> {
+    reader::read(text, front)
+}
+
+fn front(top: &Section<'_>) -> FrontSettings {
+    let service = service::service(&top.section("service"));
+    let f = top.section("front");
+    if !f.has("listen") {
+        f.fault("listen", "missing");
+    }
+    let listen = f.address("listen").unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
+    let fronts = f.whole("of", 1..=100_000).unwrap_or(1);
+    let number = f.whole("number", 0..=100_000).unwrap_or(0);
+    if number >= fronts {
+        f.fault("number", format!("fronts are counted from 0, and there are {fronts}"));
+    }
+    let zone = ZoneId(f.index("zone", &service.zones, "zone").unwrap_or(0) as u16);
+    let settings =
+        Settings { fronts: fronts as u32, number: number as u32, zone, ..service.settings.clone() };
+    let b = top.section("boxes");
+    FrontSettings {
+        listen,
+        settings,
+        seed: f.whole("seed", 0..=u64::MAX),
+        list: list_source(&top.section("list"), &service),
+        sizes: sizes(&top.section("sockets")),
+        connect_time: b.millis("connect_ms", 1..=60_000).unwrap_or(Duration::from_millis(250)),
+        call_time: b.millis("call_ms", 1..=60_000).unwrap_or(Duration::from_millis(2000)),
+        log: log(&top.section("log")),
+        service,
+    }
+}
+
+fn list_source(s: &Section<'_>, service: &Service) -> ListSource {
+    if !s.has("url") {
+        let (boxes, titles) = list::written(s, service);
+        if s.has("cache") {
+            s.fault("cache", "a list written here needs no copy");
+        }
+        if boxes.is_empty() {
+            s.fault("", "either url or boxes is needed");
+        }
+        return ListSource::Written(boxes, titles);
+    }
+    for key in ["boxes", "titles"] {
+        if s.has(key) {
+            s.fault(key, "the list comes from url; it can't be written here as well");
+        }
+    }
+    let url = s.needed_text("url");
+    let parsed = url.strip_prefix("http://").and_then(|rest| {
+        let (host, path) = rest.split_at(rest.find('/').unwrap_or(rest.len()));
+        Some((host.parse().ok()?, if path.is_empty() { "/" } else { path }.to_owned()))
+    });
+    if parsed.is_none() {
+        s.fault("url", format!("'{url}' is not http:// with an address, a port and a path"));
+    }
+    let (address, path) = parsed.unwrap_or_else(|| (SocketAddr::from(([127, 0, 0, 1], 0)), "/".into()));
+    ListSource::Pushed { address, path, cache: s.text("cache").map(PathBuf::from) }
+}
+
+fn sizes(s: &Section<'_>) -> Sizes {
+    let d = Sizes::default();
+    let l = &d.limits;
+    Sizes {
+        connections: s.whole("connections", 1..=100_000).map_or(d.connections, |n| n as usize),
+        stack: s.whole("stack_kb", 64..=8192).map_or(d.stack, |kb| kb as usize * 1024),
+        limits: Limits {
+            head_bytes: s.whole("head_bytes", 1024..=1_048_576).map_or(l.head_bytes, |n| n as usize),
+            body_bytes: s.whole("body_bytes", 1024..=16_777_216).map_or(l.body_bytes, |n| n as usize),
+            head_time: s.millis("head_ms", 10..=600_000).unwrap_or(l.head_time),
+            body_time: s.millis("body_ms", 10..=600_000).unwrap_or(l.body_time),
+            idle_time: s.millis("idle_ms", 10..=3_600_000).unwrap_or(l.idle_time),
+            write_time: s.millis("write_ms", 10..=600_000).unwrap_or(l.write_time),
+            ..l.clone()
+        },
+    }
+}
+
+fn log(s: &Section<'_>) -> LogSettings {
+    let json = s.choice("format", &[("human", false), ("json", true)]).unwrap_or(false);
+    let levels = ["error", "warn", "info", "debug", "trace"].map(|l| (l, l));
+    let mut filter = s.choice("level", &levels).unwrap_or("info").to_owned();
+    let parts = s.section("parts");
+    for part in ["core", "list", "boxes", "http"] {
+        if let Some(level) = parts.choice(part, &levels) {
+            filter.push_str(&format!(",{part}={level}"));
+        }
+    }
+    LogSettings { json, filter }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SOUND: &str = "\
+service:
+  zones: [hala-a, hala-b]
+  racks: 2
+  ladder:
+    - {rate_kb: 200, worth: 0.2}
+    - {rate_kb: 450, worth: 0.5}
+  classes:
+    - {name: stall-video, aim_ms: 800, patience_ms: 4000}
+  kinds:
+    - {name: small, streams: 20}
+front:
+  listen: 127.0.0.1:8080
+  zone: hala-b
+list:
+  boxes:
+    - {id: 1, address: \"127.0.0.1:9001\", rack: 1, zone: hala-a}
+  titles:
+    - {name: asparagus, class: stall-video, holders: [1]}
+";
+
+    fn faults(from: &str, to: &str) -> Vec<String> {
+        assert!(SOUND.contains(from), "{from}");
+        match parse(&SOUND.replacen(from, to, 1)) {
+            Ok(_) => Vec::new(),
+            Err(faults) => faults.0.iter().map(ToString::to_string).collect(),
+        }
+    }
+
+    #[test]
+    fn a_sound_file_is_read_whole() {
+        let f = parse(SOUND).expect("sound");
+        assert_eq!((f.settings.zone, f.settings.ladder.rates_kb.len(), f.settings.fronts), (ZoneId(1), 2, 1));
+        let ListSource::Written(boxes, titles) = f.list else { panic!("written here") };
+        assert_eq!((boxes.len(), titles[0].holders.len()), (1, 1));
+    }
+
+    #[test]
+    fn each_fault_is_said_with_its_line_and_key() {
+        let one = |from, to| match faults(from, to).as_slice() {
+            [one] => one.clone(),
+            other => panic!("{from} to {to}: {other:?}"),
+        };
+        assert!(
+            one("  racks: 2", "  racks: 2\n  rack: 2")
+                .starts_with("4:3: service.rack: unknown key; known here: ")
+        );
+        assert_eq!(one("  listen: 127.0.0.1:8080\n", ""), "12:3: front.listen: missing");
+        assert_eq!(
+            one("aim_ms: 800", "aim_ms: 0"),
+            "8:35: service.classes[0].aim_ms: 0 is out of range: 1 to 86400000"
+        );
+        assert!(one("aim_ms: 800", "aim_ms: 5000").contains("more than patience_ms"));
+        assert!(one("rate_kb: 450", "rate_kb: 150").contains("higher rate"));
+        assert!(one("zone: hala-b", "zone: hala-c").contains("no zone is called 'hala-c'"));
+        assert!(one("holders: [1]", "holders: [2]").contains("no box is called '2'"));
+        assert!(
+            one("  racks: 2", "  racks: 2\n  notes_late_ms: two")
+                .contains("a whole number is expected, not text")
+        );
+        assert!(one("racks: 2", "racks: 2\n  reports: probes").contains("limits.probes does not allow any"));
+        assert!(one("  zone: hala-b", "  number: 3").contains("fronts are counted from 0"));
+    }
+
+    #[test]
+    fn all_faults_come_at_once_and_in_order() {
+        let text = SOUND
+            .replace("racks: 2", "racks: 0")
+            .replace("streams: 20", "streams: x")
+            .replace("hala-b\n", "q\n");
+        let faults = parse(&text).expect_err("three faults").0;
+        let lines: Vec<usize> = faults.iter().map(|f| f.place.line).collect();
+        assert_eq!(lines.len(), 4, "{faults:?}");
+        assert!(lines.is_sorted());
+    }
+
+    #[test]
+    fn text_that_is_no_settings_is_said_to_be_none() {
+        for text in
+            ["", "- 1\n", "a: [1\n", "a: 1\na: 2\n", "x\n", "a: &b [*b]\n", "---\na: 1\n---\nb: 1\n", "\u{0}"]
+        {
+            assert!(parse(text).is_err(), "{text:?}");
+        }
+        assert!(parse(&format!("{}1{}", "[".repeat(100), "]".repeat(100))).is_err());
+    }
+}
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,14 @@
+//! Settings in YAML. Every key is checked; `beechloft check` says all faults of a file at once, each with its line.
+//!
+//! The settings describe a deployment and this front's place in it. What the decision module decides is not in them.
+#![forbid(unsafe_code)]
+
+pub mod front;
+pub mod list;
+pub mod reader;
+pub mod service;
+pub mod yaml;
+
+pub use front::FrontSettings;
+pub use reader::{Fault, Faults, Section};
+pub use service::Service;
--- /dev/null
+++ b/crates/config/src/list.rs
@@ -0,0 +1,70 @@
+//! A list written in the settings, for sites too small for a list service.
+
+use std::collections::BTreeSet;
+
+use beechloft::interface::*;
+use beechloft_core::catalog::{BoxLine, TitleLine};
+
+use crate::reader::Section;
+use crate::service::Service;
+
+/// Reads `boxes` and `titles` of a section.
+pub fn written(s: &Section<'_>, service: &Service) -> (Vec<BoxLine>, Vec<TitleLine>) {
+    let mut boxes: Vec<BoxLine> = Vec::new();
+    for b in s.sections("boxes") {
+        let line = box_line(&b, service);
+        if boxes.iter().any(|known| known.id == line.id) {
+            b.fault("id", "a second box of this number");
+        }
+        boxes.push(line);
+    }
+    let mut titles: Vec<TitleLine> = Vec::new();
+    for t in s.sections("titles") {
+        let line = title_line(&t, service, &boxes);
+        if titles.iter().any(|known| known.name == line.name) {
+            t.fault("name", "a second title of this name");
+        }
+        titles.push(line);
+    }
+    (boxes, titles)
+}
+
+fn box_line(b: &Section<'_>, service: &Service) -> BoxLine {
+    let id = ServerId(b.needed_whole("id", 0..=u64::from(u32::MAX)) as u32);
+    let address: Option<std::net::SocketAddr> = b.address("address");
+    if !b.has("address") {
+        b.fault("address", "missing");
+    }
+    let states = [("ready", ServerState::Ready), ("draining", ServerState::Draining)];
+    let last = u64::from(service.settings.racks.saturating_sub(1));
+    BoxLine {
+        id,
+        name: b.text("name").unwrap_or_else(|| format!("box-{}", id.0)).into(),
+        url: address.map_or_else(String::new, |a| a.to_string()).into(),
+        state: b.choice("state", &states).unwrap_or(ServerState::Ready),
+        rack: b.whole("rack", 0..=last).unwrap_or(0) as u16,
+        zone: ZoneId(b.index("zone", &service.zones, "zone").unwrap_or(0) as u16),
+        kind: KindId(b.index("kind", &service.kinds, "kind").unwrap_or(0) as u8),
+        started: Micros(0),
+        size: b.number("size", 0.0..=1e6).unwrap_or(1.0),
+    }
+}
+
+fn title_line(t: &Section<'_>, service: &Service, boxes: &[BoxLine]) -> TitleLine {
+    let mut holders = BTreeSet::new();
+    for text in t.texts("holders") {
+        match boxes.iter().find(|b| *b.name == *text || b.id.0.to_string() == text) {
+            Some(known) => {
+                holders.insert(known.id);
+            }
+            None => t.fault("holders", format!("no box is called '{text}'")),
+        }
+    }
+    TitleLine {
+        name: t.needed_text("name").into(),
+        class: ClassId(t.index("class", &service.classes, "class").unwrap_or(0) as u16),
+        tenant: TenantId(t.index("tenant", &service.tenants, "tenant").unwrap_or(0) as u16),
+        holders,
+        length: t.number("length_s", 0.0..=1e7).map(Micros::from_secs),
+    }
+}
--- /dev/null
+++ b/crates/config/src/service.rs
@@ -0,0 +1,209 @@
+//! The deployment: classes, ladder, links, rules. The same for every front of it.
+
+use beechloft::interface::*;
+
+use crate::reader::Section;
+
+/// A deployment, as settings tell it.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Service {
+    /// Names of the zones.
+    pub zones: Vec<String>,
+    /// Names of the classes.
+    pub classes: Vec<String>,
+    /// Names of the tenants.
+    pub tenants: Vec<String>,
+    /// Names of the kinds of boxes.
+    pub kinds: Vec<String>,
+    /// For the module; a front's own number and zone are still to be set.
+    pub settings: Settings,
+}
+
+const DAY_MS: u64 = 86_400_000;
+
+fn micros(s: &Section<'_>, key: &'static str, from: u64, default: u64) -> Micros {
+    Micros(s.whole(key, from..=DAY_MS).unwrap_or(default) * 1000)
+}
+
+fn names(list: &[Section<'_>], what: &str) -> Vec<String> {
+    let mut names: Vec<String> = Vec::new();
+    for s in list {
+        let name = s.needed_text("name");
+        if names.contains(&name) {
+            s.fault("name", format!("a second {what} of this name"));
+        }
+        names.push(name);
+    }
+    names
+}
+
+/// Reads the `service` section.
+pub fn service(s: &Section<'_>) -> Service {
+    let zones = s.texts("zones");
+    if zones.is_empty() {
+        s.fault("zones", "at least one zone is needed");
+    }
+    let ladder = ladder(s);
+    let steps = ladder.rates_kb.len().max(1);
+
+    let class_sections = s.sections("classes");
+    if class_sections.is_empty() {
+        s.fault("classes", "at least one class is needed");
+    }
+    let classes = names(&class_sections, "class");
+    let class_list = class_sections.iter().map(|c| class(c, steps)).collect();
+
+    let tenant_sections = s.sections("tenants");
+    let tenants = names(&tenant_sections, "tenant");
+    let tenant_list =
+        tenant_sections.iter().map(|t| Tenant { quota_per_s: t.number("quota_per_s", 0.0..=1e6) }).collect();
+
+    let kind_sections = s.sections("kinds");
+    if kind_sections.is_empty() {
+        s.fault("kinds", "at least one kind of box is needed");
+    }
+    let kinds = names(&kind_sections, "kind");
+    let kind_streams =
+        kind_sections.iter().map(|k| k.needed_whole("streams", 1..=1_000_000) as u32).collect();
+
+    let racks = s.whole("racks", 1..=60_000).unwrap_or(1) as u32;
+    let links = s.section("links");
+    let limits = s.section("limits");
+    let prices = s.section("prices");
+    let settings = Settings {
+        classes: class_list,
+        tenants: tenant_list,
+        kind_streams,
+        ladder,
+        // The list names racks, not cells; titles name their holders.
+        cells: racks,
+        racks,
+        all_links_kb: links.number("all_kb", 1.0..=1e12),
+        link_unit_kb: links.number("unit_kb", 1.0..=1e9),
+        uplink_kb: links.number("uplink_kb", 1.0..=1e12),
+        guard: links.number("guard", 0.1..=10.0),
+        note_delay: micros(s, "notes_late_ms", 0, 1000),
+        fronts: 1,
+        number: 0,
+        zone: ZoneId(0),
+        reporting: s
+            .choice(
+                "reports",
+                &[
+                    ("answers", Reporting::InAnswers),
+                    ("probes", Reporting::InProbes),
+                    ("none", Reporting::Silent),
+                ],
+            )
+            .unwrap_or(Reporting::InAnswers),
+        sizes: s
+            .choice("sizes", &[("size", Sizes::Size), ("live", Sizes::Live), ("none", Sizes::Silent)])
+            .unwrap_or(Sizes::Size),
+        discovery: Discovery::Push,
+        limits: Limits {
+            max_attempts: limits.whole("attempts", 1..=100).unwrap_or(4) as u32,
+            probes: limits.flag("probes", false),
+            cancel: true,
+            retry_after: limits.whole("retry_after_ms", 0..=DAY_MS).map(|ms| Micros(ms * 1000)),
+        },
+        budget: s.has("budget").then(|| budget(&s.section("budget"))),
+        cold: cold(&s.section("cold")),
+        probe_price: prices.number("probe", 0.0..=1.0).unwrap_or(0.01),
+        move_price: prices.number("move", 0.0..=1.0).unwrap_or(0.1),
+        over_share_worth: prices.number("over_share_worth", 0.0..=1.0).unwrap_or(1.0),
+    };
+    if settings.reporting == Reporting::InProbes && !settings.limits.probes {
+        s.fault("reports", "boxes report with probes alone, but limits.probes does not allow any");
+    }
+    Service { zones, classes, tenants, kinds, settings }
+}
+
+fn ladder(s: &Section<'_>) -> Ladder {
+    let rungs = s.sections("ladder");
+    if rungs.is_empty() || rungs.len() > 64 {
+        s.fault("ladder", "1 to 64 rungs are needed, the lowest first");
+    }
+    let mut ladder = Ladder {
+        change_cost_s: s.number("change_costs_s", 0.0..=3600.0).unwrap_or(0.5),
+        ..Ladder::default()
+    };
+    for rung in &rungs {
+        let rate = rung.needed_number("rate_kb", 0.001..=1e9);
+        let worth = rung.needed_number("worth", 0.0..=1e6);
+        if ladder.rates_kb.last().is_some_and(|below| rate <= *below) {
+            rung.fault("rate_kb", "each rung needs a higher rate than the one before");
+        }
+        if ladder.worth.last().is_some_and(|below| worth < *below) {
+            rung.fault("worth", "a rung can't be worth less than the one before");
+        }
+        ladder.rates_kb.push(rate);
+        ladder.worth.push(worth);
+    }
+    ladder
+}
+
+fn class(c: &Section<'_>, steps: usize) -> Class {
+    let last = steps as u64 - 1;
+    let aim = Micros(c.needed_whole("aim_ms", 1..=DAY_MS) * 1000);
+    let deadline = Micros(c.needed_whole("patience_ms", 1..=DAY_MS) * 1000);
+    if aim > deadline {
+        c.fault("aim_ms", "more than patience_ms: a session can't be wanted later than its viewer waits");
+    }
+    let (floor, top) = (c.whole("floor", 0..=last).unwrap_or(0), c.whole("top", 0..=last).unwrap_or(last));
+    if floor > top {
+        c.fault("floor", "above top");
+    }
+    let window = || Micros(c.needed_whole("window_ms", 1..=DAY_MS) * 1000);
+    let group = || {
+        let groups = [("all", Group::All), ("zone", Group::Zone), ("rack", Group::Cell)];
+        c.choice("group", &groups).unwrap_or(Group::All)
+    };
+    #[derive(Clone, Copy)]
+    enum Word {
+        Repeatable,
+        Keyed,
+        Once,
+    }
+    let words = [("repeatable", Word::Repeatable), ("keyed", Word::Keyed), ("once", Word::Once)];
+    let effect = match c.choice("effect", &words).unwrap_or(Word::Repeatable) {
+        Word::Repeatable => Effect::Repeatable,
+        Word::Keyed => Effect::Keyed { group: group(), window: window() },
+        Word::Once => Effect::Once,
+    };
+    Class {
+        aim,
+        deadline,
+        effect,
+        worth: c.number("worth", 0.0..=1e6).unwrap_or(1.0),
+        scale: c.number("rate_scale", 0.001..=1000.0).unwrap_or(1.0),
+        floor: Rung(floor as u8),
+        top: Rung(top as u8),
+        seats: c.whole("seats", 1..=1_000_000).map(|n| n as u32),
+        join: c.number("join", 0.0..=1.0).unwrap_or(1.0),
+    }
+}
+
+fn budget(b: &Section<'_>) -> RetryBudget {
+    RetryBudget {
+        free: b.needed_number("free", 0.0..=1e6),
+        share: b.needed_number("share", 0.0..=100.0),
+        window: Micros(b.needed_whole("window_ms", 1..=DAY_MS) * 1000),
+    }
+}
+
+fn cold(c: &Section<'_>) -> ColdRule {
+    let multiple = c.number("multiple", 0.0..=1000.0).unwrap_or(0.0);
+    if multiple > 0.0 {
+        for key in ["warm_ms", "span_ms"] {
+            if !c.has(key) {
+                c.fault(key, "missing, though multiple is given");
+            }
+        }
+    }
+    ColdRule {
+        warm_after: micros(c, "warm_ms", 0, 0),
+        from: c.number("from", 0.0..=1.0).unwrap_or(0.3),
+        multiple,
+        span: micros(c, "span_ms", 0, 0),
+    }
+}
--- /dev/null
+++ b/crates/front/src/engine.rs
@@ -0,0 +1,281 @@
+//! The thread that owns the core: inputs in, outputs carried to those who wait.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use beechloft_config::FrontSettings;
+use beechloft_core::Core;
+use beechloft_core::api::{Micros, ServerId};
+use beechloft_core::io::{Answer, Ask, AttemptId, Input, Output, RequestId};
+use beechloft_http::client::Pool;
+use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
+use tracing::{debug, info, warn};
+
+use crate::calls::{Calls, Job};
+use crate::clock::Clock;
+use crate::watch::Watchers;
+
+/// An attempt to be made by the thread of its viewer.
+#[derive(Debug, Clone)]
+pub struct SetUp {
+    /// Which.
+    pub attempt: AttemptId,
+    /// The box.
+    pub server: ServerId,
+    /// Its address.
+    pub address: Option<SocketAddr>,
+    /// The rung's rate, kB a second.
+    pub rate_kb: f64,
+    /// When to drop it.
+    pub until: Micros,
+}
+
+/// What a waiting thread is told.
+#[derive(Debug, Clone)]
+pub enum Told {
+    /// Make an attempt.
+    SetUp(SetUp),
+    /// The reply; nothing comes after it.
+    Answer(Answer),
+}
+
+/// What a front knows and holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Status {
+    /// It has seen a list.
+    pub listed: bool,
+    /// Boxes on it.
+    pub boxes: usize,
+    /// Titles on it.
+    pub titles: usize,
+    /// Sessions that play.
+    pub playing: usize,
+    /// Sessions still to be ended at boxes.
+    pub releasing: usize,
+    /// Nobody waits.
+    pub idle: bool,
+}
+
+enum Message {
+    Input(Input),
+    Ask(Box<Ask>, Sender<Told>),
+    Call(Input, RequestId, Sender<Told>),
+    Status(Sender<Status>),
+    End,
+}
+
+/// The way to the core.
+#[derive(Clone)]
+pub struct Handle {
+    sender: Sender<Message>,
+    next: Arc<AtomicU64>,
+    addresses: Arc<RwLock<BTreeMap<ServerId, SocketAddr>>>,
+}
+
+impl Handle {
+    /// Tells the core something.
+    pub fn input(&self, input: Input) {
+        // The engine ends last; what comes after is nobody's any more.
+        let _ = self.sender.send(Message::Input(input));
+    }
+
+    /// A name for a client's call.
+    pub fn request(&self) -> RequestId {
+        RequestId(self.next.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Asks for a session; what is to be done for it comes out of the receiver.
+    pub fn ask(&self, ask: Ask) -> Receiver<Told> {
+        let (sender, receiver) = unbounded();
+        let _ = self.sender.send(Message::Ask(Box::new(ask), sender));
+        receiver
+    }
+
+    /// A call that is answered at once.
+    pub fn call(&self, make: impl FnOnce(RequestId) -> Input) -> Answer {
+        let (sender, receiver) = bounded(1);
+        let request = self.request();
+        let _ = self.sender.send(Message::Call(make(request), request, sender));
+        match receiver.recv_timeout(Duration::from_secs(5)) {
+            Ok(Told::Answer(answer)) => answer,
+            _ => Answer::Failed,
+        }
+    }
+
+    /// Learns a box's address, or that it has none any more.
+    pub fn know(&self, server: ServerId, address: Option<SocketAddr>) {
+        let mut known = self.addresses.write().unwrap_or_else(PoisonError::into_inner);
+        match address {
+            Some(address) => known.insert(server, address),
+            None => known.remove(&server),
+        };
+    }
+
+    /// Where a box listens.
+    pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
+        self.addresses.read().unwrap_or_else(PoisonError::into_inner).get(&server).copied()
+    }
+
+    /// What the front knows and holds.
+    pub fn status(&self) -> Status {
+        let (sender, receiver) = bounded(1);
+        let _ = self.sender.send(Message::Status(sender));
+        receiver.recv_timeout(Duration::from_secs(5)).unwrap_or_default()
+    }
+
+    /// Waits until no client waits and nothing is left to be ended at boxes.
+    pub fn wait_idle(&self, until: Instant) {
+        while !self.status().idle && Instant::now() < until {
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+/// The engine's thread and its helpers.
+pub struct Engine {
+    sender: Sender<Message>,
+    thread: JoinHandle<()>,
+}
+
+impl Engine {
+    /// Starts it.
+    pub fn start(
+        core: Core,
+        clock: Clock,
+        settings: Arc<FrontSettings>,
+        pool: Arc<Pool>,
+    ) -> io::Result<(Engine, Handle)> {
+        let (sender, receiver) = unbounded();
+        let handle = Handle { sender: sender.clone(), next: Arc::default(), addresses: Arc::default() };
+        let calls = Calls::start(handle.clone(), pool.clone(), settings.call_time)?;
+        let watchers = Watchers::new(handle.clone(), settings.connect_time);
+        let run = Run { core, clock, calls, watchers, waiting: BTreeMap::new(), out: Vec::new() };
+        let thread = thread::Builder::new().name("core".into()).spawn(move || run.run(&receiver))?;
+        Ok((Engine { sender, thread }, handle))
+    }
+
+    /// Ends the thread.
+    pub fn stop(self) {
+        let _ = self.sender.send(Message::End);
+        let _ = self.thread.join();
+    }
+}
+
+struct Run {
+    core: Core,
+    clock: Clock,
+    calls: Calls,
+    watchers: Watchers,
+    waiting: BTreeMap<RequestId, Sender<Told>>,
+    out: Vec<Output>,
+}
+
+impl Run {
+    fn run(mut self, receiver: &Receiver<Message>) {
+        loop {
+            let due = self.core.next_due().map(|at| self.clock.instant(at));
+            let wait = due.map_or(Duration::from_secs(1), |at| at.saturating_duration_since(Instant::now()));
+            match receiver.recv_timeout(wait) {
+                Ok(Message::End) => break,
+                Ok(message) => self.take(message),
+                Err(_) => self.input(Input::Tick),
+            }
+        }
+        self.watchers.stop();
+        self.calls.stop();
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Input(input) => self.input(input),
+            Message::Ask(ask, sender) => {
+                self.waiting.insert(ask.request, sender);
+                self.input(Input::Ask(*ask));
+            }
+            Message::Call(input, request, sender) => {
+                self.waiting.insert(request, sender);
+                self.input(input);
+            }
+            Message::Status(sender) => {
+                let catalog = self.core.catalog();
+                let _ = sender.send(Status {
+                    listed: catalog.heard(),
+                    boxes: catalog.boxes().count(),
+                    titles: catalog.titles().count(),
+                    playing: self.core.playing(),
+                    releasing: self.core.releasing(),
+                    idle: self.core.is_idle(),
+                });
+            }
+            Message::End => {}
+        }
+    }
+
+    fn input(&mut self, input: Input) {
+        debug!(target: "core", ?input, "input");
+        // A client that hung up is told nothing any more; its own thread ends the attempt that is out.
+        let gone = if let Input::HungUp(session) = &input { Some(*session) } else { None };
+        self.core.handle(self.clock.now(), input, &mut self.out);
+        for output in std::mem::take(&mut self.out) {
+            debug!(target: "core", ?output, "output");
+            self.carry_out(output);
+        }
+        if let Some(session) = gone {
+            debug!(target: "core", session = format_args!("{:016x}", session.0), "client hung up");
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) {
+        match output {
+            Output::SetUp { attempt, request, server, url, rung, rate_kb, until } => {
+                info!(
+                    target: "core", session = format_args!("{:016x}", attempt.session.0), attempt = attempt.number,
+                    server = server.0, rung = rung.0, "set-up"
+                );
+                if let Some(waiting) = self.waiting.get(&request) {
+                    let set_up = SetUp { attempt, server, address: url.parse().ok(), rate_kb, until };
+                    let _ = waiting.send(Told::SetUp(set_up));
+                }
+            }
+            Output::Reply(request, answer) => {
+                if let Some(waiting) = self.waiting.remove(&request) {
+                    let _ = waiting.send(Told::Answer(answer));
+                }
+            }
+            // The viewer's own thread dropped the attempt when it saw the hang-up.
+            Output::Cancel(_) => {}
+            Output::SetRung { server, session, layers, rung } => {
+                debug!(
+                    target: "core", session = format_args!("{:016x}", session.0), server = server.0, rung = rung.0,
+                    "rung"
+                );
+                self.calls.push(server, Job::SetRung { path: layers, rung });
+            }
+            Output::Release { ticket, server, resource } => {
+                self.calls.push(server, Job::Release { ticket, resource });
+            }
+            Output::Probe(server) => self.calls.push(server, Job::Probe),
+            Output::Watch(server, url) => match url.parse() {
+                Ok(address) => {
+                    self.calls.know(server, address);
+                    self.watchers.watch(server, address);
+                }
+                Err(_) => warn!(target: "list", server = server.0, %url, "no address"),
+            },
+            Output::Unwatch(server) => {
+                self.calls.forget(server);
+                self.watchers.unwatch(server);
+            }
+            Output::Subscribe => {} // the list is pushed
+            Output::Over(session, why) => {
+                info!(target: "core", session = format_args!("{:016x}", session.0), ?why, "over");
+            }
+            Output::Log(line) => warn!(target: "core", "{line}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,92 @@
+//! The session front on sockets.
+//!
+//! One thread owns the core ([`engine`]); everything else talks to it through a channel. A viewer's connection has a
+//! thread of its own ([`player`]), and the attempts of its session run on that thread ([`attempt`]): it waits for the
+//! box and watches its viewer at once, with no hand-over in between. Each box has a thread that reads its events
+//! ([`watch`]), the list has one ([`list`]), and short calls to boxes run on a few workers ([`calls`]).
+#![forbid(unsafe_code)]
+
+mod attempt;
+mod calls;
+mod clock;
+mod engine;
+mod list;
+mod player;
+mod watch;
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use beechloft_config::FrontSettings;
+use beechloft_core::{Core, Input};
+use beechloft_http::client::Pool;
+use beechloft_http::server::Server;
+use tracing::info;
+
+use crate::clock::Clock;
+pub use crate::engine::Status;
+use crate::engine::{Engine, Handle};
+
+/// What the parts of a front share.
+#[derive(Clone)]
+struct Shared {
+    handle: Handle,
+    clock: Clock,
+    pool: Arc<Pool>,
+    settings: Arc<FrontSettings>,
+}
+
+/// A front that serves.
+pub struct Front {
+    shared: Shared,
+    server: Server,
+    engine: Engine,
+}
+
+impl Front {
+    /// Starts a front on its listener's port, or on one that is given.
+    pub fn start(settings: FrontSettings, listener: Option<TcpListener>) -> io::Result<Front> {
+        let listener = match listener {
+            Some(listener) => listener,
+            None => TcpListener::bind(settings.listen)?,
+        };
+        let clock = Clock::start();
+        let seed = settings.seed.unwrap_or_else(clock::entropy);
+        let core = Core::new(settings.settings.clone(), seed);
+        let settings = Arc::new(settings);
+        let pool = Arc::new(Pool::default());
+        let (engine, handle) = Engine::start(core, clock, settings.clone(), pool.clone())?;
+        let shared = Shared { handle, clock, pool, settings };
+        list::start(&shared, seed)?;
+        let handler = Arc::new(player::Player::new(shared.clone(), seed));
+        let server = Server::start(listener, shared.settings.sizes.clone(), handler)?;
+        info!(target: "core", address = %server.address(), "front is up");
+        Ok(Front { shared, server, engine })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// What it knows and holds now.
+    pub fn status(&self) -> Status {
+        self.shared.handle.status()
+    }
+
+    /// Takes nothing new, answers what it took, ends what it may have left at boxes, and then itself.
+    ///
+    /// Sessions that play are left alone: their media does not pass through here.
+    pub fn stop(self, wait: Duration) {
+        info!(target: "core", "front stops");
+        let until = Instant::now() + wait;
+        self.shared.handle.input(Input::Stop);
+        // Requests that come while the last ones are answered are turned away; then the door is closed.
+        self.shared.handle.wait_idle(until);
+        self.server.stop(until.saturating_duration_since(Instant::now()).max(Duration::from_millis(50)));
+        self.engine.stop();
+        info!(target: "core", "front is down");
+    }
+}
--- /dev/null
+++ b/crates/front/src/player.rs
@@ -0,0 +1,193 @@
+//! Players and publishers: WHEP and WHIP requests in, one answer each out.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use beechloft_core::api::{Micros, SessionId};
+use beechloft_core::io::{Answer, Ask, Input, Secret};
+use beechloft_http::message::HeadError;
+use beechloft_http::server::{Handler, Link, Reply};
+use beechloft_http::{Request, Response, StatusCode, header};
+use beechloft_whep::answer::{self, SessionCall};
+use beechloft_whep::boxes;
+use beechloft_whep::route::{self, Place};
+use beechloft_whep::sdp::Offer;
+use crossbeam_channel::Receiver;
+use rand_chacha::ChaCha20Rng;
+use rand_chacha::rand_core::{Rng, SeedableRng};
+use tracing::{Level, info, span};
+
+use crate::Shared;
+use crate::attempt;
+use crate::engine::Told;
+
+/// How far past the viewer's patience a thread waits for the core. The core answers long before.
+const PAST: Duration = Duration::from_secs(5);
+
+/// Answers the front's clients.
+pub struct Player {
+    shared: Shared,
+    names: Mutex<ChaCha20Rng>,
+}
+
+impl Player {
+    /// Session names follow from the seed.
+    pub fn new(shared: Shared, seed: u64) -> Self {
+        Player { shared, names: Mutex::new(ChaCha20Rng::seed_from_u64(seed ^ 0x6e61_6d65)) }
+    }
+
+    fn name(&self) -> (SessionId, Secret) {
+        let mut names = self.names.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        (SessionId(names.next_u64()), Secret(names.next_u64()))
+    }
+
+    fn endpoint(&self, request: &Request, title: String, publishes: bool, link: &Link<'_>) -> Reply {
+        if let Some(response) = answer::endpoint_call(request) {
+            return Reply::Whole(response);
+        }
+        let offer = match Offer::parse(&request.body, publishes) {
+            Ok(offer) => offer,
+            Err(e) => {
+                let status = StatusCode::from_u16(e.status()).unwrap_or(StatusCode::BAD_REQUEST);
+                return Reply::Whole(Response::text(status, e));
+            }
+        };
+        let token = request.field(header::AUTHORIZATION);
+        let (session, secret) = self.name();
+        let span = span!(target: "http", Level::INFO, "session", id = format_args!("{:016x}", session.0));
+        let _entered = span.enter();
+        let began = Instant::now();
+        let ask = Ask {
+            request: self.shared.handle.request(),
+            session,
+            secret,
+            title: title.clone(),
+            publishes,
+            max_rate_kb: offer.max_rate_kb,
+            repeat: Some(offer.key(&title, token)),
+        };
+        let told = self.shared.handle.ask(ask);
+        let answer = self.serve(session, &told, link, |rate| {
+            boxes::set_up(&title, publishes, offer.limited(rate), token, self.shared.settings.settings.number)
+        });
+        let Some(answer) = answer else { return Reply::HangUp };
+        let response = answer::response(&answer);
+        info!(
+            target: "http", peer = %link.peer, title, status = response.status.as_u16(),
+            took_us = began.elapsed().as_micros() as u64, "answered"
+        );
+        let Answer::Playing { session: plays, .. } = answer else { return Reply::Whole(response) };
+        let handle = self.shared.handle.clone();
+        let tell = move |written: bool| {
+            // The answer to an offer sent again belongs to the first request as well.
+            if !written && plays == session {
+                handle.input(Input::AnswerLost(session));
+            }
+        };
+        Reply::Told(response, Box::new(tell))
+    }
+
+    /// Makes the attempts that the core asks for until it has an answer; none: the viewer has left.
+    fn serve(
+        &self,
+        session: SessionId,
+        told: &Receiver<Told>,
+        link: &Link<'_>,
+        request: impl Fn(f64) -> Request,
+    ) -> Option<Answer> {
+        let patience =
+            self.shared.settings.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(Micros(0));
+        let until = Instant::now() + Duration::from_micros(patience.0) + PAST;
+        loop {
+            match told.recv_deadline(until) {
+                Ok(Told::Answer(answer)) => return Some(answer),
+                Ok(Told::SetUp(set_up)) => {
+                    let sent = self.shared.clock.now();
+                    let handle = &self.shared.handle;
+                    let tell = || handle.input(Input::HungUp(session));
+                    let ended = attempt::run(&self.shared, &set_up, &request(set_up.rate_kb), link, tell);
+                    let (attempt, server) = (set_up.attempt, set_up.server);
+                    handle.input(Input::Verdict {
+                        attempt,
+                        server,
+                        verdict: ended.verdict,
+                        sent,
+                        load: ended.load,
+                    });
+                    if ended.hung_up {
+                        return None;
+                    }
+                }
+                Err(_) => return Some(Answer::Failed),
+            }
+        }
+    }
+
+    fn session(&self, request: &Request, session: SessionId, secret: Secret) -> Response {
+        let span = span!(target: "http", Level::INFO, "session", id = format_args!("{:016x}", session.0));
+        let _entered = span.enter();
+        match answer::session_call(request) {
+            SessionCall::Answer(response) => response,
+            SessionCall::Delete => {
+                let answer = self.shared.handle.call(|request| Input::Delete { request, session, secret });
+                answer::response(&answer)
+            }
+            SessionCall::Patch => {
+                match self.shared.handle.call(|request| Input::Find { request, session, secret }) {
+                    Answer::At { server, resource } => {
+                        self.patch(&boxes::patch(&resource, request), server, &resource)
+                    }
+                    other => answer::response(&other),
+                }
+            }
+        }
+    }
+
+    fn patch(&self, request: &Request, server: beechloft_core::api::ServerId, resource: &str) -> Response {
+        let Some(address) = self.shared.handle.address(server) else {
+            return Response::text(StatusCode::NOT_FOUND, "no such session");
+        };
+        let until = Instant::now() + self.shared.settings.call_time;
+        match self.shared.pool.call(address, request, until) {
+            Ok(response) => answer::passed_on(&response),
+            Err(error) => {
+                info!(target: "http", server = server.0, resource, %error, "change not passed on");
+                Response::text(StatusCode::BAD_GATEWAY, "the streaming server did not take the change")
+            }
+        }
+    }
+
+    fn ready(&self) -> Response {
+        let s = self.shared.handle.status();
+        let body = serde_json::json!({
+            "listed": s.listed, "boxes": s.boxes, "titles": s.titles, "playing": s.playing, "releasing": s.releasing,
+        });
+        let status = if s.listed { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        Response::new(status).body("application/json", format!("{body}\n"))
+    }
+}
+
+impl Handler for Player {
+    fn handle(&self, request: Request, link: &Link<'_>) -> Reply {
+        let reply = match route::place(request.path()) {
+            Place::Endpoint { title, publishes } => self.endpoint(&request, title, publishes, link),
+            Place::Session(session, secret) => Reply::Whole(self.session(&request, session, secret)),
+            Place::Ready => Reply::Whole(self.ready()),
+            Place::Nowhere => Reply::Whole(Response::text(StatusCode::NOT_FOUND, "nothing here")),
+        };
+        match reply {
+            Reply::Whole(response) => Reply::Whole(answer::for_browsers(response)),
+            Reply::Told(response, tell) => Reply::Told(answer::for_browsers(response), tell),
+            other => other,
+        }
+    }
+
+    fn refuse(&self) -> Response {
+        let advice = self.shared.settings.settings.limits.retry_after;
+        answer::for_browsers(answer::response(&Answer::Refused(Some(advice.unwrap_or(Micros(1_000_000))))))
+    }
+
+    fn bad(&self, error: &HeadError) -> Response {
+        answer::for_browsers(Response::text(error.status(), error))
+    }
+}
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,8 +3,8 @@
 use std::collections::VecDeque;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, Weak};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -83,6 +83,14 @@
     stop: AtomicBool,
     threads: AtomicUsize,
     busy: AtomicUsize,
+    /// Connections that are open, to be broken by [`Server::kill`].
+    open: Mutex<Vec<Weak<TcpStream>>>,
+}
+
+impl Shared {
+    fn open(&self) -> std::sync::MutexGuard<'_, Vec<Weak<TcpStream>>> {
+        self.open.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
 }
 
 /// A server that runs until it is dropped or stopped.
@@ -98,7 +106,7 @@
         let address = listener.local_addr()?;
         listener.set_nonblocking(true)?;
         let (stop, threads, busy) = (AtomicBool::new(false), AtomicUsize::new(0), AtomicUsize::new(0));
-        let shared = Arc::new(Shared { handler, sizes, stop, threads, busy });
+        let shared = Arc::new(Shared { handler, sizes, stop, threads, busy, open: Mutex::default() });
         let of_acceptor = shared.clone();
         let acceptor = thread::Builder::new()
             .name("accept".into())
@@ -121,6 +129,16 @@
         }
     }
 
+    /// Ends at once: the listener closes and every connection breaks, as when the process dies.
+    pub fn kill(mut self) {
+        self.halt();
+        for stream in self.shared.open().drain(..).filter_map(|s| s.upgrade()) {
+            // A zero linger makes the system send a reset; failing that, the shutdown will have to do.
+            let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     fn halt(&mut self) {
         self.shared.stop.store(true, Ordering::SeqCst);
         if let Some(acceptor) = self.acceptor.take() {
@@ -185,10 +203,9 @@
     let thread = thread::Builder::new().name("connection".into()).stack_size(shared.sizes.stack);
     let spawned = thread.spawn(move || {
         let _counted = Counted(&of_thread.threads);
-        serve(&stream, peer, &of_thread);
-        drop(stream);
+        connection(stream, peer, &of_thread);
         while let Ok((stream, peer)) = receiver.recv_timeout(SPARE) {
-            serve(&stream, peer, &of_thread);
+            connection(stream, peer, &of_thread);
         }
     });
     if spawned.is_err() {
@@ -229,6 +246,20 @@
     Bad(HeadError),
 }
 
+/// Keeps a connection among the open ones while it is served.
+fn connection(stream: TcpStream, peer: SocketAddr, shared: &Shared) {
+    let stream = Arc::new(stream);
+    {
+        let mut open = shared.open();
+        // Swept when it has doubled, so that each connection costs a constant time.
+        if open.len() == open.capacity() {
+            open.retain(|s| s.strong_count() > 0);
+        }
+        open.push(Arc::downgrade(&stream));
+    }
+    serve(&stream, peer, shared);
+}
+
 fn serve(stream: &TcpStream, peer: SocketAddr, shared: &Shared) {
     let limits = &shared.sizes.limits;
     let mut buf = Vec::new();
--- /dev/null
+++ b/crates/list/src/cache.rs
@@ -0,0 +1,51 @@
+//! The copy of the list on disk, for a start while the list service is out of reach.
+
+use std::fs::{self, File};
+use std::io::{self, Read, Write};
+use std::path::Path;
+
+use crate::{BYTES, Message};
+
+/// Writes the copy: to a file beside it first, then in its place, so that a start never reads half of one.
+pub fn save(path: &Path, message: &Message) -> io::Result<()> {
+    let mut beside = path.as_os_str().to_owned();
+    beside.push(".new");
+    let mut file = File::create(&beside)?;
+    file.write_all(&serde_json::to_vec(message)?)?;
+    file.sync_data()?;
+    drop(file);
+    fs::rename(&beside, path)
+}
+
+/// Reads the copy; none: there is none yet.
+pub fn load(path: &Path) -> io::Result<Option<Message>> {
+    let file = match File::open(path) {
+        Ok(file) => file,
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
+        Err(e) => return Err(e),
+    };
+    let mut text = Vec::new();
+    file.take(BYTES as u64 + 1).read_to_end(&mut text)?;
+    if text.len() > BYTES {
+        return Err(io::Error::new(io::ErrorKind::InvalidData, "the copy of the list is too long"));
+    }
+    Ok(Some(serde_json::from_slice(&text)?))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_copy_is_read_as_saved_and_a_cut_one_is_an_error() {
+        let dir = tempfile::tempdir().expect("a folder");
+        let path = dir.path().join("list.json");
+        assert!(load(&path).expect("readable").is_none());
+        let message = Message { gone: vec!["x".into()], ..Message::default() };
+        save(&path, &message).expect("written");
+        assert_eq!(load(&path).expect("readable"), Some(message));
+        let text = fs::read(&path).expect("readable");
+        fs::write(&path, &text[..text.len() - 1]).expect("written");
+        assert!(load(&path).is_err());
+    }
+}
--- /dev/null
+++ b/crates/list/src/lib.rs
@@ -0,0 +1,225 @@
+//! The box list as it travels: JSON in server-sent events, `snapshot` (all there is) and `change` (what changed).
+//!
+//! A line that can't be used is left out and said, and the rest of its message holds: one operator's slip must not
+//! cost a front its list.
+#![forbid(unsafe_code)]
+
+pub mod cache;
+pub mod mirror;
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use beechloft_config::Service;
+use beechloft_core::api::*;
+use beechloft_core::catalog::{BoxLine, ListUpdate, TitleLine};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// Event name of a whole list.
+pub const SNAPSHOT: &str = "snapshot";
+/// Event name of a change.
+pub const CHANGE: &str = "change";
+/// Path of the stream at a list service.
+pub const PATH: &str = "/list";
+/// Longest message, bytes.
+pub const BYTES: usize = 32 * 1024 * 1024;
+
+/// A box in a message.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BoxText {
+    /// Its number.
+    pub id: u32,
+    /// Its name.
+    pub name: String,
+    /// Where it listens, `host:port`.
+    pub address: String,
+    /// `ready`, `draining` or `gone`.
+    pub state: String,
+    /// Its rack.
+    #[serde(default)]
+    pub rack: u16,
+    /// Name of its zone.
+    pub zone: String,
+    /// Name of its kind.
+    pub kind: String,
+    /// Latest start of its process, microseconds since 1970; 0: unknown.
+    #[serde(default)]
+    pub started_us: u64,
+    /// Its size.
+    #[serde(default = "one")]
+    pub size: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// A title in a message.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TitleText {
+    /// Its name.
+    pub name: String,
+    /// Name of its class.
+    pub class: String,
+    /// Name of its tenant, if there are any.
+    #[serde(default)]
+    pub tenant: String,
+    /// Numbers of the boxes that hold it.
+    pub holders: BTreeSet<u32>,
+    /// How long a session lasts, roughly.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub length_s: Option<f64>,
+}
+
+/// A message, its lines not yet looked at.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Message {
+    /// Lines of boxes.
+    #[serde(default)]
+    pub boxes: Vec<Value>,
+    /// Lines of titles.
+    #[serde(default)]
+    pub titles: Vec<Value>,
+    /// Names of titles that are gone.
+    #[serde(default)]
+    pub gone: Vec<String>,
+}
+
+/// A message read.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Read {
+    /// For the core.
+    pub update: ListUpdate,
+    /// Lines left out, and why.
+    pub faults: Vec<String>,
+}
+
+/// Which kind of message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Form {
+    /// All there is; perhaps from the copy on disk.
+    Snapshot {
+        /// From the copy.
+        cached: bool,
+    },
+    /// What changed.
+    Change,
+}
+
+/// Reads the lines of a message, with the names of a deployment.
+pub fn read(form: Form, message: &Message, service: &Service) -> Read {
+    let mut faults = Vec::new();
+    let boxes =
+        message.boxes.iter().filter_map(|v| kept(box_line(v, service), "box", v, &mut faults)).collect();
+    let titles =
+        message.titles.iter().filter_map(|v| kept(title_line(v, service), "title", v, &mut faults)).collect();
+    let update = match form {
+        Form::Snapshot { cached } => ListUpdate::Snapshot { cached, boxes, titles },
+        Form::Change => ListUpdate::Change {
+            boxes,
+            titles,
+            gone: message.gone.iter().map(|g| g.as_str().into()).collect(),
+        },
+    };
+    Read { update, faults }
+}
+
+fn kept<T>(line: Result<T, String>, what: &str, value: &Value, faults: &mut Vec<String>) -> Option<T> {
+    let fault = match line {
+        Ok(line) => return Some(line),
+        Err(fault) => fault,
+    };
+    let name = value.get("name").and_then(Value::as_str).unwrap_or("without a name");
+    faults.push(format!("{what} {name} is left out: {fault}"));
+    None
+}
+
+fn position(names: &[String], name: &str, what: &str) -> Result<usize, String> {
+    names.iter().position(|n| n == name).ok_or_else(|| format!("no {what} is called '{name}'"))
+}
+
+fn box_line(value: &Value, service: &Service) -> Result<BoxLine, String> {
+    let b = BoxText::deserialize(value).map_err(|e| e.to_string())?;
+    let state = match b.state.as_str() {
+        "ready" => ServerState::Ready,
+        "draining" => ServerState::Draining,
+        "gone" => ServerState::Gone,
+        other => return Err(format!("no state is called '{other}'")),
+    };
+    b.address.parse::<SocketAddr>().map_err(|_| format!("'{}' is no address with a port", b.address))?;
+    if u32::from(b.rack) >= service.settings.racks {
+        return Err(format!("rack {} of {}", b.rack, service.settings.racks));
+    }
+    if !b.size.is_finite() || b.size < 0.0 {
+        return Err(format!("size {}", b.size));
+    }
+    Ok(BoxLine {
+        id: ServerId(b.id),
+        name: b.name.into(),
+        url: b.address.into(),
+        state,
+        rack: b.rack,
+        zone: ZoneId(position(&service.zones, &b.zone, "zone")? as u16),
+        kind: KindId(position(&service.kinds, &b.kind, "kind")? as u8),
+        started: Micros(b.started_us),
+        size: b.size,
+    })
+}
+
+fn title_line(value: &Value, service: &Service) -> Result<TitleLine, String> {
+    let t = TitleText::deserialize(value).map_err(|e| e.to_string())?;
+    if t.name.is_empty() {
+        return Err("it needs a name".into());
+    }
+    let tenant = if t.tenant.is_empty() { 0 } else { position(&service.tenants, &t.tenant, "tenant")? };
+    Ok(TitleLine {
+        name: t.name.into(),
+        class: ClassId(position(&service.classes, &t.class, "class")? as u16),
+        tenant: TenantId(tenant as u16),
+        holders: t.holders.into_iter().map(ServerId).collect(),
+        length: t.length_s.filter(|s| s.is_finite()).map(Micros::from_secs),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    pub(crate) fn service() -> Service {
+        let names = |n: &str| vec![n.to_owned()];
+        let settings = Settings { racks: 2, ..Settings::default() };
+        Service { zones: names("a"), classes: names("c"), tenants: vec![], kinds: names("k"), settings }
+    }
+
+    #[test]
+    fn a_bad_line_costs_only_itself() {
+        let sound = json!({"id": 1, "name": "one", "address": "127.0.0.1:1", "state": "ready", "zone": "a", "kind": "k"});
+        let with = |key: &str, value: Value| {
+            let mut v = sound.clone();
+            v[key] = value;
+            v
+        };
+        let message = Message {
+            boxes: vec![
+                sound.clone(),
+                with("state", json!("fine")),
+                with("zone", json!("b")),
+                with("address", json!("nowhere")),
+                with("rack", json!(2)),
+                with("id", json!(-1)),
+                json!(7),
+            ],
+            titles: vec![
+                json!({"name": "t", "class": "c", "holders": [1]}),
+                json!({"name": "u", "class": "d", "holders": [1]}),
+            ],
+            gone: vec!["v".into()],
+        };
+        let read = read(Form::Change, &message, &service());
+        let ListUpdate::Change { boxes, titles, gone } = read.update else { panic!("a change") };
+        assert_eq!((boxes.len(), titles.len(), gone.len(), read.faults.len()), (1, 1, 1, 7));
+        assert!(read.faults[1].contains("no zone is called 'b'"), "{:?}", read.faults);
+    }
+}
--- /dev/null
+++ b/crates/list/src/mirror.rs
@@ -0,0 +1,69 @@
+//! The whole list, put together from a snapshot and changes, as it was sent.
+
+use std::collections::BTreeMap;
+
+use serde_json::Value;
+
+use crate::Message;
+
+/// The list as last heard, line by line.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Mirror {
+    boxes: BTreeMap<u64, Value>,
+    titles: BTreeMap<String, Value>,
+}
+
+impl Mirror {
+    /// Takes a message over. A box without a number or a title without a name can't be kept.
+    pub fn apply(&mut self, whole: bool, message: &Message) {
+        if whole {
+            if message.boxes.is_empty() && !self.boxes.is_empty() {
+                return; // taken for a failure of the list service, see the core's catalog
+            }
+            *self = Mirror::default();
+        }
+        for line in &message.boxes {
+            let Some(id) = line.get("id").and_then(Value::as_u64) else { continue };
+            if line.get("state").and_then(Value::as_str) == Some("gone") {
+                self.boxes.remove(&id);
+            } else {
+                self.boxes.insert(id, line.clone());
+            }
+        }
+        for name in &message.gone {
+            self.titles.remove(name);
+        }
+        for line in &message.titles {
+            if let Some(name) = line.get("name").and_then(Value::as_str) {
+                self.titles.insert(name.to_owned(), line.clone());
+            }
+        }
+    }
+
+    /// The whole list as one message.
+    pub fn message(&self) -> Message {
+        let (boxes, titles) =
+            (self.boxes.values().cloned().collect(), self.titles.values().cloned().collect());
+        Message { boxes, titles, gone: Vec::new() }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn changes_add_up_to_the_list() {
+        let mut mirror = Mirror::default();
+        let boxes = vec![json!({"id": 1, "state": "ready"}), json!({"id": 2, "state": "ready"})];
+        let titles = vec![json!({"name": "t"}), json!({"name": "u"})];
+        mirror.apply(true, &Message { boxes, titles, gone: vec![] });
+        let boxes = vec![json!({"id": 1, "state": "gone"}), json!({"id": 2, "state": "draining"})];
+        mirror.apply(false, &Message { boxes, titles: vec![], gone: vec!["t".into()] });
+        mirror.apply(true, &Message::default());
+        let all = mirror.message();
+        assert_eq!(all.boxes, [json!({"id": 2, "state": "draining"})]);
+        assert_eq!(all.titles, [json!({"name": "u"})]);
+    }
+}
--- a/crates/whep/src/boxes.rs
+++ b/crates/whep/src/boxes.rs
@@ -14,15 +14,25 @@
 pub const LINKS: usize = 8;
 
 /// The call that sets a session up.
-pub fn set_up(title: &str, publishes: bool, offer: String, token: Option<&str>) -> Request {
+pub fn set_up(title: &str, publishes: bool, offer: String, token: Option<&str>, front: u32) -> Request {
     let request = Request::new(Method::POST, route::endpoint_path(title, publishes)).body(SDP, offer);
-    let request = request.with(header::ACCEPT, SDP);
+    let request = request.with(header::ACCEPT, SDP).with(header::VIA, via(front));
     match token {
         Some(token) => request.with(header::AUTHORIZATION, token),
         None => request,
     }
 }
 
+/// How a front names itself to those it calls (RFC 9110, section 7.6.3).
+pub fn via(front: u32) -> String {
+    format!("1.1 beechloft-{front}")
+}
+
+/// The number of the front that a `Via` value names.
+pub fn front_of(via: Option<&str>) -> Option<u32> {
+    via?.rsplit(',').next()?.trim().strip_prefix("1.1 beechloft-")?.parse().ok()
+}
+
 /// The call that ends a session.
 pub fn release(resource: &str) -> Request {
     Request::new(Method::DELETE, resource)
