Rule checker that reads only what went over the sockets

crates/checker takes a trace seen by players, boxes and the list service and counts breaks of the six rules, sessions left at boxes and times to the answer. A sound trace falsified in one way each must break that rule and no other: eight such tests.

--- /dev/null
+++ b/crates/checker/src/report.rs
@@ -0,0 +1,92 @@
+//! What a check comes to.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+/// Times from asking to the answer, milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize)]
+pub struct Times {
+    /// Half took at most so long.
+    pub p50: f64,
+    /// 99 in 100 did.
+    pub p99: f64,
+    /// The longest.
+    pub max: f64,
+}
+
+/// Counts of a run.
+#[derive(Debug, Clone, PartialEq, Default, Serialize)]
+pub struct Report {
+    /// Requests that a running front took.
+    pub sessions: u64,
+    /// Those that came to play.
+    pub playing: u64,
+    /// Those turned away.
+    pub refused: u64,
+    /// Those that failed.
+    pub failed: u64,
+    /// Those answered otherwise: the request itself was at fault.
+    pub declined: u64,
+    /// Those whose player left before an answer.
+    pub hung_up: u64,
+    /// Those held by a front that was killed.
+    pub lost_with_front: u64,
+    /// Requests that no front took.
+    pub not_taken: u64,
+    /// Rule 1: no answer in the viewer's time.
+    pub unanswered: u64,
+    /// Rule 1: more than one answer.
+    pub duplicate_answers: u64,
+    /// Rule 2: two attempts of a session out at once, or a set-up repeated that must not be.
+    pub overlapping_attempts: u64,
+    /// Rule 3: set-ups sent to a box after its drain was known for longer than the grace.
+    pub drain_breaks: u64,
+    /// Rule 4: cold boxes sent more than they bear.
+    pub cold_breaks: u64,
+    /// Rule 5: rates under the floor.
+    pub floor_breaks: u64,
+    /// Rule 5: more sessions of a title and class than seats.
+    pub seat_breaks: u64,
+    /// Rule 6: further attempts past the budget.
+    pub budget_breaks: u64,
+    /// Sessions left at a box at the end that no player plays.
+    pub phantom_sessions: u64,
+    /// Sessions that a box freed by itself, as their player never came or went without a word.
+    pub expired_sessions: u64,
+    /// Attempts beyond the first.
+    pub further_attempts: u64,
+    /// From asking to the answer.
+    pub answer_ms: Times,
+    /// The first few breaks of each rule, for people.
+    pub breaks: BTreeMap<&'static str, Vec<String>>,
+}
+
+/// How many breaks of a rule are described.
+const DESCRIBED: usize = 5;
+
+impl Report {
+    /// Whether all rules were kept.
+    pub fn kept(&self) -> bool {
+        let broken = [
+            self.unanswered,
+            self.duplicate_answers,
+            self.overlapping_attempts,
+            self.drain_breaks,
+            self.cold_breaks,
+            self.floor_breaks,
+            self.seat_breaks,
+            self.budget_breaks,
+            self.phantom_sessions,
+        ];
+        broken.iter().all(|n| *n == 0)
+    }
+
+    /// Describes a break.
+    pub(crate) fn describe(&mut self, rule: &'static str, text: String) {
+        let list = self.breaks.entry(rule).or_default();
+        if list.len() < DESCRIBED {
+            list.push(text);
+        }
+    }
+}
--- /dev/null
+++ b/crates/checker/src/trace.rs
@@ -0,0 +1,184 @@
+//! What was seen, by whom and when. All times are microseconds of one clock.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+
+use serde::{Deserialize, Serialize};
+
+/// How a player's call ended, as the player saw it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ending {
+    /// A response with this status came.
+    Status(u16),
+    /// The connection was refused: nobody took the request.
+    NotTaken,
+    /// The connection closed or broke without a response.
+    Broken,
+    /// No response in the player's time.
+    TimedOut,
+    /// The player hung up by itself.
+    HungUp,
+}
+
+/// One thing seen.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "what", rename_all = "snake_case")]
+pub enum What {
+    /// A player's offer went to a front. An offer is named by its ICE user fragment.
+    Asked {
+        /// The offer.
+        offer: String,
+        /// The front.
+        front: u32,
+        /// The title.
+        title: String,
+        /// How long the player waits.
+        patience_us: u64,
+    },
+    /// Its call ended.
+    Ended {
+        /// The offer.
+        offer: String,
+        /// How.
+        ending: Ending,
+        /// Responses that came on the connection after the first.
+        extra: u32,
+    },
+    /// A player ended its session, or left without a word.
+    Left {
+        /// The offer.
+        offer: String,
+    },
+    /// An offer reached a box.
+    Offered {
+        /// The box.
+        server: u32,
+        /// The offer.
+        offer: String,
+        /// The front that sent it.
+        front: u32,
+        /// The title.
+        title: String,
+        /// The rate that the offer is limited to, kB a second.
+        rate_kb: f64,
+    },
+    /// The box answered it.
+    Answered {
+        /// The box.
+        server: u32,
+        /// The offer.
+        offer: String,
+        /// The status; 0: it closed the connection without an answer.
+        status: u16,
+    },
+    /// The front closed its side before an answer.
+    Dropped {
+        /// The box.
+        server: u32,
+        /// The offer.
+        offer: String,
+    },
+    /// A session began at a box.
+    Began {
+        /// The box.
+        server: u32,
+        /// The offer.
+        offer: String,
+    },
+    /// A session's rate was set at a box.
+    Rate {
+        /// The box.
+        server: u32,
+        /// The offer.
+        offer: String,
+        /// Its rate, kB a second.
+        rate_kb: f64,
+    },
+    /// A session ended at a box.
+    Freed {
+        /// The box.
+        server: u32,
+        /// The offer.
+        offer: String,
+        /// By itself, as no player kept it alive.
+        expired: bool,
+    },
+    /// A box's process started.
+    Started {
+        /// The box.
+        server: u32,
+        /// It was taken to be warm.
+        warm: bool,
+    },
+    /// A box's process ended.
+    Died {
+        /// The box.
+        server: u32,
+    },
+    /// A cold box was sent more than it bears, and fell over.
+    Toppled {
+        /// The box.
+        server: u32,
+    },
+    /// The list service told a front the state of a box.
+    Listed {
+        /// The front.
+        front: u32,
+        /// The box.
+        server: u32,
+        /// It takes sessions.
+        ready: bool,
+    },
+    /// A front's process started.
+    FrontUp {
+        /// The front.
+        front: u32,
+    },
+    /// A front's process was killed.
+    FrontKilled {
+        /// The front.
+        front: u32,
+    },
+}
+
+/// One thing seen, and when.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Seen {
+    /// When.
+    pub at: u64,
+    /// What.
+    #[serde(flatten)]
+    pub what: What,
+}
+
+/// Collects what is seen by all stand-ins of a process.
+#[derive(Debug, Clone)]
+pub struct Recorder {
+    start: Instant,
+    seen: Arc<Mutex<Vec<Seen>>>,
+}
+
+impl Default for Recorder {
+    fn default() -> Self {
+        Recorder { start: Instant::now(), seen: Arc::default() }
+    }
+}
+
+impl Recorder {
+    /// Now, in the trace's time.
+    pub fn now(&self) -> u64 {
+        self.start.elapsed().as_micros() as u64
+    }
+
+    /// Notes something seen now.
+    pub fn note(&self, what: What) {
+        let mut seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        seen.push(Seen { at: self.now(), what });
+    }
+
+    /// All that was seen so far, in order of time.
+    pub fn trace(&self) -> Vec<Seen> {
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
--- /dev/null
+++ b/crates/checker/tests/falsified.rs
@@ -0,0 +1,225 @@
+//! A sound trace passes; falsified in one way each, it breaks the rule that it should, and no other.
+
+use beechloft_checker::check::{ClassRules, ColdRules, Repeat};
+use beechloft_checker::trace::Ending;
+use beechloft_checker::{Report, Rules, Seen, What, check};
+
+const S: u64 = 1_000_000;
+
+fn rules() -> Rules {
+    Rules {
+        titles: [("t".to_owned(), 0), ("paid".to_owned(), 1)].into(),
+        classes: vec![
+            ClassRules { floor_kb: 200.0, seats: Some(2), ..ClassRules::default() },
+            ClassRules { repeat: Repeat::Once, ..ClassRules::default() },
+        ],
+        drain_grace_us: S,
+        cold: Some(ColdRules { warm_us: 10 * S, from: 0.5, multiple: 2.0, span_us: 2 * S, streams: 10.0 }),
+        budget: Some((1.0, 0.1, 10 * S)),
+    }
+}
+
+fn at(at: u64, what: What) -> Seen {
+    Seen { at, what }
+}
+
+fn asked(t: u64, offer: &str, title: &str) -> Seen {
+    at(t, What::Asked { offer: offer.into(), front: 0, title: title.into(), patience_us: 4 * S })
+}
+
+fn ended(t: u64, offer: &str, ending: Ending) -> Seen {
+    at(t, What::Ended { offer: offer.into(), ending, extra: 0 })
+}
+
+fn offered(t: u64, server: u32, offer: &str, title: &str) -> Seen {
+    at(t, What::Offered { server, offer: offer.into(), front: 0, title: title.into(), rate_kb: 450.0 })
+}
+
+fn answered(t: u64, server: u32, offer: &str, status: u16) -> Seen {
+    at(t, What::Answered { server, offer: offer.into(), status })
+}
+
+fn began(t: u64, server: u32, offer: &str) -> Seen {
+    at(t, What::Began { server, offer: offer.into() })
+}
+
+fn freed(t: u64, server: u32, offer: &str) -> Seen {
+    at(t, What::Freed { server, offer: offer.into(), expired: false })
+}
+
+/// Turned away by box 1, then played at box 2 and ended.
+fn sound() -> Vec<Seen> {
+    vec![
+        at(0, What::Started { server: 1, warm: true }),
+        asked(100, "a", "t"),
+        offered(200, 1, "a", "t"),
+        answered(300, 1, "a", 503),
+        offered(400, 2, "a", "t"),
+        began(480, 2, "a"),
+        answered(500, 2, "a", 201),
+        ended(600, "a", Ending::Status(201)),
+        at(5 * S, What::Left { offer: "a".into() }),
+        freed(5 * S + 1, 2, "a"),
+    ]
+}
+
+fn with(more: Vec<Seen>) -> Report {
+    check(&[sound(), more].concat(), &rules())
+}
+
+/// The counts of breaks, in the report's order.
+fn breaks(r: &Report) -> [u64; 9] {
+    [
+        r.unanswered,
+        r.duplicate_answers,
+        r.overlapping_attempts,
+        r.drain_breaks,
+        r.cold_breaks,
+        r.floor_breaks,
+        r.seat_breaks,
+        r.budget_breaks,
+        r.phantom_sessions,
+    ]
+}
+
+fn only(n: usize, count: u64) -> [u64; 9] {
+    let mut all = [0; 9];
+    all[n] = count;
+    all
+}
+
+#[test]
+fn a_sound_trace_keeps_all_rules() {
+    let r = with(vec![]);
+    assert!(r.kept(), "{r:?}");
+    assert_eq!((r.sessions, r.playing, r.further_attempts), (1, 1, 1));
+    assert!(r.answer_ms.max > 0.0);
+}
+
+#[test]
+fn missing_late_and_repeated_answers_are_found() {
+    assert_eq!(breaks(&with(vec![asked(S, "b", "t")])), only(0, 1));
+    let late = vec![asked(S, "b", "t"), ended(6 * S, "b", Ending::Status(503))];
+    assert_eq!(breaks(&with(late)), only(0, 1));
+    let broken = vec![asked(S, "b", "t"), ended(2 * S, "b", Ending::Broken)];
+    assert_eq!(breaks(&with(broken.clone())), only(0, 1));
+    let killed = [broken, vec![at(S + 5, What::FrontKilled { front: 0 })]].concat();
+    assert_eq!((breaks(&with(killed.clone())), with(killed).lost_with_front), ([0; 9], 1));
+    let twice = vec![
+        asked(S, "b", "t"),
+        at(2 * S, What::Ended { offer: "b".into(), ending: Ending::Status(503), extra: 1 }),
+    ];
+    assert_eq!(breaks(&with(twice)), only(1, 1));
+    let not_taken = vec![asked(S, "b", "t"), ended(S, "b", Ending::NotTaken)];
+    assert_eq!(breaks(&with(not_taken)), [0; 9]);
+}
+
+#[test]
+fn overlapping_and_forbidden_repeats_are_found() {
+    let lone = vec![asked(20 * S, "b", "t"), ended(21 * S, "b", Ending::Status(504))];
+    let second_early = [
+        lone.clone(),
+        vec![
+            offered(20 * S + 1, 1, "b", "t"),
+            offered(20 * S + 50, 2, "b", "t"),
+            at(20 * S + 60, What::Dropped { server: 1, offer: "b".into() }),
+            answered(20 * S + 90, 2, "b", 500),
+        ],
+    ];
+    assert_eq!(breaks(&with(second_early.concat())), only(2, 1));
+    let after = |title: &str, status| {
+        vec![
+            asked(20 * S, "b", title),
+            ended(21 * S, "b", Ending::Status(504)),
+            offered(20 * S + 1, 1, "b", title),
+            answered(20 * S + 40, 1, "b", status),
+            offered(20 * S + 50, 2, "b", title),
+            answered(20 * S + 90, 2, "b", 503),
+        ]
+    };
+    assert_eq!(breaks(&with(after("t", 500))), [0; 9]);
+    assert_eq!(breaks(&with(after("paid", 500))), only(2, 1), "it may have run");
+    assert_eq!(breaks(&with(after("paid", 503))), [0; 9], "it never ran");
+}
+
+#[test]
+fn set_ups_after_a_drain_are_found() {
+    let told = at(20 * S, What::Listed { front: 0, server: 1, ready: false });
+    let send = |t| {
+        vec![
+            told.clone(),
+            asked(t, "b", "t"),
+            offered(t, 1, "b", "t"),
+            answered(t, 1, "b", 503),
+            ended(t, "b", Ending::Status(503)),
+        ]
+    };
+    assert_eq!(breaks(&with(send(20 * S + S / 2))), [0; 9], "within the grace");
+    assert_eq!(breaks(&with(send(22 * S))), only(3, 1));
+    let again = at(21 * S, What::Listed { front: 0, server: 1, ready: true });
+    assert_eq!(breaks(&with([send(22 * S), vec![again]].concat())), [0; 9]);
+}
+
+#[test]
+fn cold_boxes_pushed_over_are_found() {
+    let cold = at(20 * S, What::Started { server: 7, warm: false });
+    let rush = |n: u64, gap: u64| {
+        let mut all = vec![cold.clone()];
+        for i in 0..n {
+            let (t, offer) = (20 * S + i * gap, format!("c{i}"));
+            all.extend([
+                asked(t, &offer, "x"),
+                offered(t, 7, &offer, "x"),
+                answered(t, 7, &offer, 503),
+                ended(t, &offer, Ending::Status(503)),
+            ]);
+        }
+        all
+    };
+    assert_eq!(breaks(&with(rush(8, 1000))), only(4, 1));
+    assert_eq!(breaks(&with(rush(8, S))), [0; 9], "slowly enough");
+    assert_eq!(breaks(&with(vec![at(30 * S, What::Toppled { server: 7 })])), only(4, 1));
+}
+
+#[test]
+fn floors_and_seats_are_found() {
+    let low = at(700, What::Rate { server: 2, offer: "a".into(), rate_kb: 100.0 });
+    assert_eq!(breaks(&with(vec![low])), only(5, 1));
+    let mut crowd = Vec::new();
+    for n in 0..3 {
+        let (t, offer) = (20 * S + n, format!("s{n}"));
+        crowd.extend([
+            asked(t, &offer, "t"),
+            offered(t, 3, &offer, "t"),
+            began(t, 3, &offer),
+            answered(t, 3, &offer, 201),
+        ]);
+        crowd.extend([ended(t, &offer, Ending::Status(201)), freed(30 * S, 3, &offer)]);
+    }
+    assert_eq!(breaks(&with(crowd.clone())), only(6, 1));
+    crowd.push(freed(20 * S + 1, 3, "s0"));
+    assert_eq!(breaks(&with(crowd)), [0; 9], "one had ended before the third came");
+}
+
+#[test]
+fn further_attempts_past_the_budget_are_found() {
+    let mut all = Vec::new();
+    for n in 0..2 {
+        let (t, offer) = (20 * S + n * 1000, format!("r{n}"));
+        all.extend([asked(t, &offer, "x"), ended(t + 900, &offer, Ending::Status(504))]);
+        for k in 0..2 {
+            all.extend([
+                offered(t + 10 + k * 10, k as u32, &offer, "x"),
+                answered(t + 15 + k * 10, k as u32, &offer, 500),
+            ]);
+        }
+    }
+    assert_eq!(breaks(&with(all)), only(7, 1), "one is free, and two sessions pay for a fifth of another");
+}
+
+#[test]
+fn sessions_left_at_boxes_are_found() {
+    assert_eq!(breaks(&with(vec![began(S, 2, "z")])), only(8, 1));
+    let died = at(2 * S, What::Died { server: 2 });
+    assert_eq!(breaks(&with(vec![began(S, 2, "z"), died])), [0; 9]);
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -53,6 +53,18 @@
         Ok(Conn { stream, peer, buf: Vec::new() })
     }
 
+    /// All that still comes, until the server closes or the time is up.
+    pub fn rest(mut self, until: Instant) -> Vec<u8> {
+        let mut chunk = [0; 4096];
+        while let Ok([true]) = wait::readable([Some(&self.stream)], until) {
+            match self.stream.read(&mut chunk) {
+                Ok(n) if n > 0 => self.buf.extend_from_slice(&chunk[..n]),
+                _ => break,
+            }
+        }
+        self.buf
+    }
+
     /// Sends a request; its response is to be waited for.
     pub fn send(mut self, request: &Request, until: Instant) -> Result<Exchange, CallError> {
         let bytes = request.encode(&self.peer.to_string());
