--- /dev/null
+++ b/crates/front/tests/faults.rs
@@ -0,0 +1,254 @@
+//! Each fault of a box or of the list, by itself, on sockets; the rules from what the stand-ins saw.
+
+mod support;
+
+use std::time::Duration;
+
+use beechloft_checker::What;
+use beechloft_standin::dice::Dice;
+use beechloft_standin::fault::Fault;
+use beechloft_standin::player::{self, Wish};
+use support::*;
+
+/// Box 1 has a fault, box 2 is sound: all of a few sessions for the pair must still play.
+fn plays_elsewhere(fault: Fault) {
+    let mut rig = Rig::new(2);
+    rig.fleet.fault(1, fault);
+    for _ in 0..6 {
+        rig.play("pair");
+    }
+    let seen = rig.recorder.trace();
+    let at =
+        |id| seen.iter().filter(|s| matches!(s.what, What::Began { server, .. } if server == id)).count();
+    assert_eq!(at(2), 6, "all play at the sound box");
+    rig.settle(0);
+    rig.finish();
+}
+
+#[test]
+fn a_box_that_never_answers() {
+    plays_elsewhere(Fault::NeverAnswer);
+}
+
+#[test]
+fn a_box_that_stands_still() {
+    plays_elsewhere(Fault::StandStill);
+}
+
+#[test]
+fn a_box_that_fails() {
+    plays_elsewhere(Fault::Fail { share: 1.0 });
+}
+
+#[test]
+fn a_box_that_resets() {
+    plays_elsewhere(Fault::Reset);
+}
+
+#[test]
+fn a_box_that_refuses_connections() {
+    plays_elsewhere(Fault::Refuse);
+}
+
+#[test]
+fn a_box_that_died_though_the_list_shows_it() {
+    let mut rig = Rig::new(2);
+    rig.fleet.get(1).expect("box 1").fault(Fault::Die);
+    for _ in 0..6 {
+        rig.play("pair");
+    }
+    rig.settle(0);
+    rig.finish();
+}
+
+#[test]
+fn answers_that_make_no_sense_are_undone() {
+    let mut rig = Rig::new(2);
+    rig.fleet.fault(1, Fault::BadAnswer);
+    for _ in 0..6 {
+        rig.play("pair");
+    }
+    // What box 1 set up is released long before it would expire by itself.
+    until("undone", || {
+        let seen = rig.recorder.trace();
+        let count = |f: &dyn Fn(&What) -> bool| seen.iter().filter(|s| f(&s.what)).count();
+        let began = count(&|w| matches!(w, What::Began { server: 1, .. }));
+        began > 0 && began == count(&|w| matches!(w, What::Freed { server: 1, expired: false, .. }))
+    });
+    rig.settle(0);
+    rig.finish();
+}
+
+#[test]
+fn answers_that_come_after_the_drop_are_undone() {
+    let mut rig = Rig::new(2);
+    // Its first share of the aim is 360 ms: the answer comes within the grace after the drop, or later.
+    for ms in [340, 355, 365, 380, 420, 455, 465, 600] {
+        rig.fleet.fault(1, Fault::Late { ms });
+        rig.ask("pair");
+        rig.fleet.mend(1);
+    }
+    rig.settle(0);
+    rig.finish();
+}
+
+#[test]
+fn lost_answers_leave_nothing_behind() {
+    let mut rig = Rig::new(2);
+    rig.fleet.fault(1, Fault::LoseAnswers { share: 1.0 });
+    for _ in 0..6 {
+        rig.play("pair");
+    }
+    rig.settle(0);
+    rig.finish();
+}
+
+#[test]
+fn viewers_who_hang_up_at_any_moment_leave_nothing_behind() {
+    let rig = Rig::new(2);
+    rig.fleet.boxes().for_each(|(_, b)| b.fault(Fault::Late { ms: 60 }));
+    let players: Vec<_> = (0..40)
+        .map(|n| {
+            let wish = Wish { hangs_up: Some(Duration::from_millis(n * 3)), ..rig.wish("all") };
+            let recorder = rig.recorder.clone();
+            std::thread::spawn(move || player::ask(&wish, &mut Dice::new(100 + n), &recorder))
+        })
+        .collect();
+    let asked: Vec<_> = players.into_iter().map(|p| p.join().expect("a player")).collect();
+    assert!(asked.iter().any(|a| a.playing.is_none()), "some hung up");
+    rig.settle(0);
+    let report = rig.finish();
+    // Those who hung up were released or dropped; only those who played and left without a word expired.
+    assert!(report.expired_sessions <= report.playing, "{report:?}");
+}
+
+#[test]
+fn a_box_drained_halfway_through_a_set_up_finishes_it_and_gets_no_other() {
+    let mut rig = Rig::new(1);
+    rig.fleet.fault(1, Fault::Late { ms: 300 });
+    let (wish, recorder) = (rig.wish("one"), rig.recorder.clone());
+    let early = std::thread::spawn(move || player::ask(&wish, &mut Dice::new(9), &recorder));
+    std::thread::sleep(Duration::from_millis(100));
+    rig.fleet.list_as(1, "draining");
+    assert!(early.join().expect("a player").playing.is_some());
+    until("the drain is known", || rig.status("one") == 503);
+    rig.fleet.list_as(1, "ready");
+    rig.fleet.mend(1);
+    until("it takes sessions again", || rig.status("one") == 201);
+    rig.settle(0);
+    rig.finish();
+}
+
+#[test]
+fn a_lost_list_never_empties_what_is_known_and_what_it_missed_is_heard_later() {
+    let mut rig = Rig::new(2);
+    rig.fleet.list.reach(false);
+    std::thread::sleep(Duration::from_millis(200));
+    rig.play("all");
+    rig.fleet.list_as(1, "draining");
+    rig.fleet.list.reach(true);
+    until("the drain is known", || rig.status("one") == 503);
+    for _ in 0..5 {
+        rig.fleet.list.flap();
+        std::thread::sleep(Duration::from_millis(30));
+        rig.play("all");
+    }
+    rig.settle(0);
+    rig.finish();
+}
+
+#[test]
+fn a_list_with_lines_that_make_no_sense_holds_in_its_sound_ones() {
+    let mut rig = Rig::new(2);
+    let lines = vec![
+        serde_json::json!({"id": 9, "name": "odd", "zone": "nowhere"}),
+        serde_json::json!("no box"),
+        serde_json::json!({"id": 2, "name": "box-2.a", "address": rig.fleet.listed()[1].address, "state": "draining",
+            "zone": "a", "kind": "small"}),
+        serde_json::json!({"id": 2, "name": "box-2.a", "address": rig.fleet.listed()[1].address, "state": "ready",
+            "zone": "a", "kind": "small"}),
+    ];
+    rig.fleet.list.publish(beechloft_list::Message { boxes: lines, ..Default::default() });
+    // Named twice: its least ready state holds.
+    until("box 2 drains", || {
+        rig.play("pair");
+        let seen = rig.recorder.trace();
+        let last = seen
+            .iter()
+            .rev()
+            .find_map(|s| if let What::Offered { server, .. } = s.what { Some(server) } else { None });
+        last == Some(1)
+    });
+    assert_eq!(rig.front().status().boxes, 2);
+    for _ in 0..5 {
+        rig.play("pair");
+    }
+    rig.settle(0);
+    rig.finish();
+}
+
+#[test]
+fn a_box_that_dies_ends_its_sessions_at_once_and_takes_new_ones_when_it_is_back() {
+    let mut rig = Rig::new(1);
+    for _ in 0..5 {
+        rig.play("one");
+    }
+    until("they play", || rig.front().status().playing == 5);
+    rig.fleet.get(1).expect("box 1").fault(Fault::Die);
+    let began = std::time::Instant::now();
+    until("they are ended", || rig.front().status().playing == 0);
+    assert!(began.elapsed() < Duration::from_secs(3), "long before they would expire");
+    rig.fleet.mend(1);
+    until("it takes sessions again", || rig.status("one") == 201);
+    rig.settle(0);
+    rig.finish();
+}
+
+#[test]
+fn a_box_restarted_between_two_looks_at_it_loses_its_old_sessions_and_keeps_its_new_ones() {
+    let mut rig = Rig::new(1);
+    rig.play("one");
+    until("its stream is up", || rig.front().status().playing == 1);
+    rig.fleet.get(1).expect("box 1").restart().expect("it restarts");
+    until("the old one is ended", || rig.front().status().playing == 0);
+    until("a new one plays", || rig.status("one") == 201);
+    assert_eq!(rig.front().status().playing, 1);
+    rig.settle(0);
+    rig.finish();
+}
+
+#[test]
+fn a_thousand_players_at_once_on_one_title_get_one_answer_each() {
+    let rig = Rig::new(4);
+    let players: Vec<_> = (0..1000)
+        .map(|n| {
+            let (wish, recorder) = (rig.wish("all"), rig.recorder.clone());
+            let thread = std::thread::Builder::new().stack_size(128 * 1024);
+            thread.spawn(move || player::ask(&wish, &mut Dice::new(1000 + n), &recorder)).expect("a thread")
+        })
+        .collect();
+    for p in players {
+        p.join().expect("a player");
+    }
+    rig.settle(0);
+    let report = rig.finish();
+    assert_eq!(report.sessions, 1000);
+    assert!(report.playing > 0);
+}
+
+#[test]
+fn the_copy_of_the_list_serves_a_start_without_the_service() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let cache = dir.path().join("list.json");
+    let mut rig = Rig::new(1);
+    let list = format!("url: {}\n  cache: {}", rig.fleet.list.url(), cache.display());
+    let first = beechloft_front::Front::start(settings(&list, ""), None).expect("a front");
+    until("the copy is written", || cache.exists());
+    first.stop(Duration::from_secs(1));
+    rig.fleet.list.reach(false);
+    let second = beechloft_front::Front::start(settings(&list, ""), None).expect("a front");
+    rig.address = second.address();
+    until("it serves from the copy", || rig.status("all") == 201);
+    rig.settle(0);
+    rig.finish();
+}
--- /dev/null
+++ b/crates/standin/src/boxes.rs
@@ -0,0 +1,636 @@
+//! A box: a streaming server that speaks WHEP and WHIP, as far as a front and a player can tell.
+
+use std::collections::BTreeMap;
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use beechloft_checker::{Recorder, What};
+use beechloft_core::api::{LoadReport, Note};
+use beechloft_core::io::BoxNews;
+use beechloft_http::server::{Handler, Link, Reply, Server, Sizes};
+use beechloft_http::{Limits, Method, Request, Response, StatusCode, header, sse, wait};
+use beechloft_whep::route::{self, Place};
+use beechloft_whep::{EVENTS, FRAG, SDP, boxes, is_type, layers, load, news, sdp};
+use crossbeam_channel::{Receiver, Sender, bounded};
+
+use crate::dice::Dice;
+use crate::fault::Fault;
+use crate::link::{Racks, Share};
+use crate::media;
+use crate::offer::{self, Credentials};
+pub use crate::sessions::Warming;
+use crate::sessions::{Session, Sessions, Warmth};
+
+/// What a box is.
+#[derive(Debug, Clone)]
+pub struct BoxSpec {
+    /// Its number.
+    pub id: u32,
+    /// Its rack.
+    pub rack: u16,
+    /// Its link, kB a second.
+    pub link_kb: f64,
+    /// Streams that it runs at most.
+    pub streams: usize,
+    /// Set-ups that it works on at once.
+    pub cores: usize,
+    /// What a set-up takes of a core.
+    pub set_up: Duration,
+    /// It turns set-ups away while so much of its link is asked; 0: never.
+    pub guard: f64,
+    /// Titles that it holds, and the rates of their rungs, kB a second.
+    pub titles: BTreeMap<String, Vec<f64>>,
+    /// How it warms up; none: it is always warm.
+    pub warming: Option<Warming>,
+    /// Seed of its draws.
+    pub seed: u64,
+}
+
+/// Between two refreshes of the load that it reports.
+const REFRESH: Duration = Duration::from_millis(400);
+/// Between two notes of short delivery.
+const SHORT_EVERY: Duration = Duration::from_secs(1);
+/// Between two notes of fullness.
+const FULL_EVERY: Duration = Duration::from_secs(4);
+
+struct State {
+    sessions: Sessions,
+    warmth: Warmth,
+    faults: Vec<(Fault, Instant)>,
+    dice: Dice,
+    boot: u64,
+    reported: LoadReport,
+    streams: Vec<Sender<BoxNews>>,
+    /// Toppled, or told to stay down.
+    down: bool,
+}
+
+struct Inner {
+    spec: BoxSpec,
+    racks: Arc<Racks>,
+    recorder: Recorder,
+    state: Mutex<State>,
+    cores: Mutex<usize>,
+    core_free: Condvar,
+    server: Mutex<Option<Server>>,
+    media: UdpSocket,
+    address: SocketAddr,
+    end: AtomicBool,
+}
+
+/// A box that runs until it is dropped.
+pub struct StandBox(Arc<Inner>);
+
+impl StandBox {
+    /// Starts a box on a free port; `warm`: it has run for long.
+    pub fn start(spec: BoxSpec, racks: Arc<Racks>, recorder: Recorder, warm: bool) -> io::Result<StandBox> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let media = UdpSocket::bind("127.0.0.1:0")?;
+        media.set_read_timeout(Some(Duration::from_millis(20)))?;
+        let state = State {
+            sessions: Sessions::default(),
+            warmth: Warmth::new(None),
+            faults: Vec::new(),
+            dice: Dice::new(spec.seed),
+            boot: 0,
+            reported: LoadReport::default(),
+            streams: Vec::new(),
+            down: true,
+        };
+        let address = listener.local_addr()?;
+        let inner = Arc::new(Inner {
+            cores: Mutex::new(spec.cores.max(1)),
+            spec,
+            racks,
+            recorder,
+            state: Mutex::new(state),
+            core_free: Condvar::new(),
+            server: Mutex::default(),
+            media,
+            address,
+            end: AtomicBool::new(false),
+        });
+        inner.come_up(listener, warm)?;
+        let of_thread = inner.clone();
+        thread::Builder::new().name("box".into()).stack_size(256 * 1024).spawn(move || of_thread.keep())?;
+        Ok(StandBox(inner))
+    }
+
+    /// Where it listens; the same over restarts.
+    pub fn address(&self) -> SocketAddr {
+        self.0.address
+    }
+
+    /// What it is.
+    pub fn spec(&self) -> &BoxSpec {
+        &self.0.spec
+    }
+
+    /// Puts a fault in force, beside others.
+    pub fn fault(&self, fault: Fault) {
+        match fault {
+            Fault::Die => self.0.die(false),
+            Fault::Refuse => self.0.close_door(),
+            _ => self.0.lock().faults.push((fault, Instant::now())),
+        }
+    }
+
+    /// Ends all faults. A box that refused connections takes them again; one that died stays down.
+    pub fn clear(&self) {
+        self.0.lock().faults.clear();
+        let closed = self.0.server().is_none() && !self.0.lock().down;
+        if closed && let Ok(listener) = TcpListener::bind(self.0.address) {
+            let _ = self.0.open_door(listener);
+        }
+    }
+
+    /// Starts the process anew, cold, on the same port.
+    pub fn restart(&self) -> io::Result<()> {
+        self.0.die(false);
+        let until = Instant::now() + Duration::from_secs(2);
+        loop {
+            match TcpListener::bind(self.0.address) {
+                Ok(listener) => return self.0.come_up(listener, false),
+                Err(e) if Instant::now() >= until => return Err(e),
+                Err(_) => thread::sleep(Duration::from_millis(10)),
+            }
+        }
+    }
+
+    /// Sessions that it runs.
+    pub fn sessions(&self) -> usize {
+        self.0.lock().sessions.len()
+    }
+
+    /// Whether its process runs.
+    pub fn is_up(&self) -> bool {
+        !self.0.lock().down
+    }
+}
+
+impl Drop for StandBox {
+    fn drop(&mut self) {
+        self.0.end.store(true, Ordering::SeqCst);
+        self.0.die(true);
+    }
+}
+
+/// A set-up's client has gone, or the box.
+struct Gone;
+
+impl Inner {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn server(&self) -> MutexGuard<'_, Option<Server>> {
+        self.server.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn come_up(self: &Arc<Self>, listener: TcpListener, warm: bool) -> io::Result<()> {
+        {
+            let mut state = self.lock();
+            state.boot += 1;
+            state.down = false;
+            state.faults.clear();
+            state.reported = LoadReport::default();
+            state.warmth = Warmth::new(if warm { None } else { self.spec.warming });
+        }
+        self.recorder.note(What::Started { server: self.spec.id, warm });
+        self.open_door(listener)
+    }
+
+    fn open_door(self: &Arc<Self>, listener: TcpListener) -> io::Result<()> {
+        let limits = Limits { idle_time: Duration::from_secs(60), ..Limits::default() };
+        let sizes = Sizes { limits, ..Sizes::default() };
+        let server = Server::start(listener, sizes, Arc::new(Door(self.clone())))?;
+        *self.server() = Some(server);
+        Ok(())
+    }
+
+    fn close_door(&self) {
+        let server = self.server().take();
+        if let Some(server) = server {
+            server.kill();
+        }
+    }
+
+    /// The process ends, and all sessions with it.
+    fn die(&self, quietly: bool) {
+        let was_up = {
+            let mut state = self.lock();
+            state.sessions.clear();
+            state.streams.clear();
+            !std::mem::replace(&mut state.down, true)
+        };
+        if was_up && !quietly {
+            self.recorder.note(What::Died { server: self.spec.id });
+        }
+        self.core_free.notify_all();
+        self.close_door();
+    }
+
+    fn topple(&self) {
+        {
+            let mut state = self.lock();
+            state.sessions.clear();
+            state.streams.clear();
+            state.down = true;
+        }
+        self.recorder.note(What::Toppled { server: self.spec.id });
+        self.close_door();
+    }
+
+    fn has(&self, pick: impl Fn(&Fault) -> bool) -> bool {
+        self.lock().faults.iter().any(|f| pick(&f.0))
+    }
+
+    fn stands_still(&self) -> bool {
+        self.has(|f| *f == Fault::StandStill)
+    }
+
+    /// What a fault that strikes a share of the set-ups strikes now.
+    fn strikes(&self, pick: impl Fn(&Fault) -> Option<f64>) -> bool {
+        let mut state = self.lock();
+        let share = state.faults.iter().filter_map(|f| pick(&f.0)).fold(0.0, f64::max);
+        share > 0.0 && state.dice.chance(share)
+    }
+
+    fn link_kb(&self, state: &State) -> f64 {
+        let taken = state
+            .faults
+            .iter()
+            .filter_map(|f| if let Fault::TakeLink { share } = f.0 { Some(share) } else { None });
+        self.spec.link_kb * (1.0 - taken.fold(0.0, f64::max)).max(0.01) * state.warmth.now()
+    }
+
+    fn share(&self, state: &State) -> Share {
+        self.racks.share(self.spec.rack, self.spec.id, state.sessions.asked_kb(), self.link_kb(state))
+    }
+
+    fn delay(&self) -> Duration {
+        let state = self.lock();
+        let of = |(fault, since): &(Fault, Instant)| match fault {
+            Fault::Late { ms } => Duration::from_millis(*ms),
+            Fault::GrowSlow { ms_per_s, .. } => {
+                Duration::from_secs_f64(since.elapsed().as_secs_f64() * ms_per_s / 1000.0)
+            }
+            _ => Duration::ZERO,
+        };
+        state.faults.iter().map(of).sum()
+    }
+
+    /// Waits while the client is there.
+    fn pause(&self, socket: &TcpStream, until: Instant) -> Result<(), Gone> {
+        while Instant::now() < until {
+            let slice = until.min(Instant::now() + Duration::from_millis(20));
+            match wait::readable([Some(socket)], slice) {
+                Ok([true]) if wait::hung_up(socket) => return Err(Gone),
+                // Something was sent behind the offer; it is read later.
+                Ok([true]) => thread::sleep(Duration::from_millis(2)),
+                Ok([false]) => {}
+                Err(_) => return Err(Gone),
+            }
+            if self.lock().down {
+                return Err(Gone);
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits while the box stands still or is told never to answer.
+    fn hold(&self, socket: &TcpStream) -> Result<(), Gone> {
+        while self.has(|f| matches!(f, Fault::NeverAnswer | Fault::StandStill)) {
+            self.pause(socket, Instant::now() + Duration::from_millis(20))?;
+        }
+        Ok(())
+    }
+
+    /// Works on a set-up: takes a core for its time.
+    fn work(&self, socket: &TcpStream) -> Result<(), Gone> {
+        let mut cores = self.cores.lock().unwrap_or_else(PoisonError::into_inner);
+        while *cores == 0 {
+            let wait = Duration::from_millis(20);
+            cores = self.core_free.wait_timeout(cores, wait).unwrap_or_else(PoisonError::into_inner).0;
+            if *cores == 0 && (wait::hung_up(socket) || self.lock().down) {
+                return Err(Gone);
+            }
+        }
+        *cores -= 1;
+        drop(cores);
+        let spent = self.spec.set_up.div_f64(self.lock().warmth.now().max(0.05));
+        let done = self.pause(socket, Instant::now() + spent);
+        *self.cores.lock().unwrap_or_else(PoisonError::into_inner) += 1;
+        self.core_free.notify_one();
+        done
+    }
+
+    fn free(&self, path: &str, expired: bool) -> bool {
+        let Some(session) = self.lock().sessions.remove(path) else { return false };
+        self.freed(path, &session, expired);
+        true
+    }
+
+    fn freed(&self, path: &str, session: &Session, expired: bool) {
+        let offer = session.offer.clone();
+        self.recorder.note(What::Freed { server: self.spec.id, offer, expired });
+        self.tell(&BoxNews::Over { resource: path.to_owned() });
+    }
+
+    fn tell(&self, news: &BoxNews) {
+        self.lock().streams.retain(|s| s.try_send(news.clone()).is_ok());
+    }
+
+    /// Media, consent, notes and expiry, until the box is dropped.
+    fn keep(&self) {
+        let mut buf = [0; 256];
+        let (mut refreshed, mut short_told, mut full_told, mut was_short) =
+            (Instant::now(), Instant::now(), Instant::now(), false);
+        while !self.end.load(Ordering::SeqCst) {
+            if let Ok((n, peer)) = self.media.recv_from(&mut buf) {
+                self.consent(&buf[..n], peer);
+            }
+            let now = Instant::now();
+            if now - refreshed >= REFRESH {
+                refreshed = now;
+                self.refresh(now);
+            }
+            let share = self.share(&self.lock());
+            let short = share.delivered < 0.98;
+            if now - short_told >= SHORT_EVERY && (short || was_short) {
+                (short_told, was_short) = (now, short);
+                self.tell(&BoxNews::Note(Note::Delivered(share.delivered)));
+            }
+            if now - full_told >= FULL_EVERY {
+                full_told = now;
+                self.tell(&BoxNews::Note(Note::LinkUse(share.link)));
+                self.tell(&BoxNews::Note(Note::UplinkUse(share.uplink)));
+            }
+        }
+    }
+
+    fn consent(&self, datagram: &[u8], peer: SocketAddr) {
+        let Some(name) = media::consented(datagram) else { return };
+        let frame = {
+            let mut state = self.lock();
+            if state.down || state.faults.iter().any(|f| matches!(f.0, Fault::StandStill)) {
+                return;
+            }
+            let Some(rate) = state.sessions.consent(name, Instant::now()) else { return };
+            let silent = state.faults.iter().any(|f| matches!(f.0, Fault::DeliverNothing));
+            let delivered = if silent { 0.0 } else { self.share(&state).delivered };
+            media::frame(name, delivered, rate)
+        };
+        let _ = self.media.send_to(&frame, peer);
+    }
+
+    fn refresh(&self, now: Instant) {
+        let (expired, dies) = {
+            let mut state = self.lock();
+            let share = self.share(&state);
+            let streams = Some(state.sessions.len() as f64);
+            state.reported = LoadReport { streams, link: Some(share.link), uplink: Some(share.uplink) };
+            let dies = state.faults.iter().any(
+                |f| matches!(f.0, Fault::GrowSlow { dies_after_s, .. } if f.1.elapsed().as_secs_f64() >= dies_after_s),
+            );
+            let still = state.faults.iter().any(|f| f.0 == Fault::StandStill);
+            (if still { Vec::new() } else { state.sessions.expire(now) }, dies)
+        };
+        for (path, session) in expired {
+            self.freed(&path, &session, true);
+        }
+        if dies {
+            self.die(false);
+        }
+    }
+
+    fn load_field(&self) -> String {
+        format!("JSON {}", load::write(&self.lock().reported))
+    }
+
+    fn set_up(self: &Arc<Self>, request: &Request, title: &str, publishes: bool, link: &Link<'_>) -> Reply {
+        let server = self.spec.id;
+        let Some(offer) = sdp::user_fragment(&request.body) else {
+            return Reply::Whole(Response::text(StatusCode::BAD_REQUEST, "no offer"));
+        };
+        let limit = sdp::limit_of(&request.body);
+        self.recorder.note(What::Offered {
+            server,
+            offer: offer.clone(),
+            front: boxes::front_of(request.field(header::VIA)).unwrap_or(u32::MAX),
+            title: title.to_owned(),
+            rate_kb: limit.unwrap_or(f64::MAX),
+        });
+        let toppled = {
+            let mut state = self.lock();
+            let streams = self.spec.streams as f64;
+            state.warmth.topples(streams)
+        };
+        if toppled {
+            self.topple();
+            return Reply::HangUp;
+        }
+        match self.serve(title, publishes, limit, &offer, link.socket) {
+            Ok(reply) => reply,
+            Err(Gone) => {
+                self.recorder.note(What::Dropped { server, offer });
+                Reply::HangUp
+            }
+        }
+    }
+
+    fn serve(
+        self: &Arc<Self>,
+        title: &str,
+        publishes: bool,
+        limit: Option<f64>,
+        offer: &str,
+        socket: &TcpStream,
+    ) -> Result<Reply, Gone> {
+        let server = self.spec.id;
+        let answered = |status| What::Answered { server, offer: offer.to_owned(), status };
+        let plain = |status: StatusCode, text: &str| {
+            self.recorder.note(answered(status.as_u16()));
+            Ok(Reply::Whole(Response::text(status, text).with(load::FIELD, self.load_field())))
+        };
+        self.hold(socket)?;
+        if self.has(|f| *f == Fault::Reset) {
+            self.recorder.note(answered(0));
+            let _ = socket2::SockRef::from(socket).set_linger(Some(Duration::ZERO));
+            return Ok(Reply::HangUp);
+        }
+        let declines = |f: &Fault| if let Fault::Decline { status } = f { Some(*status) } else { None };
+        let declined = self.lock().faults.iter().find_map(|f| declines(&f.0));
+        if let Some(status) = declined.and_then(|s| StatusCode::from_u16(s).ok()) {
+            return plain(status, "declined");
+        }
+        if self.strikes(|f| if let Fault::Fail { share } = f { Some(*share) } else { None }) {
+            return plain(StatusCode::INTERNAL_SERVER_ERROR, "told to fail");
+        }
+        let Some(rates) = self.spec.titles.get(title) else {
+            return plain(StatusCode::NOT_FOUND, "not held here");
+        };
+        let full = {
+            let state = self.lock();
+            let over = self.spec.guard > 0.0 && self.share(&state).link >= self.spec.guard;
+            over || state.sessions.len() >= self.spec.streams
+        };
+        if full {
+            return plain(StatusCode::SERVICE_UNAVAILABLE, "full");
+        }
+        self.work(socket)?;
+        self.pause(socket, Instant::now() + self.delay())?;
+        self.hold(socket)?;
+        let (path, credentials) = {
+            let mut state = self.lock();
+            if state.down {
+                return Err(Gone);
+            }
+            let credentials = Credentials::draw(&mut state.dice);
+            let fitting = rates.iter().copied().take_while(|r| limit.is_none_or(|l| *r <= l * 1.0001)).last();
+            let session = Session {
+                offer: offer.to_owned(),
+                name: credentials.name.clone(),
+                version: 1,
+                rates_kb: rates.clone(),
+                rate_kb: fitting.or(rates.first().copied()).unwrap_or(0.0),
+                expires: Instant::now() + Duration::from_millis(media::EXPIRES_MS + 1000),
+            };
+            let boot = state.boot;
+            (state.sessions.add(boot, session), credentials)
+        };
+        self.recorder.note(What::Began { server, offer: offer.to_owned() });
+        if self.strikes(|f| if let Fault::LoseAnswers { share } = f { Some(*share) } else { None }) {
+            self.recorder.note(answered(0));
+            return Ok(Reply::HangUp);
+        }
+        self.recorder.note(answered(201));
+        let media = self.media.local_addr().unwrap_or(self.address);
+        let text = if self.has(|f| *f == Fault::BadAnswer) {
+            "v=0\r\nnothing that makes sense to anybody who reads it at all\r\n".to_owned()
+        } else {
+            offer::answer(&credentials, publishes, media)
+        };
+        let response = Response::new(StatusCode::CREATED)
+            .body(SDP, text)
+            .with(header::LOCATION, &path)
+            .with(header::ETAG, "\"1\"")
+            .with(header::LINK, format!("<{path}/layer>; rel=\"{}\"", layers::REL))
+            .with(header::LINK, "<stun:127.0.0.1:3478>; rel=\"ice-server\"")
+            .with(load::FIELD, self.load_field());
+        let this = self.clone();
+        let tell = move |written: bool| {
+            if !written {
+                this.free(&path, false);
+            }
+        };
+        Ok(Reply::Told(response, Box::new(tell)))
+    }
+
+    fn patch(&self, path: &str, request: &Request) -> Response {
+        if !is_type(request.field(header::CONTENT_TYPE), FRAG) {
+            return Response::text(StatusCode::UNSUPPORTED_MEDIA_TYPE, "no fragment");
+        }
+        let mut state = self.lock();
+        let Some(session) = state.sessions.get_mut(path) else {
+            return Response::text(StatusCode::NOT_FOUND, "no such session");
+        };
+        let tag = format!("\"{}\"", session.version);
+        match request.field(header::IF_MATCH) {
+            Some("*") => {
+                // An ICE restart (RFC 9725, section 4.3.3): new credentials and a new version.
+                session.version += 1;
+                let tag = format!("\"{}\"", session.version);
+                Response::new(StatusCode::OK).body(FRAG, request.body.clone()).with(header::ETAG, tag)
+            }
+            Some(given) if given == tag => Response::new(StatusCode::NO_CONTENT),
+            Some(_) => Response::text(StatusCode::PRECONDITION_FAILED, "another version"),
+            None => Response::text(StatusCode::PRECONDITION_REQUIRED, "If-Match is needed"),
+        }
+    }
+
+    fn select(&self, path: &str, request: &Request) -> Response {
+        let Some(rung) = layers::selected(&request.body) else {
+            return Response::text(StatusCode::BAD_REQUEST, "no layer");
+        };
+        let set = self.lock().sessions.set_rung(path, usize::from(rung.0));
+        match set {
+            Some((offer, rate_kb)) => {
+                self.recorder.note(What::Rate { server: self.spec.id, offer, rate_kb });
+                Response::new(StatusCode::OK)
+            }
+            None => Response::text(StatusCode::NOT_FOUND, "no such session or layer"),
+        }
+    }
+
+    fn events(self: &Arc<Self>) -> Reply {
+        let (sender, receiver): (Sender<BoxNews>, Receiver<BoxNews>) = bounded(65_536);
+        let boot = {
+            let mut state = self.lock();
+            state.streams.push(sender);
+            state.boot
+        };
+        // The boot's number alone would be the same for a stand-in of another run on the same port.
+        let boot = boot ^ self.spec.seed.rotate_left(17);
+        let this = self.clone();
+        let write = move |stream: &TcpStream| {
+            let mut stream = stream;
+            let hello = BoxNews::Hello { boot };
+            let mut news = Some(hello);
+            loop {
+                let bytes = news.as_ref().and_then(news::write).map_or(sse::BEAT.to_vec(), |e| e.encode());
+                while this.stands_still() {
+                    thread::sleep(Duration::from_millis(20));
+                }
+                if stream.write_all(&bytes).is_err() || wait::hung_up(stream) {
+                    return;
+                }
+                news = match receiver.recv_timeout(Duration::from_micros(news::BEAT.0)) {
+                    Ok(news) => Some(news),
+                    Err(crossbeam_channel::RecvTimeoutError::Timeout) => None,
+                    Err(crossbeam_channel::RecvTimeoutError::Disconnected) => return,
+                };
+            }
+        };
+        Reply::Open(Response::new(StatusCode::OK).with(header::CONTENT_TYPE, EVENTS), Box::new(write))
+    }
+}
+
+struct Door(Arc<Inner>);
+
+impl Handler for Door {
+    fn handle(&self, request: Request, link: &Link<'_>) -> Reply {
+        let this = &self.0;
+        let path = request.path();
+        if let (Place::Endpoint { title, publishes }, &Method::POST) = (route::place(path), &request.method) {
+            return this.set_up(&request, &title, publishes, link);
+        }
+        if this.stands_still() && this.hold(link.socket).is_err() {
+            return Reply::HangUp;
+        }
+        Reply::Whole(match (&request.method, path) {
+            (&Method::GET, news::PATH) => return this.events(),
+            (&Method::GET, news::LOAD_PATH) => {
+                let report = this.lock().reported;
+                Response::new(StatusCode::OK).body(load::BODY, load::write(&report))
+            }
+            (&Method::DELETE, path) => {
+                if this.free(path, false) {
+                    Response::new(StatusCode::OK)
+                } else {
+                    Response::text(StatusCode::NOT_FOUND, "no such session")
+                }
+            }
+            (&Method::PATCH, path) => this.patch(path, &request),
+            (&Method::POST, path) => match path.strip_suffix("/layer") {
+                Some(session) => this.select(session, &request),
+                None => Response::text(StatusCode::NOT_FOUND, "nothing here"),
+            },
+            _ => Response::text(StatusCode::NOT_FOUND, "nothing here"),
+        })
+    }
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,16 @@
+//! Stand-ins for what a front meets on its sockets: boxes, the list service, players. They are written from the
+//! published texts, run on loopback, record what they see, and fail when told to.
+//!
+//! Figures measured against them are figures of simulated servers.
+#![forbid(unsafe_code)]
+
+pub mod boxes;
+pub mod dice;
+pub mod fault;
+pub mod fleet;
+pub mod link;
+pub mod list;
+pub mod media;
+pub mod offer;
+pub mod player;
+mod sessions;
