--- a/crates/checker/src/check.rs
+++ b/crates/checker/src/check.rs
@@ -92,7 +92,7 @@
     cold(&trace, rules, &mut report);
     floors(&trace, rules, &mut report);
     seats(&trace, &attempts, rules, &mut report);
-    budget(&calls, &attempts, rules, &mut report);
+    budget(&calls, &attempts, &starts(&trace), rules, &mut report);
     phantoms(&trace, &mut report);
     report
 }
@@ -168,6 +168,16 @@
     killed
 }
 
+fn starts(trace: &[&Seen]) -> BTreeMap<u32, Vec<u64>> {
+    let mut up: BTreeMap<u32, Vec<u64>> = BTreeMap::new();
+    for seen in trace {
+        if let What::FrontUp { front } = seen.what {
+            up.entry(front).or_default().push(seen.at);
+        }
+    }
+    up
+}
+
 fn answers(calls: &[Call], killed: &BTreeMap<u32, Vec<u64>>, report: &mut Report) {
     // 1 us to 100 s at three digits; the bounds are sound, so that there is always a histogram.
     let mut times = Histogram::<u64>::new_with_bounds(1, 100_000_000, 3).ok();
@@ -387,7 +397,14 @@
     }
 }
 
-fn budget(calls: &[Call], attempts: &BTreeMap<String, Vec<Attempt>>, rules: &Rules, report: &mut Report) {
+/// A front that was killed and started again counts from its start.
+fn budget(
+    calls: &[Call],
+    attempts: &BTreeMap<String, Vec<Attempt>>,
+    starts: &BTreeMap<u32, Vec<u64>>,
+    rules: &Rules,
+    report: &mut Report,
+) {
     let Some((free, share, window)) = rules.budget else { return };
     let mut taken: BTreeMap<u32, Vec<u64>> = BTreeMap::new();
     for call in calls.iter().filter(|c| !matches!(c.end, Some((_, Ending::NotTaken, _)))) {
@@ -404,9 +421,10 @@
         times.sort_unstable();
         let taken = taken.get(&front).map_or(&[][..], Vec::as_slice);
         for (n, at) in times.iter().enumerate() {
-            let since = at.saturating_sub(window);
+            let start = starts.get(&front).and_then(|s| s.iter().rev().find(|s| *s <= at));
+            let since = at.saturating_sub(window).max(start.copied().unwrap_or(0));
             let made = times[..=n].iter().filter(|t| **t > since).count() as f64;
-            let sessions = taken.iter().filter(|t| **t > since && *t <= at).count() as f64;
+            let sessions = taken.iter().filter(|t| **t >= since && *t <= at).count() as f64;
             if made > free + share * sessions + 1e-9 {
                 report.budget_breaks += 1;
                 let text = format!("front {front}: {made} further attempts for {sessions} sessions");
--- /dev/null
+++ b/crates/cli/src/demo.rs
@@ -0,0 +1,105 @@
+//! `demo`: everything in one process, on free loopback ports, from a built-in setting.
+
+use std::io::{self, Write};
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+use beechloft_checker::Recorder;
+use beechloft_config::front;
+use beechloft_front::Front;
+use beechloft_standin::fleet::{Fleet, FleetBox, FleetSpec, TitleSpec};
+use beechloft_whep::route::endpoint_path;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use crate::{fail, log};
+
+/// Rates of the built-in ladder, kB a second, and what they are worth.
+const LADDER: [(f64, f64); 4] = [(150.0, 0.2), (450.0, 0.55), (1000.0, 0.8), (2000.0, 1.0)];
+const TITLES: [&str; 4] = ["asparagus", "strawberries", "apple-harvest", "bee-yard"];
+
+/// A fleet of stand-ins: boxes in two racks, titles on three of them each.
+pub fn fleet(boxes: u32, link_kb: f64, streams: usize, cores: usize, set_up: Duration) -> FleetSpec {
+    let title = |(n, name): (u32, &&str)| TitleSpec {
+        name: (*name).to_owned(),
+        class: "video".into(),
+        rates_kb: LADDER.iter().map(|r| r.0).collect(),
+        holders: (0..boxes.min(3)).map(|k| (n + k) % boxes + 1).collect(),
+    };
+    let one = |n: u32| FleetBox {
+        rack: (n % 2) as u16,
+        zone: "hall".into(),
+        kind: "box".into(),
+        size: 1.0,
+        link_kb,
+        streams,
+        cores,
+    };
+    FleetSpec {
+        boxes: (0..boxes).map(one).collect(),
+        uplinks_kb: vec![link_kb * f64::from(boxes); 2],
+        titles: (0..).zip(&TITLES).map(title).collect(),
+        set_up,
+        guard: 1.2,
+        warming: None,
+        seed: 1,
+    }
+}
+
+/// Settings of a front for such a fleet.
+pub fn settings(list: &str, link_kb: f64, streams: usize, log: &str) -> Result<front::FrontSettings, String> {
+    let text = serde_json::json!({
+        "service": {
+            "zones": ["hall"], "racks": 2,
+            "ladder": LADDER.iter().map(|(r, w)| serde_json::json!({"rate_kb": r, "worth": w})).collect::<Vec<_>>(),
+            "classes": [{"name": "video", "aim_ms": 800, "patience_ms": 4000}],
+            "kinds": [{"name": "box", "streams": streams}],
+            "links": {"unit_kb": link_kb, "guard": 1.2},
+            "limits": {"attempts": 4, "retry_after_ms": 1000},
+        },
+        "front": {"listen": "127.0.0.1:0", "seed": 1},
+        "list": {"url": list},
+        "sockets": {"connections": 16_000},
+        "log": {"level": log},
+    });
+    front::parse(&text.to_string()).map_err(|e| e.to_string())
+}
+
+/// Waits until a front knows its boxes.
+pub fn wait_for(front: &Front, boxes: usize) -> bool {
+    let until = Instant::now() + Duration::from_secs(10);
+    while front.status().boxes < boxes && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    front.status().boxes >= boxes
+}
+
+/// Runs the demo until it is told to stop.
+pub fn demo(boxes: u32) -> ExitCode {
+    match run(boxes) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => fail(1, e),
+    }
+}
+
+fn run(boxes: u32) -> io::Result<()> {
+    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+    let fleet =
+        Fleet::start(&fleet(boxes, 20_000.0, 60, 2, Duration::from_millis(15)), &Recorder::default())?;
+    let settings = settings(&fleet.list.url(), 20_000.0, 60, "info").map_err(io::Error::other)?;
+    log::start(&settings.log);
+    let front = Front::start(settings, None)?;
+    if !wait_for(&front, boxes as usize) {
+        return Err(io::Error::other("the list did not come"));
+    }
+    let base = format!("http://{}", front.address());
+    let urls = |publishes| TITLES.map(|t| format!("{base}{}", endpoint_path(t, publishes)));
+    let line = serde_json::json!({
+        "ready": true, "front": base, "whep": urls(false), "whip": urls(true), "list": fleet.list.url(),
+    });
+    println!("{line}");
+    io::stdout().flush()?;
+    signals.forever().next();
+    front.stop(Duration::from_secs(6));
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,87 @@
+//! `beechloft`: the session front and what is run around it.
+#![forbid(unsafe_code)]
+
+mod bench;
+mod day;
+mod demo;
+mod log;
+mod serve;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+/// A session front: places video sessions on streaming servers and shapes them there.
+#[derive(Debug, Parser)]
+#[command(name = "beechloft", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run a front until SIGINT or SIGTERM
+    Serve {
+        /// Its settings
+        file: PathBuf,
+    },
+    /// Check a settings file and say all its faults at once
+    Check {
+        /// The settings, or with --day a day script
+        file: PathBuf,
+        /// It is a day script
+        #[arg(long)]
+        day: bool,
+    },
+    /// Run a front, a list service and stand-in boxes in one go, on free loopback ports
+    Demo {
+        /// Boxes of the fleet
+        #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u32).range(1..=200))]
+        boxes: u32,
+    },
+    /// Run a scripted day against real fronts and check the rules from the sockets
+    Day {
+        /// The script
+        file: PathBuf,
+        /// Seed of all that is drawn
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Print the report as JSON
+        #[arg(long)]
+        json: bool,
+        /// Keep settings, logs and the trace in this folder
+        #[arg(long)]
+        keep: Option<PathBuf>,
+    },
+    /// Measure the front against players that go straight to the boxes
+    Bench {
+        /// New sessions a second for the added time
+        #[arg(long, default_value_t = 48.0)]
+        rate: f64,
+        /// Seconds of each part
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+        /// Clients at once for the highest steady rate
+        #[arg(long, default_value_t = 32)]
+        clients: usize,
+    },
+}
+
+/// Exit codes: 0 all well, 1 a rule broken or a run that failed, 2 bad input.
+fn main() -> ExitCode {
+    match Cli::parse().command {
+        Command::Serve { file } => serve::serve(&file),
+        Command::Check { file, day } => serve::check(&file, day),
+        Command::Demo { boxes } => demo::demo(boxes),
+        Command::Day { file, seed, json, keep } => day::day(&file, seed, json, keep.as_deref()),
+        Command::Bench { rate, seconds, clients } => bench::bench(rate, seconds, clients),
+    }
+}
+
+/// Says what went wrong; the code goes back to the caller.
+fn fail(code: u8, text: impl std::fmt::Display) -> ExitCode {
+    eprintln!("beechloft: {text}");
+    ExitCode::from(code)
+}
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -296,6 +296,57 @@
         self.whole(key, range).map(Duration::from_millis)
     }
 
+    /// A list of whole numbers; a missing one is empty.
+    pub fn wholes(&self, key: &'static str, range: RangeInclusive<u64>) -> Vec<u64> {
+        let Some(node) = self.node(key) else { return Vec::new() };
+        let Kind::List(list) = &node.kind else {
+            self.want(key, node, "a list");
+            return Vec::new();
+        };
+        let one = |node: &Node| match node.kind {
+            Kind::Int(n) => u64::try_from(n).ok().filter(|n| range.contains(n)),
+            _ => None,
+        };
+        let found: Vec<u64> = list.iter().filter_map(one).collect();
+        if found.len() < list.len() {
+            self.fault(key, format!("whole numbers from {} to {} are expected", range.start(), range.end()));
+        }
+        found
+    }
+
+    /// A list of numbers; a missing one is empty.
+    pub fn numbers(&self, key: &'static str, range: RangeInclusive<f64>) -> Vec<f64> {
+        let Some(node) = self.node(key) else { return Vec::new() };
+        let Kind::List(list) = &node.kind else {
+            self.want(key, node, "a list");
+            return Vec::new();
+        };
+        let one = |node: &Node| match node.kind {
+            Kind::Int(n) => Some(n as f64),
+            Kind::Float(x) => Some(x),
+            _ => None,
+        };
+        let found: Vec<f64> = list.iter().filter_map(one).filter(|x| range.contains(x)).collect();
+        if found.len() < list.len() {
+            self.fault(key, format!("numbers from {} to {} are expected", range.start(), range.end()));
+        }
+        found
+    }
+
+    /// A span written as a pair, low and high.
+    pub fn pair(&self, key: &'static str, range: RangeInclusive<f64>, default: (f64, f64)) -> (f64, f64) {
+        if !self.has(key) {
+            return default;
+        }
+        match self.numbers(key, range)[..] {
+            [low, high] if low <= high => (low, high),
+            _ => {
+                self.fault(key, "two numbers are expected, the lower first");
+                default
+            }
+        }
+    }
+
     /// One of some words, if it is there.
     pub fn choice<T: Copy>(&self, key: &'static str, choices: &[(&str, T)]) -> Option<T> {
         let text = self.text(key)?;
--- a/crates/config/src/yaml.rs
+++ b/crates/config/src/yaml.rs
@@ -61,6 +61,22 @@
     pub kind: Kind,
 }
 
+impl Node {
+    /// The node as JSON, which is YAML as well.
+    pub fn to_json(&self) -> serde_json::Value {
+        use serde_json::Value;
+        match &self.kind {
+            Kind::Null => Value::Null,
+            Kind::Bool(b) => (*b).into(),
+            Kind::Int(n) => (*n).into(),
+            Kind::Float(x) => (*x).into(),
+            Kind::Text(text) => text.as_str().into(),
+            Kind::List(list) => list.iter().map(Node::to_json).collect(),
+            Kind::Map(map) => Value::Object(map.iter().map(|(k, v)| (k.name.clone(), v.to_json())).collect()),
+        }
+    }
+}
+
 /// Reads one document.
 pub fn parse(text: &str) -> Result<Node, Fault> {
     let start = Place { line: 1, column: 1 };
--- /dev/null
+++ b/crates/day/src/fronts.rs
@@ -0,0 +1,136 @@
+//! Fronts as processes: started, killed outright, stopped.
+
+use std::fs;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use beechloft_checker::{Recorder, What};
+use beechloft_http::client::Pool;
+use beechloft_http::{Method, Request};
+
+use crate::script::Day;
+
+/// How long a front may take to serve.
+const UP_WITHIN: Duration = Duration::from_secs(10);
+/// How long a front may take to end.
+const DOWN_WITHIN: Duration = Duration::from_secs(8);
+
+/// A front's process.
+pub struct FrontProcess {
+    number: u32,
+    address: SocketAddr,
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+    recorder: Recorder,
+}
+
+impl FrontProcess {
+    /// Writes a front's settings into a folder. It does not run yet.
+    pub fn new(
+        day: &Day,
+        number: u32,
+        list: &str,
+        program: &Path,
+        folder: &Path,
+        seed: u64,
+        recorder: &Recorder,
+    ) -> io::Result<Self> {
+        // A port that is free now; the front takes it over, and takes it again after a restart.
+        let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let settings = folder.join(format!("front-{number}.yaml"));
+        let zone = &day.fronts[number as usize].zone;
+        let service: serde_json::Value = serde_json::from_str(&day.service_text)?;
+        let text = serde_json::json!({
+            "service": service,
+            "front": {
+                "listen": address.to_string(), "number": number, "of": day.fronts.len(), "zone": zone,
+                "seed": seed.wrapping_add(u64::from(number)) >> 1,
+            },
+            "list": {"url": list, "cache": folder.join(format!("list-{number}.json"))},
+            "log": {"format": "json"},
+        });
+        fs::write(&settings, serde_json::to_string_pretty(&text)?)?;
+        let log = folder.join(format!("front-{number}.log"));
+        let (program, recorder) = (program.to_owned(), recorder.clone());
+        Ok(FrontProcess { number, address, program, settings, log, child: None, recorder })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Starts the process and waits until it serves.
+    pub fn start(&mut self) -> io::Result<()> {
+        let log = fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.program)
+            .arg("serve")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::from(log))
+            .spawn()?;
+        self.child = Some(child);
+        let pool = Pool::default();
+        let until = Instant::now() + UP_WITHIN;
+        loop {
+            let ready = Request::new(Method::GET, "/ready");
+            let response = pool.call(self.address, &ready, Instant::now() + Duration::from_millis(500));
+            if response.is_ok_and(|r| r.status.is_success()) {
+                self.recorder.note(What::FrontUp { front: self.number });
+                return Ok(());
+            }
+            if Instant::now() >= until {
+                return Err(io::Error::other(format!(
+                    "front {} does not serve; see {}",
+                    self.number,
+                    self.log.display()
+                )));
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Kills it outright.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            self.recorder.note(What::FrontKilled { front: self.number });
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Asks it to stop, and waits for its end; whether it ended well.
+    pub fn stop(&mut self) -> bool {
+        let Some(mut child) = self.child.take() else { return true };
+        if let Some(pid) = rustix::process::Pid::from_raw(child.id() as i32) {
+            let _ = rustix::process::kill_process(pid, rustix::process::Signal::TERM);
+        }
+        let until = Instant::now() + DOWN_WITHIN;
+        while Instant::now() < until {
+            match child.try_wait() {
+                Ok(Some(status)) => return status.success(),
+                Ok(None) => thread::sleep(Duration::from_millis(10)),
+                Err(_) => break,
+            }
+        }
+        let _ = child.kill();
+        let _ = child.wait();
+        false
+    }
+}
+
+impl Drop for FrontProcess {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
