--- /dev/null
+++ b/crates/cli/tests/program.rs
@@ -0,0 +1,103 @@
+//! The program itself: its commands, exit codes, signals, and a short day with everything in it.
+
+use std::io::{BufRead, BufReader};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+use beechloft_http::client::Pool;
+use beechloft_http::{Method, Request};
+use beechloft_standin::dice::Dice;
+use beechloft_standin::offer::{self, Credentials};
+
+fn beechloft(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_beechloft")).args(args).output().expect("the program runs")
+}
+
+fn example(name: &str) -> String {
+    format!("{}/../../examples/{name}", env!("CARGO_MANIFEST_DIR"))
+}
+
+/// Ends a child that a failed test leaves behind.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+#[test]
+fn all_examples_are_sound_and_a_faulty_file_is_told_line_by_line() {
+    for entry in std::fs::read_dir(example("days")).expect("the days") {
+        let path = entry.expect("a day").path();
+        let out = beechloft(&["check", "--day", path.to_str().expect("a path")]);
+        assert!(out.status.success(), "{out:?}");
+    }
+    assert!(beechloft(&["check", &example("front.yaml")]).status.success());
+    let out = beechloft(&["check", &example("days/quiet.yaml")]);
+    let text = String::from_utf8_lossy(&out.stderr);
+    assert_eq!(out.status.code(), Some(2), "a day is no front's settings: {text}");
+    assert!(text.contains("front.listen: missing") && text.contains("fleet: unknown key"), "{text}");
+    assert_eq!(beechloft(&["check", "no-such-file"]).status.code(), Some(2));
+    assert_eq!(beechloft(&["day", &example("front.yaml")]).status.code(), Some(2));
+    assert_eq!(beechloft(&["serve", &example("days/quiet.yaml")]).status.code(), Some(2));
+}
+
+#[test]
+fn the_demo_says_when_it_is_ready_plays_and_stops_when_told() {
+    let child = Command::new(env!("CARGO_BIN_EXE_beechloft"))
+        .arg("demo")
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("the demo starts");
+    let mut demo = Running(child);
+    let mut line = String::new();
+    let out = demo.0.stdout.take().expect("its output");
+    BufReader::new(out).read_line(&mut line).expect("a line");
+    let ready: serde_json::Value = serde_json::from_str(&line).expect("JSON");
+    assert_eq!(ready["ready"], true);
+    let front = ready["front"].as_str().and_then(|u| u.strip_prefix("http://")).expect("its address");
+    let url = ready["whep"][0].as_str().expect("a title");
+    let path = url.split_once(front).expect("at the front").1;
+    let offer = offer::offer(&Credentials::draw(&mut Dice::new(1)), false, None);
+    let pool = Pool::default();
+    let soon = || Instant::now() + Duration::from_secs(5);
+    let address = front.parse().expect("an address");
+    let response =
+        pool.call(address, &Request::new(Method::POST, path).body("application/sdp", offer), soon());
+    let response = response.expect("an answer");
+    assert_eq!(response.status, 201);
+    let session = response.field("location").expect("a session");
+    let ended = pool.call(address, &Request::new(Method::DELETE, session), soon()).expect("an answer");
+    assert_eq!(ended.status, 200);
+
+    let pid = rustix::process::Pid::from_raw(demo.0.id() as i32).expect("a process");
+    rustix::process::kill_process(pid, rustix::process::Signal::TERM).expect("signalled");
+    let end = Instant::now() + Duration::from_secs(10);
+    while Instant::now() < end {
+        if let Some(status) = demo.0.try_wait().expect("its status") {
+            assert!(status.success());
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    panic!("the demo did not stop");
+}
+
+#[test]
+fn a_short_day_with_overlapping_troubles_keeps_the_rules() {
+    let out = beechloft(&["day", &example("days/short.yaml"), "--seed", "3", "--json"]);
+    let text = String::from_utf8_lossy(&out.stdout);
+    assert_eq!(out.status.code(), Some(0), "{text} {}", String::from_utf8_lossy(&out.stderr));
+    let report: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    for key in ["unanswered", "duplicate_answers", "overlapping_attempts", "drain_breaks", "cold_breaks"] {
+        assert_eq!(report[key], 0, "{key}");
+    }
+    for key in ["floor_breaks", "seat_breaks", "budget_breaks", "phantom_sessions"] {
+        assert_eq!(report[key], 0, "{key}");
+    }
+    assert!(report["playing"].as_u64().is_some_and(|n| n > 50), "{text}");
+    assert!(report["answer_ms"]["max"].as_f64().is_some_and(|ms| ms < 4000.0));
+}
--- a/crates/day/src/crowd.rs
+++ b/crates/day/src/crowd.rs
@@ -37,7 +37,7 @@
 
 enum Came {
     /// It plays.
-    Plays(Viewer, Playing),
+    Plays(Viewer, Box<Playing>),
     /// It was turned away, or its session never came about.
     Not(Viewer),
     /// It left by itself.
@@ -203,7 +203,7 @@
                     if trickles {
                         let _ = playing.trickle(&pool, &playing.etag);
                     }
-                    Came::Plays(viewer, playing)
+                    Came::Plays(viewer, Box::new(playing))
                 }
                 (None, Ending::HungUp) => Came::Left,
                 (None, _) => Came::Not(viewer),
@@ -223,7 +223,7 @@
             match what {
                 Came::Plays(viewer, playing) => {
                     let ends = now + viewer.watches;
-                    let watching = Watching { viewer, ends, consents: now, heard: now, playing };
+                    let watching = Watching { viewer, ends, consents: now, heard: now, playing: *playing };
                     self.watching.insert(watching.playing.name.clone(), watching);
                 }
                 Came::Not(viewer) => self.perhaps_again(viewer),
