--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -48,7 +48,12 @@
 
 /// Settings of a front for such a fleet.
 pub fn settings(list: &str, link_kb: f64, streams: usize, log: &str) -> Result<front::FrontSettings, String> {
-    let text = serde_json::json!({
+    front::parse(&settings_text(list, link_kb, streams, log).to_string()).map_err(|e| e.to_string())
+}
+
+/// The same as a file has them.
+pub fn settings_text(list: &str, link_kb: f64, streams: usize, log: &str) -> serde_json::Value {
+    serde_json::json!({
         "service": {
             "zones": ["hall"], "racks": 2,
             "ladder": LADDER.iter().map(|(r, w)| serde_json::json!({"rate_kb": r, "worth": w})).collect::<Vec<_>>(),
@@ -61,8 +66,7 @@
         "list": {"url": list},
         "sockets": {"connections": 16_000},
         "log": {"level": log},
-    });
-    front::parse(&text.to_string()).map_err(|e| e.to_string())
+    })
 }
 
 /// Waits until a front knows its boxes.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -63,9 +63,12 @@
         /// Seconds of each part
         #[arg(long, default_value_t = 10)]
         seconds: u64,
-        /// Clients at once for the highest steady rate
-        #[arg(long, default_value_t = 32)]
+        /// Clients at once for the highest steady rate; the module lets four set-ups at once out to each of three boxes
+        #[arg(long, default_value_t = 12)]
         clients: usize,
+        /// Sessions that play at once for the memory that each takes
+        #[arg(long, default_value_t = 10_000)]
+        playing: usize,
     },
 }
 
@@ -76,7 +79,7 @@
         Command::Check { file, day } => serve::check(&file, day),
         Command::Demo { boxes } => demo::demo(boxes),
         Command::Day { file, seed, json, keep } => day::day(&file, seed, json, keep.as_deref()),
-        Command::Bench { rate, seconds, clients } => bench::bench(rate, seconds, clients),
+        Command::Bench { rate, seconds, clients, playing } => bench::bench(rate, seconds, clients, playing),
     }
 }
 
