--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -38,8 +38,13 @@
     stopping: bool,
     /// Events for the module that wait their turn.
     queue: VecDeque<Event>,
+    /// What passed between core and module, where it is to be told.
+    heard: Option<Vec<Exchanged>>,
 }
 
+/// One event that the module was fed, and what it answered.
+pub type Exchanged = (Micros, Event, Vec<Action>);
+
 impl Core {
     /// A front that knows its settings and nothing else. The list comes as the first input.
     pub fn new(set: Settings, seed: u64) -> Self {
@@ -60,9 +65,20 @@
             leaving: BTreeSet::new(),
             stopping: false,
             queue: VecDeque::new(),
+            heard: None,
         }
     }
 
+    /// Notes from now on what passes between core and module, for [`Core::take_heard`].
+    pub fn listen(&mut self) {
+        self.heard.get_or_insert_default();
+    }
+
+    /// What passed between core and module since it was last asked.
+    pub fn take_heard(&mut self) -> Vec<Exchanged> {
+        self.heard.as_mut().map(std::mem::take).unwrap_or_default()
+    }
+
     /// Takes one input and appends what is to be done, in order. A `now` that goes back counts as the one before.
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
@@ -493,7 +509,11 @@
     fn run(&mut self, out: &mut Vec<Output>) {
         let mut actions = Vec::new();
         while let Some(event) = self.queue.pop_front() {
+            let noted = self.heard.is_some().then(|| event.clone());
             self.choice.handle(self.now, event, &mut actions);
+            if let (Some(heard), Some(event)) = (&mut self.heard, noted) {
+                heard.push((self.now, event, actions.clone()));
+            }
             for action in actions.drain(..) {
                 self.act(action, out);
             }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,6 @@
 pub mod session;
 pub mod watch;
 
-pub use crate::core::Core;
+pub use crate::core::{Core, Exchanged};
 pub use crate::io::{Answer, Input, Output};
 pub use beechloft::interface as api;
--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -9,9 +9,9 @@
 use std::time::{Duration, Instant};
 
 use beechloft_config::FrontSettings;
-use beechloft_core::Core;
 use beechloft_core::api::{Micros, ServerId};
 use beechloft_core::io::{Answer, Ask, AttemptId, Input, Output, RequestId};
+use beechloft_core::{Core, Exchanged};
 use beechloft_http::client::Pool;
 use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
 use tracing::{debug, info, warn};
@@ -61,6 +61,17 @@
     pub idle: bool,
 }
 
+/// All that a front's core was told and did, in order.
+#[derive(Debug, Clone, Default)]
+pub struct Recording {
+    /// What it was told, and when.
+    pub inputs: Vec<(Micros, Input)>,
+    /// What it had done.
+    pub outputs: Vec<Output>,
+    /// What passed between it and the module.
+    pub exchanged: Vec<Exchanged>,
+}
+
 enum Message {
     Input(Input),
     Ask(Box<Ask>, Sender<Told>),
@@ -139,7 +150,7 @@
 /// The engine's thread and its helpers.
 pub struct Engine {
     sender: Sender<Message>,
-    thread: JoinHandle<()>,
+    thread: JoinHandle<Recording>,
 }
 
 impl Engine {
@@ -149,20 +160,22 @@
         clock: Clock,
         settings: Arc<FrontSettings>,
         pool: Arc<Pool>,
+        record: bool,
     ) -> io::Result<(Engine, Handle)> {
         let (sender, receiver) = unbounded();
         let handle = Handle { sender: sender.clone(), next: Arc::default(), addresses: Arc::default() };
         let calls = Calls::start(handle.clone(), pool.clone(), settings.call_time)?;
         let watchers = Watchers::new(handle.clone(), settings.connect_time);
-        let run = Run { core, clock, calls, watchers, waiting: BTreeMap::new(), out: Vec::new() };
+        let recording = record.then(Recording::default);
+        let run = Run { core, clock, calls, watchers, waiting: BTreeMap::new(), out: Vec::new(), recording };
         let thread = thread::Builder::new().name("core".into()).spawn(move || run.run(&receiver))?;
         Ok((Engine { sender, thread }, handle))
     }
 
-    /// Ends the thread.
-    pub fn stop(self) {
+    /// Ends the thread; what it recorded, if it did.
+    pub fn stop(self) -> Recording {
         let _ = self.sender.send(Message::End);
-        let _ = self.thread.join();
+        self.thread.join().unwrap_or_default()
     }
 }
 
@@ -173,10 +186,14 @@
     watchers: Watchers,
     waiting: BTreeMap<RequestId, Sender<Told>>,
     out: Vec<Output>,
+    recording: Option<Recording>,
 }
 
 impl Run {
-    fn run(mut self, receiver: &Receiver<Message>) {
+    fn run(mut self, receiver: &Receiver<Message>) -> Recording {
+        if self.recording.is_some() {
+            self.core.listen();
+        }
         loop {
             let due = self.core.next_due().map(|at| self.clock.instant(at));
             let wait = due.map_or(Duration::from_secs(1), |at| at.saturating_duration_since(Instant::now()));
@@ -188,6 +205,9 @@
         }
         self.watchers.stop();
         self.calls.stop();
+        let mut recording = self.recording.unwrap_or_default();
+        recording.exchanged = self.core.take_heard();
+        recording
     }
 
     fn take(&mut self, message: Message) {
@@ -220,7 +240,14 @@
         debug!(target: "core", ?input, "input");
         // A client that hung up is told nothing any more; its own thread ends the attempt that is out.
         let gone = if let Input::HungUp(session) = &input { Some(*session) } else { None };
-        self.core.handle(self.clock.now(), input, &mut self.out);
+        let now = self.clock.now();
+        if let Some(recording) = &mut self.recording {
+            recording.inputs.push((now, input.clone()));
+        }
+        self.core.handle(now, input, &mut self.out);
+        if let Some(recording) = &mut self.recording {
+            recording.outputs.extend(self.out.iter().cloned());
+        }
         for output in std::mem::take(&mut self.out) {
             debug!(target: "core", ?output, "output");
             self.carry_out(output);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -26,8 +26,8 @@
 use tracing::info;
 
 use crate::clock::Clock;
-pub use crate::engine::Status;
 use crate::engine::{Engine, Handle};
+pub use crate::engine::{Recording, Status};
 
 /// What the parts of a front share.
 #[derive(Clone)]
@@ -48,6 +48,16 @@
 impl Front {
     /// Starts a front on its listener's port, or on one that is given.
     pub fn start(settings: FrontSettings, listener: Option<TcpListener>) -> io::Result<Front> {
+        Front::begin(settings, listener, false)
+    }
+
+    /// The same, keeping in mind all that its core is told and does, for [`Front::stop`] to give out. Its memory
+    /// grows with its life.
+    pub fn start_recorded(settings: FrontSettings) -> io::Result<Front> {
+        Front::begin(settings, None, true)
+    }
+
+    fn begin(settings: FrontSettings, listener: Option<TcpListener>, record: bool) -> io::Result<Front> {
         let listener = match listener {
             Some(listener) => listener,
             None => TcpListener::bind(settings.listen)?,
@@ -57,7 +67,7 @@
         let core = Core::new(settings.settings.clone(), seed);
         let settings = Arc::new(settings);
         let pool = Arc::new(Pool::default());
-        let (engine, handle) = Engine::start(core, clock, settings.clone(), pool.clone())?;
+        let (engine, handle) = Engine::start(core, clock, settings.clone(), pool.clone(), record)?;
         let shared = Shared { handle, clock, pool, settings };
         list::start(&shared, seed)?;
         let handler = Arc::new(player::Player::new(shared.clone(), seed));
@@ -79,14 +89,15 @@
     /// Takes nothing new, answers what it took, ends what it may have left at boxes, and then itself.
     ///
     /// Sessions that play are left alone: their media does not pass through here.
-    pub fn stop(self, wait: Duration) {
+    pub fn stop(self, wait: Duration) -> Recording {
         info!(target: "core", "front stops");
         let until = Instant::now() + wait;
         self.shared.handle.input(Input::Stop);
         // Requests that come while the last ones are answered are turned away; then the door is closed.
         self.shared.handle.wait_idle(until);
         self.server.stop(until.saturating_duration_since(Instant::now()).max(Duration::from_millis(50)));
-        self.engine.stop();
+        let recording = self.engine.stop();
         info!(target: "core", "front is down");
+        recording
     }
 }
