Players hear of rungs and ends; stand-ins are told of faults over a call of their own

WHEP's server-sent events extension at the front: the 201 names an address, a list of event names posted there gets a stream of layers and inactive, as the module changes the rung or the session ends. The demo names a control address at which boxes and list are put in trouble by hand. Tested on sockets: a link taken by another program steps a session down, its player hears of it, the box was told.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -2,11 +2,13 @@
 
 use std::io::{self, Write};
 use std::process::ExitCode;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use beechloft_checker::Recorder;
 use beechloft_config::front;
 use beechloft_front::Front;
+use beechloft_standin::control::Control;
 use beechloft_standin::fleet::{Fleet, FleetBox, FleetSpec, TitleSpec};
 use beechloft_whep::route::endpoint_path;
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -88,8 +90,9 @@
 
 fn run(boxes: u32) -> io::Result<()> {
     let mut signals = Signals::new([SIGINT, SIGTERM])?;
-    let fleet =
-        Fleet::start(&fleet(boxes, 20_000.0, 60, 2, Duration::from_millis(15)), &Recorder::default())?;
+    let spec = fleet(boxes, 20_000.0, 60, 2, Duration::from_millis(15));
+    let fleet = Arc::new(Fleet::start(&spec, &Recorder::default())?);
+    let control = Control::start(fleet.clone())?;
     let settings = settings(&fleet.list.url(), 20_000.0, 60, "info").map_err(io::Error::other)?;
     log::start(&settings.log);
     let front = Front::start(settings, None)?;
@@ -100,6 +103,7 @@
     let urls = |publishes| TITLES.map(|t| format!("{base}{}", endpoint_path(t, publishes)));
     let line = serde_json::json!({
         "ready": true, "front": base, "whep": urls(false), "whip": urls(true), "list": fleet.list.url(),
+        "control": format!("http://{}", control.address()),
     });
     println!("{line}");
     io::stdout().flush()?;
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -73,6 +73,19 @@
     let ended = pool.call(address, &Request::new(Method::DELETE, session), soon()).expect("an answer");
     assert_eq!(ended.status, 200);
 
+    let control = ready["control"].as_str().and_then(|u| u.strip_prefix("http://")).expect("its address");
+    let control = control.parse().expect("an address");
+    let tell = |method: Method, path: &str, body: &str| {
+        let request = Request::new(method, path).body("application/json", body);
+        pool.call(control, &request, soon()).expect("an answer").status.as_u16()
+    };
+    assert_eq!(tell(Method::POST, "/boxes/1/fault", "{\"kind\":\"fail\",\"share\":1}"), 204);
+    assert_eq!(tell(Method::POST, "/boxes/1/fault", "{\"kind\":\"no such\"}"), 400);
+    assert_eq!(tell(Method::POST, "/boxes/99/fault", "{\"kind\":\"reset\"}"), 404);
+    assert_eq!(tell(Method::DELETE, "/boxes/1/fault", ""), 204);
+    assert_eq!(tell(Method::POST, "/boxes/2/state", "{\"state\":\"draining\"}"), 204);
+    assert_eq!(tell(Method::POST, "/list", "{\"lag_ms\":100}"), 204);
+
     let pid = rustix::process::Pid::from_raw(demo.0.id() as i32).expect("a process");
     rustix::process::kill_process(pid, rustix::process::Signal::TERM).expect("signalled");
     let end = Instant::now() + Duration::from_secs(10);
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -452,7 +452,8 @@
         }
     }
 
-    fn find(&self, id: SessionId, secret: Secret) -> Answer {
+    /// Where a session is, for whoever knows its secret.
+    pub fn find(&self, id: SessionId, secret: Secret) -> Answer {
         match self.sessions.get(&id).filter(|s| s.secret == secret).map(|s| &s.stage) {
             Some(Stage::Playing(p)) => Answer::At { server: p.server, resource: p.resource.clone() },
             Some(Stage::Owed(..)) => Answer::Busy,
--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -9,10 +9,11 @@
 use std::time::{Duration, Instant};
 
 use beechloft_config::FrontSettings;
-use beechloft_core::api::{Micros, ServerId};
-use beechloft_core::io::{Answer, Ask, AttemptId, Input, Output, RequestId};
+use beechloft_core::api::{Micros, ServerId, SessionId};
+use beechloft_core::io::{Answer, Ask, AttemptId, Input, Output, RequestId, Secret};
 use beechloft_core::{Core, Exchanged};
 use beechloft_http::client::Pool;
+use beechloft_whep::events::PlayerEvent;
 use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
 use tracing::{debug, info, warn};
 
@@ -20,6 +21,11 @@
 use crate::clock::Clock;
 use crate::watch::Watchers;
 
+/// Streams of one session's events at once; a further one takes the place of the last.
+const FOLLOWERS: usize = 2;
+/// Events that a stream may be behind.
+const FOLLOW_BEHIND: usize = 64;
+
 /// An attempt to be made by the thread of its viewer.
 #[derive(Debug, Clone)]
 pub struct SetUp {
@@ -77,6 +83,7 @@
     Ask(Box<Ask>, Sender<Told>),
     Call(Input, RequestId, Sender<Told>),
     Status(Sender<Status>),
+    Follow(SessionId, Secret, Sender<PlayerEvent>),
     End,
 }
 
@@ -132,6 +139,13 @@
         self.addresses.read().unwrap_or_else(PoisonError::into_inner).get(&server).copied()
     }
 
+    /// A playing session's events, until it is over; nothing comes if there is no such session.
+    pub fn follow(&self, session: SessionId, secret: Secret) -> Receiver<PlayerEvent> {
+        let (sender, receiver) = bounded(FOLLOW_BEHIND);
+        let _ = self.sender.send(Message::Follow(session, secret, sender));
+        receiver
+    }
+
     /// What the front knows and holds.
     pub fn status(&self) -> Status {
         let (sender, receiver) = bounded(1);
@@ -167,7 +181,8 @@
         let calls = Calls::start(handle.clone(), pool.clone(), settings.call_time)?;
         let watchers = Watchers::new(handle.clone(), settings.connect_time);
         let recording = record.then(Recording::default);
-        let run = Run { core, clock, calls, watchers, waiting: BTreeMap::new(), out: Vec::new(), recording };
+        let (waiting, followers) = (BTreeMap::new(), BTreeMap::new());
+        let run = Run { core, clock, calls, watchers, waiting, followers, out: Vec::new(), recording };
         let thread = thread::Builder::new().name("core".into()).spawn(move || run.run(&receiver))?;
         Ok((Engine { sender, thread }, handle))
     }
@@ -185,6 +200,7 @@
     calls: Calls,
     watchers: Watchers,
     waiting: BTreeMap<RequestId, Sender<Told>>,
+    followers: BTreeMap<SessionId, Vec<Sender<PlayerEvent>>>,
     out: Vec<Output>,
     recording: Option<Recording>,
 }
@@ -232,10 +248,24 @@
                     idle: self.core.is_idle(),
                 });
             }
+            Message::Follow(session, secret, sender) => {
+                if matches!(self.core.find(session, secret), Answer::At { .. }) {
+                    let followers = self.followers.entry(session).or_default();
+                    followers.truncate(FOLLOWERS - 1);
+                    followers.push(sender);
+                }
+            }
             Message::End => {}
         }
     }
 
+    /// Tells those who follow a session; one that does not keep up is dropped.
+    fn tell(&mut self, session: SessionId, event: PlayerEvent) {
+        if let Some(followers) = self.followers.get_mut(&session) {
+            followers.retain(|f| f.try_send(event).is_ok());
+        }
+    }
+
     fn input(&mut self, input: Input) {
         debug!(target: "core", ?input, "input");
         // A client that hung up is told nothing any more; its own thread ends the attempt that is out.
@@ -282,6 +312,7 @@
                     "rung"
                 );
                 self.calls.push(server, Job::SetRung { path: layers, rung });
+                self.tell(session, PlayerEvent::Layer(rung));
             }
             Output::Release { ticket, server, resource } => {
                 self.calls.push(server, Job::Release { ticket, resource });
@@ -301,6 +332,8 @@
             Output::Subscribe => {} // the list is pushed
             Output::Over(session, why) => {
                 info!(target: "core", session = format_args!("{:016x}", session.0), ?why, "over");
+                self.tell(session, PlayerEvent::Inactive);
+                self.followers.remove(&session);
             }
             Output::Log(line) => warn!(target: "core", "{line}"),
         }
--- a/crates/front/src/player.rs
+++ b/crates/front/src/player.rs
@@ -1,5 +1,7 @@
 //! Players and publishers: WHEP and WHIP requests in, one answer each out.
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
@@ -7,12 +9,13 @@
 use beechloft_core::io::{Answer, Ask, Input, Secret};
 use beechloft_http::message::HeadError;
 use beechloft_http::server::{Handler, Link, Reply};
-use beechloft_http::{Request, Response, StatusCode, header};
+use beechloft_http::{Method, Request, Response, StatusCode, header, sse, wait};
 use beechloft_whep::answer::{self, SessionCall};
-use beechloft_whep::boxes;
+use beechloft_whep::events::{self, PlayerEvent};
 use beechloft_whep::route::{self, Place};
 use beechloft_whep::sdp::Offer;
-use crossbeam_channel::Receiver;
+use beechloft_whep::{EVENTS, boxes};
+use crossbeam_channel::{Receiver, RecvTimeoutError};
 use rand_chacha::ChaCha20Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use tracing::{Level, info, span};
@@ -24,6 +27,9 @@
 /// How far past the viewer's patience a thread waits for the core. The core answers long before.
 const PAST: Duration = Duration::from_secs(5);
 
+/// A player's stream is sent a comment this often.
+const BEAT: Duration = Duration::from_secs(5);
+
 /// Answers the front's clients.
 pub struct Player {
     shared: Shared,
@@ -157,6 +163,34 @@
         }
     }
 
+    /// A player asks for its session's events, or reads them.
+    fn events(&self, request: &Request, session: SessionId, secret: Secret, names: Option<&str>) -> Reply {
+        let find = || self.shared.handle.call(|request| Input::Find { request, session, secret });
+        let here = |response| {
+            if matches!(find(), Answer::At { .. }) { response } else { answer::response(&Answer::NoSession) }
+        };
+        match (names, &request.method) {
+            (None, &Method::POST) => {
+                Reply::Whole(here(events::subscribe(request, &route::events_path(session, secret))))
+            }
+            (Some(names), &Method::GET) => {
+                let Some(wanted) = events::wanted(names).filter(|_| matches!(find(), Answer::At { .. }))
+                else {
+                    return Reply::Whole(answer::response(&Answer::NoSession));
+                };
+                let told = self.shared.handle.follow(session, secret);
+                let head =
+                    answer::for_browsers(Response::new(StatusCode::OK).with(header::CONTENT_TYPE, EVENTS));
+                Reply::Open(head, Box::new(move |socket| follow(socket, &told, &wanted)))
+            }
+            (Some(_), &Method::DELETE) => Reply::Whole(Response::new(StatusCode::OK)),
+            _ => Reply::Whole(
+                Response::text(StatusCode::METHOD_NOT_ALLOWED, "POST a list of events, GET their stream")
+                    .with(header::ALLOW, if names.is_some() { "DELETE, GET" } else { "POST" }),
+            ),
+        }
+    }
+
     fn ready(&self) -> Response {
         let s = self.shared.handle.status();
         let body = serde_json::json!({
@@ -167,11 +201,27 @@
     }
 }
 
+/// Writes a session's events until it is over or the player has gone.
+fn follow(mut socket: &TcpStream, told: &Receiver<PlayerEvent>, wanted: &[&str]) {
+    loop {
+        let bytes = match told.recv_timeout(BEAT) {
+            Ok(event) if wanted.contains(&event.name()) => event.encode(),
+            Ok(_) => continue,
+            Err(RecvTimeoutError::Timeout) => sse::BEAT.to_vec(),
+            Err(RecvTimeoutError::Disconnected) => return,
+        };
+        if socket.write_all(&bytes).is_err() || wait::hung_up(socket) {
+            return;
+        }
+    }
+}
+
 impl Handler for Player {
     fn handle(&self, request: Request, link: &Link<'_>) -> Reply {
         let reply = match route::place(request.path()) {
             Place::Endpoint { title, publishes } => self.endpoint(&request, title, publishes, link),
             Place::Session(session, secret) => Reply::Whole(self.session(&request, session, secret)),
+            Place::Events(session, secret, names) => self.events(&request, session, secret, names.as_deref()),
             Place::Ready => Reply::Whole(self.ready()),
             Place::Nowhere => Reply::Whole(Response::text(StatusCode::NOT_FOUND, "nothing here")),
         };
--- a/crates/front/tests/whep.rs
+++ b/crates/front/tests/whep.rs
@@ -27,7 +27,7 @@
     assert_eq!(response.field(header::CONTENT_TYPE), Some("application/sdp"));
     assert_eq!(response.field(header::ACCESS_CONTROL_ALLOW_ORIGIN), Some("*"));
     assert!(response.field(header::LINK).is_some_and(|l| l.contains("ice-server")), "{response:?}");
-    assert!(!format!("{response:?}").contains("whep:ext"), "the boxes' extensions end at the front");
+    assert!(!format!("{response:?}").contains("core:layer"), "the boxes' extensions end at the front");
     let playing = asked.playing.expect("a session");
     assert!(watch(&playing, Duration::from_millis(400)).iter().all(|share| *share == 1.0));
 
@@ -45,6 +45,43 @@
     rig.finish();
 }
 
+#[test]
+fn a_player_hears_of_its_rungs_and_of_the_end() {
+    let mut rig = Rig::new(1);
+    let playing = rig.play("one");
+    let post = |body: &str| {
+        Request::new(Method::POST, format!("{}/events", playing.path)).body("application/json", body)
+    };
+    assert_eq!(status(&rig, &post("[]")), 422);
+    let given = call(&rig, &post("[\"inactive\",\"layers\"]"));
+    let stream = given.field(header::LOCATION).expect("a stream").to_owned();
+    assert_eq!(status(&rig, &Request::new(Method::GET, stream.replace("layers", "other"))), 404);
+    let request = Request::new(Method::GET, stream);
+    let soon = Instant::now() + Duration::from_secs(5);
+    let exchange = rig.pool.get(rig.address, soon).expect("a connection").send(&request, soon).expect("sent");
+    let (head, mut stream) = exchange.into_stream(soon).expect("a stream");
+    assert_eq!((head.status.as_u16(), head.field(header::CONTENT_TYPE)), (200, Some("text/event-stream")));
+    // Another program takes the link: the box notes short delivery, and the module steps the session down.
+    rig.fleet.fault(1, Fault::TakeLink { share: 0.97 });
+    let mut text = String::new();
+    until("its rung changes", || {
+        watch(&playing, Duration::from_millis(1));
+        let part = stream.read(Instant::now() + Duration::from_millis(100)).expect("the stream goes on");
+        text.push_str(&String::from_utf8_lossy(&part));
+        text.contains("event: layers")
+    });
+    let rate_set = |s: &beechloft_checker::Seen| matches!(s.what, beechloft_checker::What::Rate { rate_kb, .. } if rate_kb < 1000.0);
+    until("the box was told", || rig.recorder.trace().iter().any(rate_set));
+    playing.end(&rig.pool, &rig.recorder).expect("a response");
+    while let Ok(part) = stream.read(Instant::now() + Duration::from_secs(5)) {
+        text.push_str(&String::from_utf8_lossy(&part));
+    }
+    assert!(text.contains("event: inactive"), "{text}");
+    assert_eq!(status(&rig, &post("[\"layers\"]")), 404, "the session is over");
+    rig.settle(0);
+    rig.finish();
+}
+
 #[test]
 fn publishing_takes_the_same_path() {
     let mut rig = Rig::new(1);
--- a/crates/standin/src/boxes.rs
+++ b/crates/standin/src/boxes/mod.rs
@@ -1,7 +1,9 @@
 //! A box: a streaming server that speaks WHEP and WHIP, as far as a front and a player can tell.
 
+mod serve;
+
 use std::collections::BTreeMap;
-use std::io::{self, Write};
+use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
@@ -11,19 +13,17 @@
 use beechloft_checker::{Recorder, What};
 use beechloft_core::api::{LoadReport, Note};
 use beechloft_core::io::BoxNews;
-use beechloft_http::server::{Handler, Link, Reply, Server, Sizes};
-use beechloft_http::{Limits, Method, Request, Response, StatusCode, header, sse, wait};
-use beechloft_whep::route::{self, Place};
-use beechloft_whep::{EVENTS, FRAG, SDP, boxes, is_type, layers, load, news, sdp};
-use crossbeam_channel::{Receiver, Sender, bounded};
+use beechloft_http::server::{Server, Sizes};
+use beechloft_http::{Limits, wait};
+use crossbeam_channel::Sender;
 
+use self::serve::Door;
 use crate::dice::Dice;
 use crate::fault::Fault;
 use crate::link::{Racks, Share};
 use crate::media;
-use crate::offer::{self, Credentials};
 pub use crate::sessions::Warming;
-use crate::sessions::{Session, Sessions, Warmth};
+use crate::sessions::{Sessions, Warmth};
 
 /// What a box is.
 #[derive(Debug, Clone)]
@@ -406,246 +406,4 @@
             self.die(false);
         }
     }
-
-    fn load_field(&self) -> String {
-        format!("JSON {}", load::write(&self.lock().reported))
-    }
-
-    fn set_up(self: &Arc<Self>, request: &Request, title: &str, publishes: bool, link: &Link<'_>) -> Reply {
-        let server = self.spec.id;
-        let Some(offer) = sdp::user_fragment(&request.body) else {
-            return Reply::Whole(Response::text(StatusCode::BAD_REQUEST, "no offer"));
-        };
-        let limit = sdp::limit_of(&request.body);
-        self.recorder.note(What::Offered {
-            server,
-            offer: offer.clone(),
-            front: boxes::front_of(request.field(header::VIA)).unwrap_or(u32::MAX),
-            title: title.to_owned(),
-            rate_kb: limit.unwrap_or(f64::MAX),
-        });
-        let toppled = {
-            let mut state = self.lock();
-            let streams = self.spec.streams as f64;
-            state.warmth.topples(streams)
-        };
-        if toppled {
-            self.topple();
-            return Reply::HangUp;
-        }
-        match self.serve(title, publishes, limit, &offer, link.socket) {
-            Ok(reply) => reply,
-            Err(Gone) => {
-                self.recorder.note(What::Dropped { server, offer });
-                Reply::HangUp
-            }
-        }
-    }
-
-    fn serve(
-        self: &Arc<Self>,
-        title: &str,
-        publishes: bool,
-        limit: Option<f64>,
-        offer: &str,
-        socket: &TcpStream,
-    ) -> Result<Reply, Gone> {
-        let server = self.spec.id;
-        let answered = |status| What::Answered { server, offer: offer.to_owned(), status };
-        let plain = |status: StatusCode, text: &str| {
-            self.recorder.note(answered(status.as_u16()));
-            Ok(Reply::Whole(Response::text(status, text).with(load::FIELD, self.load_field())))
-        };
-        self.hold(socket)?;
-        if self.has(|f| *f == Fault::Reset) {
-            self.recorder.note(answered(0));
-            let _ = socket2::SockRef::from(socket).set_linger(Some(Duration::ZERO));
-            return Ok(Reply::HangUp);
-        }
-        let declines = |f: &Fault| if let Fault::Decline { status } = f { Some(*status) } else { None };
-        let declined = self.lock().faults.iter().find_map(|f| declines(&f.0));
-        if let Some(status) = declined.and_then(|s| StatusCode::from_u16(s).ok()) {
-            return plain(status, "declined");
-        }
-        if self.strikes(|f| if let Fault::Fail { share } = f { Some(*share) } else { None }) {
-            return plain(StatusCode::INTERNAL_SERVER_ERROR, "told to fail");
-        }
-        let Some(rates) = self.spec.titles.get(title) else {
-            return plain(StatusCode::NOT_FOUND, "not held here");
-        };
-        let full = {
-            let state = self.lock();
-            let over = self.spec.guard > 0.0 && self.share(&state).link >= self.spec.guard;
-            over || state.sessions.len() >= self.spec.streams
-        };
-        if full {
-            return plain(StatusCode::SERVICE_UNAVAILABLE, "full");
-        }
-        let deaf = self
-            .lock()
-            .faults
-            .iter()
-            .find_map(|f| if let Fault::Deaf { ms } = f.0 { Some(ms) } else { None });
-        match deaf {
-            Some(ms) => thread::sleep(Duration::from_millis(ms)),
-            None => {
-                self.work(socket)?;
-                self.pause(socket, Instant::now() + self.delay())?;
-            }
-        }
-        self.hold(socket)?;
-        let (path, credentials) = {
-            let mut state = self.lock();
-            if state.down {
-                return Err(Gone);
-            }
-            let credentials = Credentials::draw(&mut state.dice);
-            let fitting = rates.iter().copied().take_while(|r| limit.is_none_or(|l| *r <= l * 1.0001)).last();
-            let session = Session {
-                offer: offer.to_owned(),
-                name: credentials.name.clone(),
-                version: 1,
-                rates_kb: rates.clone(),
-                rate_kb: fitting.or(rates.first().copied()).unwrap_or(0.0),
-                expires: Instant::now() + Duration::from_millis(media::EXPIRES_MS + 1000),
-            };
-            let boot = state.boot;
-            (state.sessions.add(boot, session), credentials)
-        };
-        self.recorder.note(What::Began { server, offer: offer.to_owned() });
-        if self.strikes(|f| if let Fault::LoseAnswers { share } = f { Some(*share) } else { None }) {
-            self.recorder.note(answered(0));
-            return Ok(Reply::HangUp);
-        }
-        self.recorder.note(answered(201));
-        let media = self.media.local_addr().unwrap_or(self.address);
-        let text = if self.has(|f| *f == Fault::BadAnswer) {
-            "v=0\r\nnothing that makes sense to anybody who reads it at all\r\n".to_owned()
-        } else {
-            offer::answer(&credentials, publishes, media)
-        };
-        let response = Response::new(StatusCode::CREATED)
-            .body(SDP, text)
-            .with(header::LOCATION, &path)
-            .with(header::ETAG, "\"1\"")
-            .with(header::LINK, format!("<{path}/layer>; rel=\"{}\"", layers::REL))
-            .with(header::LINK, "<stun:127.0.0.1:3478>; rel=\"ice-server\"")
-            .with(load::FIELD, self.load_field());
-        if deaf.is_some() {
-            let text = response.body.clone();
-            let mut head = response;
-            head.body.clear();
-            return Ok(Reply::Open(head, Box::new(move |mut s| drop(s.write_all(&text)))));
-        }
-        let this = self.clone();
-        let tell = move |written: bool| {
-            if !written {
-                this.free(&path, false);
-            }
-        };
-        Ok(Reply::Told(response, Box::new(tell)))
-    }
-
-    fn patch(&self, path: &str, request: &Request) -> Response {
-        if !is_type(request.field(header::CONTENT_TYPE), FRAG) {
-            return Response::text(StatusCode::UNSUPPORTED_MEDIA_TYPE, "no fragment");
-        }
-        let mut state = self.lock();
-        let Some(session) = state.sessions.get_mut(path) else {
-            return Response::text(StatusCode::NOT_FOUND, "no such session");
-        };
-        let tag = format!("\"{}\"", session.version);
-        match request.field(header::IF_MATCH) {
-            Some("*") => {
-                // An ICE restart (RFC 9725, section 4.3.3): new credentials and a new version.
-                session.version += 1;
-                let tag = format!("\"{}\"", session.version);
-                Response::new(StatusCode::OK).body(FRAG, request.body.clone()).with(header::ETAG, tag)
-            }
-            Some(given) if given == tag => Response::new(StatusCode::NO_CONTENT),
-            Some(_) => Response::text(StatusCode::PRECONDITION_FAILED, "another version"),
-            None => Response::text(StatusCode::PRECONDITION_REQUIRED, "If-Match is needed"),
-        }
-    }
-
-    fn select(&self, path: &str, request: &Request) -> Response {
-        let Some(rung) = layers::selected(&request.body) else {
-            return Response::text(StatusCode::BAD_REQUEST, "no layer");
-        };
-        let set = self.lock().sessions.set_rung(path, usize::from(rung.0));
-        match set {
-            Some((offer, rate_kb)) => {
-                self.recorder.note(What::Rate { server: self.spec.id, offer, rate_kb });
-                Response::new(StatusCode::OK)
-            }
-            None => Response::text(StatusCode::NOT_FOUND, "no such session or layer"),
-        }
-    }
-
-    fn events(self: &Arc<Self>) -> Reply {
-        let (sender, receiver): (Sender<BoxNews>, Receiver<BoxNews>) = bounded(65_536);
-        let boot = {
-            let mut state = self.lock();
-            state.streams.push(sender);
-            state.boot
-        };
-        // The boot's number alone would be the same for a stand-in of another run on the same port.
-        let boot = boot ^ self.spec.seed.rotate_left(17);
-        let this = self.clone();
-        let write = move |stream: &TcpStream| {
-            let mut stream = stream;
-            let hello = BoxNews::Hello { boot };
-            let mut news = Some(hello);
-            loop {
-                let bytes = news.as_ref().and_then(news::write).map_or(sse::BEAT.to_vec(), |e| e.encode());
-                while this.stands_still() {
-                    thread::sleep(Duration::from_millis(20));
-                }
-                if stream.write_all(&bytes).is_err() || wait::hung_up(stream) {
-                    return;
-                }
-                news = match receiver.recv_timeout(Duration::from_micros(news::BEAT.0)) {
-                    Ok(news) => Some(news),
-                    Err(crossbeam_channel::RecvTimeoutError::Timeout) => None,
-                    Err(crossbeam_channel::RecvTimeoutError::Disconnected) => return,
-                };
-            }
-        };
-        Reply::Open(Response::new(StatusCode::OK).with(header::CONTENT_TYPE, EVENTS), Box::new(write))
-    }
-}
-
-struct Door(Arc<Inner>);
-
-impl Handler for Door {
-    fn handle(&self, request: Request, link: &Link<'_>) -> Reply {
-        let this = &self.0;
-        let path = request.path();
-        if let (Place::Endpoint { title, publishes }, &Method::POST) = (route::place(path), &request.method) {
-            return this.set_up(&request, &title, publishes, link);
-        }
-        if this.stands_still() && this.hold(link.socket).is_err() {
-            return Reply::HangUp;
-        }
-        Reply::Whole(match (&request.method, path) {
-            (&Method::GET, news::PATH) => return this.events(),
-            (&Method::GET, news::LOAD_PATH) => {
-                let report = this.lock().reported;
-                Response::new(StatusCode::OK).body(load::BODY, load::write(&report))
-            }
-            (&Method::DELETE, path) => {
-                if this.free(path, false) {
-                    Response::new(StatusCode::OK)
-                } else {
-                    Response::text(StatusCode::NOT_FOUND, "no such session")
-                }
-            }
-            (&Method::PATCH, path) => this.patch(path, &request),
-            (&Method::POST, path) => match path.strip_suffix("/layer") {
-                Some(session) => this.select(session, &request),
-                None => Response::text(StatusCode::NOT_FOUND, "nothing here"),
-            },
-            _ => Response::text(StatusCode::NOT_FOUND, "nothing here"),
-        })
-    }
 }
--- a/crates/whep/src/answer.rs
+++ b/crates/whep/src/answer.rs
@@ -4,7 +4,7 @@
 use beechloft_core::io::Answer;
 use beechloft_http::{HeaderName, Method, Request, Response, StatusCode, header};
 
-use crate::{FRAG, SDP, accepts, is_type, route};
+use crate::{FRAG, SDP, accepts, events, is_type, route};
 
 const ACCEPT_POST: HeaderName = HeaderName::from_static("accept-post");
 const ACCEPT_PATCH: HeaderName = HeaderName::from_static("accept-patch");
@@ -114,7 +114,9 @@
             if let Some(etag) = &reply.etag {
                 created = created.with(header::ETAG, etag);
             }
-            reply.links.iter().fold(created, |r, link| r.with(header::LINK, link))
+            let (path, names) = (route::events_path(*session, *secret), events::NAMES.join(","));
+            let own = format!("<{path}>; rel=\"{}\"; events=\"{names}\"", events::REL);
+            reply.links.iter().fold(created, |r, link| r.with(header::LINK, link)).with(header::LINK, own)
         }
         Answer::Refused(advice) => unavailable("no room for this session now", *advice),
         Answer::Failed => Response::text(StatusCode::GATEWAY_TIMEOUT, "the session could not be set up"),
--- a/crates/whep/src/lib.rs
+++ b/crates/whep/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod answer;
 pub mod boxes;
+pub mod events;
 pub mod frag;
 pub mod layers;
 pub mod load;
--- a/crates/whep/src/route.rs
+++ b/crates/whep/src/route.rs
@@ -21,6 +21,8 @@
     },
     /// A session.
     Session(SessionId, Secret),
+    /// Where a session's events are asked for and, with their names, read.
+    Events(SessionId, Secret, Option<String>),
     /// `/ready`: whether the front serves.
     Ready,
     /// Nothing.
@@ -48,12 +50,18 @@
 }
 
 fn session(name: &str) -> Option<Place> {
+    let (name, events) = name.split_once("/events").map_or((name, None), |(name, rest)| (name, Some(rest)));
     let digits = |text: &str| {
         let sound = text.len() == 16 && text.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'));
         sound.then(|| u64::from_str_radix(text, 16).ok()).flatten()
     };
     let (id, secret) = name.split_at_checked(16)?;
-    Some(Place::Session(SessionId(digits(id)?), Secret(digits(secret)?)))
+    let (id, secret) = (SessionId(digits(id)?), Secret(digits(secret)?));
+    match events {
+        None => Some(Place::Session(id, secret)),
+        Some("") => Some(Place::Events(id, secret, None)),
+        Some(names) => Some(Place::Events(id, secret, Some(names.strip_prefix('/')?.to_owned()))),
+    }
 }
 
 /// The path of a session.
@@ -61,6 +69,11 @@
     format!("/session/{:016x}{:016x}", session.0, secret.0)
 }
 
+/// The path of a session's events.
+pub fn events_path(session: SessionId, secret: Secret) -> String {
+    format!("{}/events", session_path(session, secret))
+}
+
 /// The path of a title's endpoint.
 pub fn endpoint_path(title: &str, publishes: bool) -> String {
     let protocol = if publishes { "whip" } else { "whep" };
@@ -98,6 +111,9 @@
             prop_assert_eq!(place(&endpoint_path(&title, publishes)), Place::Endpoint { title, publishes });
             let (id, secret) = (SessionId(id), Secret(secret));
             prop_assert_eq!(place(&session_path(id, secret)), Place::Session(id, secret));
+            let path = events_path(id, secret);
+            prop_assert_eq!(place(&path), Place::Events(id, secret, None));
+            prop_assert_eq!(place(&format!("{path}/layers")), Place::Events(id, secret, Some("layers".into())));
         }
     }
 }
