--- a/crates/front/tests/rules.rs
+++ b/crates/front/tests/rules.rs
@@ -53,11 +53,7 @@
 }
 
 impl Strict {
-    fn new(
-        boxes: u32,
-        effect: &str,
-        change: impl FnOnce(&mut beechloft_standin::fleet::FleetSpec),
-    ) -> Strict {
+    fn new(boxes: u32, terms: &str, change: impl FnOnce(&mut beechloft_standin::fleet::FleetSpec)) -> Strict {
         let mut spec = fleet_spec(boxes);
         spec.warming = Some(Warming {
             after: Duration::from_secs(6),
