--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -93,6 +93,7 @@
     sender: Sender<Message>,
     next: Arc<AtomicU64>,
     addresses: Arc<RwLock<BTreeMap<ServerId, SocketAddr>>>,
+    ended: Arc<AtomicBool>,
 }
 
 impl Handle {
@@ -102,6 +103,11 @@
         let _ = self.sender.send(Message::Input(input));
     }
 
+    /// Whether the front has ended: nobody listens any more.
+    pub fn ended(&self) -> bool {
+        self.ended.load(Ordering::SeqCst)
+    }
+
     /// A name for a client's call.
     pub fn request(&self) -> RequestId {
         RequestId(self.next.fetch_add(1, Ordering::Relaxed))
@@ -177,13 +183,23 @@
         record: bool,
     ) -> io::Result<(Engine, Handle)> {
         let (sender, receiver) = unbounded();
-        let handle = Handle { sender: sender.clone(), next: Arc::default(), addresses: Arc::default() };
+        let handle = Handle {
+            sender: sender.clone(),
+            next: Arc::default(),
+            addresses: Arc::default(),
+            ended: Arc::default(),
+        };
         let calls = Calls::start(handle.clone(), pool.clone(), settings.call_time)?;
         let watchers = Watchers::new(handle.clone(), settings.connect_time);
         let recording = record.then(Recording::default);
         let (waiting, followers) = (BTreeMap::new(), BTreeMap::new());
+        let ended = handle.ended.clone();
         let run = Run { core, clock, calls, watchers, waiting, followers, out: Vec::new(), recording };
-        let thread = thread::Builder::new().name("core".into()).spawn(move || run.run(&receiver))?;
+        let thread = thread::Builder::new().name("core".into()).spawn(move || {
+            let recording = run.run(&receiver);
+            ended.store(true, Ordering::SeqCst);
+            recording
+        })?;
         Ok((Engine { sender, thread }, handle))
     }
 
--- a/crates/front/src/list.rs
+++ b/crates/front/src/list.rs
@@ -83,7 +83,7 @@
     fn run(mut self) {
         let mut pause = PAUSE;
         let mut was_up = true;
-        loop {
+        while !self.shared.handle.ended() {
             let error = match self.connect() {
                 Ok(mut stream) => {
                     info!(target: "list", "list service reached");
@@ -92,6 +92,9 @@
                 }
                 Err(error) => error,
             };
+            if self.shared.handle.ended() {
+                return;
+            }
             if std::mem::take(&mut was_up) {
                 warn!(target: "list", %error, "list service lost; what is known holds");
                 self.shared.handle.input(Input::List(ListUpdate::Failed));
@@ -121,7 +124,7 @@
         let mut parser = Parser::new(BYTES);
         let (mut events, mut heard) = (Vec::new(), Instant::now());
         loop {
-            if heard.elapsed() >= SILENCE {
+            if heard.elapsed() >= SILENCE || self.shared.handle.ended() {
                 return CallError::TimedOut;
             }
             match stream.read(Instant::now() + Duration::from_millis(500)) {
--- a/crates/front/src/watch.rs
+++ b/crates/front/src/watch.rs
@@ -22,6 +22,9 @@
 /// ...up to here. A box that comes back is known within this time.
 const LONGEST: Duration = Duration::from_millis(1600);
 
+/// A box that sends more is taken for broken: its events would crowd out those of others.
+const EVENTS_A_SECOND: usize = 20_000;
+
 /// The streams that are kept.
 pub struct Watchers {
     handle: Handle,
@@ -139,6 +142,7 @@
         let mut parser = Parser::new(news::EVENT_BYTES);
         let mut events = Vec::new();
         let mut heard = Instant::now();
+        let (mut since, mut count) = (Instant::now(), 0);
         loop {
             if self.stop.load(Ordering::SeqCst) || heard.elapsed() >= silence {
                 return CallError::TimedOut;
@@ -153,6 +157,15 @@
                 }
                 Err(error) => return error,
             }
+            if since.elapsed() >= Duration::from_secs(1) {
+                (since, count) = (Instant::now(), 0);
+            }
+            count += events.len();
+            if count > EVENTS_A_SECOND {
+                return CallError::Broken(std::io::Error::other(
+                    "more events a second than a sound box sends",
+                ));
+            }
             for news in events.drain(..).filter_map(|e| news::read(&e)) {
                 self.tell(news);
             }
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -53,6 +53,22 @@
         Ok(Conn { stream, peer, buf: Vec::new() })
     }
 
+    /// Reads what comes by `until`; false: nothing came. The end of the connection is an error.
+    fn fill(&mut self, until: Instant) -> Result<bool, CallError> {
+        let [ready] = wait::readable([Some(&self.stream)], until).map_err(CallError::Broken)?;
+        if !ready {
+            return Ok(false);
+        }
+        let mut chunk = [0; 4096];
+        match self.stream.read(&mut chunk) {
+            Ok(0) => return Err(CallError::Broken(io::ErrorKind::UnexpectedEof.into())),
+            Ok(n) => self.buf.extend_from_slice(&chunk[..n]),
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(CallError::Broken(e)),
+        }
+        Ok(true)
+    }
+
     /// All that still comes, until the server closes or the time is up.
     pub fn rest(mut self, until: Instant) -> Vec<u8> {
         let mut chunk = [0; 4096];
@@ -157,17 +173,9 @@
                 let decoder = Decoder::endless(framing);
                 return Ok((response, Stream { conn: self.conn, decoder }));
             }
-            let [ready] = wait::readable([Some(&self.conn.stream)], until).map_err(CallError::Broken)?;
-            if !ready {
+            if !self.conn.fill(until)? {
                 return Err(CallError::TimedOut);
             }
-            let mut chunk = [0; 4096];
-            match self.conn.stream.read(&mut chunk) {
-                Ok(0) => return Err(CallError::Broken(io::ErrorKind::UnexpectedEof.into())),
-                Ok(n) => self.conn.buf.extend_from_slice(&chunk[..n]),
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) => return Err(CallError::Broken(e)),
-            }
         }
     }
 }
@@ -191,17 +199,9 @@
             if self.decoder.done() {
                 return Err(CallError::Broken(io::ErrorKind::UnexpectedEof.into()));
             }
-            let [ready] = wait::readable([Some(&self.conn.stream)], until).map_err(CallError::Broken)?;
-            if !ready {
+            if !self.conn.fill(until)? {
                 return Ok(part);
             }
-            let mut chunk = [0; 4096];
-            match self.conn.stream.read(&mut chunk) {
-                Ok(0) => return Err(CallError::Broken(io::ErrorKind::UnexpectedEof.into())),
-                Ok(n) => self.conn.buf.extend_from_slice(&chunk[..n]),
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) => return Err(CallError::Broken(e)),
-            }
         }
     }
 }
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -38,6 +38,37 @@
     }
 }
 
+/// What requests and responses are built and read with alike.
+macro_rules! parts {
+    ($($message:ident)*) => {$(
+        impl $message {
+            /// Adds a field; a value that is none is left out.
+            #[must_use]
+            pub fn with(mut self, name: HeaderName, value: impl AsRef<[u8]>) -> Self {
+                if let Ok(value) = HeaderValue::from_bytes(value.as_ref()) {
+                    self.headers.append(name, value);
+                }
+                self
+            }
+
+            /// Sets the body and its type.
+            #[must_use]
+            pub fn body(self, kind: &'static str, body: impl Into<Vec<u8>>) -> Self {
+                let mut this = self.with(header::CONTENT_TYPE, kind);
+                this.body = body.into();
+                this
+            }
+
+            /// A field's value as text.
+            pub fn field(&self, name: impl http::header::AsHeaderName) -> Option<&str> {
+                self.headers.get(name).and_then(|v| v.to_str().ok())
+            }
+        }
+    )*};
+}
+
+parts!(Request Response);
+
 /// A request, whole.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Request {
@@ -65,28 +96,6 @@
         }
     }
 
-    /// Adds a field; a value that is none is left out.
-    #[must_use]
-    pub fn with(mut self, name: HeaderName, value: impl AsRef<[u8]>) -> Self {
-        if let Ok(value) = HeaderValue::from_bytes(value.as_ref()) {
-            self.headers.append(name, value);
-        }
-        self
-    }
-
-    /// Sets the body and its type.
-    #[must_use]
-    pub fn body(self, kind: &'static str, body: impl Into<Vec<u8>>) -> Self {
-        let mut this = self.with(header::CONTENT_TYPE, kind);
-        this.body = body.into();
-        this
-    }
-
-    /// A field's value as text.
-    pub fn field(&self, name: impl http::header::AsHeaderName) -> Option<&str> {
-        self.headers.get(name).and_then(|v| v.to_str().ok())
-    }
-
     /// Path without the query.
     pub fn path(&self) -> &str {
         self.target.split('?').next().unwrap_or_default()
@@ -128,28 +137,6 @@
         Response::new(status).body("text/plain; charset=utf-8", format!("{text}\n"))
     }
 
-    /// Adds a field; a value that is none is left out.
-    #[must_use]
-    pub fn with(mut self, name: HeaderName, value: impl AsRef<[u8]>) -> Self {
-        if let Ok(value) = HeaderValue::from_bytes(value.as_ref()) {
-            self.headers.append(name, value);
-        }
-        self
-    }
-
-    /// Sets the body and its type.
-    #[must_use]
-    pub fn body(self, kind: &'static str, body: impl Into<Vec<u8>>) -> Self {
-        let mut this = self.with(header::CONTENT_TYPE, kind);
-        this.body = body.into();
-        this
-    }
-
-    /// A field's value as text.
-    pub fn field(&self, name: impl http::header::AsHeaderName) -> Option<&str> {
-        self.headers.get(name).and_then(|v| v.to_str().ok())
-    }
-
     /// The bytes on the wire.
     pub fn encode(&self, to: &Method) -> Vec<u8> {
         let mut head = status_line(self.status);
