SIP transactions without I/O: once told, once ended, over any network

The second front begins with its lowest layer. crates/sip reads messages behind bounds with a kept parser (compact and folded fields put in long form, naming fields only once, branches with the cookie), cuts streams into messages, and holds the four transaction machines with RFC 6026's Accepted state in a bounded table driven by messages and time.

Found by the property over a losing, repeating, reordering network: with the figures' own times a last copy of a request could come after its transaction had ended and be told again, which would set a session up twice.

--- /dev/null
+++ b/crates/sip/src/lib.rs
@@ -0,0 +1,13 @@
+//! SIP (RFC 3261) as the session front needs it, without sockets, clock or randomness of its own.
+//!
+//! [`message`] reads what comes from outside behind bounds, with a kept parser, and builds answers. [`framing`] cuts a
+//! byte stream into messages. [`transaction`] holds the four state machines of section 17 with the corrections of RFC
+//! 6026, and a bounded table of them that is driven by messages and by time.
+#![forbid(unsafe_code)]
+
+pub mod framing;
+pub mod message;
+pub mod timer;
+pub mod transaction;
+
+pub use message::{Message, Method, Request, Response};
--- /dev/null
+++ b/crates/sip/src/transaction/client.rs
@@ -0,0 +1,160 @@
+//! Client transactions: figures 5 and 6 of RFC 3261, the first with RFC 6026's Accepted state.
+
+use beechloft_core::api::Micros;
+
+use super::Transport;
+use crate::message::{Method, Request, Response};
+use crate::timer::{ABSORB, Backoff, T4, TRIES};
+
+/// Where a client transaction is.
+#[derive(Debug)]
+enum State {
+    /// Nothing has come. Repeated at a time (timers A and E), given up at another (B and F).
+    Calling { repeat: Option<(Micros, Backoff)>, until: Micros },
+    /// A provisional response has come. An INVITE then waits as long as its user does.
+    Proceeding { repeat: Option<(Micros, Backoff)>, until: Option<Micros> },
+    /// A final response other than 2xx to INVITE has come; repeated ones are acknowledged again (timer D).
+    Completed { ack: Box<Request>, until: Micros },
+    /// The final response of a request other than INVITE has come; repeated ones are absorbed (timer K).
+    Answered { until: Micros },
+    /// A 2xx to INVITE has come; further ones are told (timer M).
+    Accepted { until: Micros },
+    /// Over.
+    Terminated,
+}
+
+/// What a client transaction wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Step {
+    /// Send its request or an ACK.
+    Send(Box<Request>),
+    /// Tell its user of a response.
+    Tell(Box<Response>),
+    /// Tell its user that no final response came.
+    TimedOut,
+}
+
+/// One client transaction.
+#[derive(Debug)]
+pub struct Client {
+    request: Request,
+    transport: Transport,
+    state: State,
+}
+
+impl Client {
+    /// Begins by sending a request.
+    pub fn new(now: Micros, request: Request, transport: Transport, out: &mut Vec<Step>) -> Self {
+        let mut backoff =
+            if request.method() == Method::Invite { Backoff::invite() } else { Backoff::bounded() };
+        let repeat = (transport == Transport::Udp).then(|| (now + backoff.take(), backoff));
+        out.push(Step::Send(Box::new(request.clone())));
+        Client { request, transport, state: State::Calling { repeat, until: now + TRIES } }
+    }
+
+    /// The request that it sent.
+    pub fn request(&self) -> &Request {
+        &self.request
+    }
+
+    fn is_invite(&self) -> bool {
+        self.request.method() == Method::Invite
+    }
+
+    /// A response to it came.
+    pub fn received(&mut self, now: Micros, response: Response, out: &mut Vec<Step>) {
+        let (response, invite) = (Box::new(response), self.is_invite());
+        match (&mut self.state, response.status) {
+            (State::Calling { until, .. }, 100..=199) => {
+                let until = *until;
+                let repeat = (!invite && self.transport == Transport::Udp).then(|| {
+                    let mut backoff = Backoff::slow();
+                    (now + backoff.take(), backoff)
+                });
+                self.state = State::Proceeding { repeat, until: (!invite).then_some(until) };
+                out.push(Step::Tell(response));
+            }
+            (State::Proceeding { .. }, 100..=199) => out.push(Step::Tell(response)),
+            (State::Calling { .. } | State::Proceeding { .. }, 200..=299) if invite => {
+                self.state = State::Accepted { until: now + TRIES };
+                out.push(Step::Tell(response));
+            }
+            (State::Accepted { .. }, 200..=299) => out.push(Step::Tell(response)),
+            (State::Calling { .. } | State::Proceeding { .. }, _) if invite => {
+                let ack = Box::new(self.request.ack_for(&response));
+                out.push(Step::Send(ack.clone()));
+                let wait = self.transport.wait(ABSORB);
+                self.state = State::Completed { ack, until: now + wait };
+                self.end_if(wait == Micros(0));
+                out.push(Step::Tell(response));
+            }
+            (State::Calling { .. } | State::Proceeding { .. }, _) => {
+                let wait = self.transport.wait(T4);
+                self.state = State::Answered { until: now + wait };
+                self.end_if(wait == Micros(0));
+                out.push(Step::Tell(response));
+            }
+            // A repeated failure means that the ACK was lost. One with another tag is another's, and not acknowledged.
+            (State::Completed { ack, .. }, 300..) if ack.names.to_tag == response.names.to_tag => {
+                out.push(Step::Send(ack.clone()));
+            }
+            _ => {}
+        }
+    }
+
+    fn end_if(&mut self, over: bool) {
+        if over {
+            self.state = State::Terminated;
+        }
+    }
+
+    /// What is due by now.
+    pub fn due(&mut self, now: Micros, out: &mut Vec<Step>) {
+        match &mut self.state {
+            State::Calling { until, .. } | State::Proceeding { until: Some(until), .. } if *until <= now => {
+                out.push(Step::TimedOut);
+                self.state = State::Terminated;
+            }
+            State::Calling { repeat: Some((at, backoff)), .. }
+            | State::Proceeding { repeat: Some((at, backoff)), .. }
+                if *at <= now =>
+            {
+                out.push(Step::Send(Box::new(self.request.clone())));
+                *at = now + backoff.take();
+            }
+            State::Completed { until, .. } | State::Answered { until } | State::Accepted { until }
+                if *until <= now =>
+            {
+                self.state = State::Terminated;
+            }
+            _ => {}
+        }
+    }
+
+    /// When [`Client::due`] is next needed.
+    pub fn next_due(&self) -> Option<Micros> {
+        match &self.state {
+            State::Calling { repeat, until } => Some(repeat.map_or(*until, |r| r.0.min(*until))),
+            State::Proceeding { repeat, until } => repeat.map(|r| r.0).into_iter().chain(*until).min(),
+            State::Completed { until, .. } | State::Answered { until } | State::Accepted { until } => {
+                Some(*until)
+            }
+            State::Terminated => None,
+        }
+    }
+
+    /// Whether a CANCEL may be sent: a provisional response has come and no final one (section 9.1).
+    pub fn may_cancel(&self) -> bool {
+        self.is_invite() && matches!(self.state, State::Proceeding { .. })
+    }
+
+    /// Whether a final response has come, or none will.
+    pub fn is_answered(&self) -> bool {
+        !matches!(self.state, State::Calling { .. } | State::Proceeding { .. })
+    }
+
+    /// Whether it is over.
+    pub fn is_over(&self) -> bool {
+        matches!(self.state, State::Terminated)
+    }
+}
--- /dev/null
+++ b/crates/sip/src/transaction/layer.rs
@@ -0,0 +1,329 @@
+//! The table of transactions: messages find theirs, time moves them, and their number is bounded.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use beechloft_core::api::Micros;
+
+use super::Transport;
+use super::client::{self, Client};
+use super::server::{self, Server};
+use crate::message::{Message, Method, Request, Response};
+
+/// Server transactions at once; past that a new request gets a 503 that is remembered nowhere.
+pub const SERVERS: usize = 200_000;
+
+/// Which side of a transaction we are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Side {
+    /// We were asked.
+    Server,
+    /// We asked.
+    Client,
+}
+
+/// What tells transactions apart (sections 17.1.3 and 17.2.3). An ACK of a failure has its INVITE's key.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Key {
+    side: Side,
+    branch: String,
+    sent_by: String,
+    method: &'static str,
+}
+
+fn word(method: Method) -> &'static str {
+    match method {
+        Method::Invite | Method::Ack => "INVITE",
+        Method::Bye => "BYE",
+        Method::Cancel => "CANCEL",
+        Method::Options => "OPTIONS",
+        Method::Update => "UPDATE",
+        Method::PRack => "PRACK",
+        Method::Info => "INFO",
+        Method::Message => "MESSAGE",
+        Method::Notify => "NOTIFY",
+        Method::Publish => "PUBLISH",
+        Method::Refer => "REFER",
+        Method::Register => "REGISTER",
+        Method::Subscribe => "SUBSCRIBE",
+    }
+}
+
+impl Key {
+    fn server(request: &Request) -> Key {
+        let names = &request.names;
+        let (branch, sent_by) = (names.branch.clone(), names.sent_by.clone());
+        Key { side: Side::Server, branch, sent_by, method: word(request.method()) }
+    }
+
+    fn client(branch: &str, method: Method) -> Key {
+        // Our own branches are unique by themselves; the response's sent-by is ours.
+        Key { side: Side::Client, branch: branch.to_owned(), sent_by: String::new(), method: word(method) }
+    }
+
+    /// The key of the INVITE that a CANCEL is about.
+    fn cancelled(request: &Request) -> Key {
+        Key { method: "INVITE", ..Key::server(request) }
+    }
+
+    /// Which side we are.
+    pub fn side(&self) -> Side {
+        self.side
+    }
+}
+
+/// Where messages come from and go to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Peer {
+    /// The other side's address.
+    pub address: SocketAddr,
+    /// How it is reached.
+    pub transport: Transport,
+}
+
+/// What happens to the layer.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Input {
+    /// A message came.
+    Received(Peer, Box<Message>),
+    /// The user sends a request in a transaction of its own. An ACK of a 2xx is not one: it is sent as it is.
+    Send(Peer, Box<Request>),
+    /// The user answers a request.
+    Respond(Key, Box<Response>),
+    /// A stream to a peer is gone.
+    Lost(Peer),
+    /// Time passes.
+    Tick,
+}
+
+/// What the layer wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Output {
+    /// Put a message on the wire.
+    Transmit(Peer, Box<Message>),
+    /// A new request for the user; it is told once.
+    Request(Key, Peer, Box<Request>),
+    /// A CANCEL for a request that has no final answer yet. The CANCEL itself has been answered.
+    Cancelled(Key),
+    /// An ACK of a 2xx, which belongs to a dialog.
+    Ack(Peer, Box<Request>),
+    /// A response to a request of the user.
+    Response(Key, Box<Response>),
+    /// No final response came in time, or the stream broke before one.
+    TimedOut(Key),
+    /// A 2xx that belongs to no transaction any more; its dialog may still have to acknowledge it.
+    Stray(Peer, Box<Response>),
+    /// The ACK of a failure never came.
+    NoAck(Key),
+}
+
+/// All transactions of one front.
+#[derive(Debug, Default)]
+pub struct Layer {
+    servers: BTreeMap<Key, (Peer, Server)>,
+    clients: BTreeMap<Key, (Peer, Client)>,
+    due: BTreeSet<(Micros, Key)>,
+    now: Micros,
+}
+
+impl Layer {
+    /// Takes one input and appends what is to be done. A `now` that goes back counts as the one before.
+    pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
+        self.now = self.now.max(now);
+        self.run_due(out);
+        match input {
+            Input::Received(peer, message) => match *message {
+                Message::Request(request) => self.request(peer, request, out),
+                Message::Response(response) => self.response(peer, response, out),
+            },
+            Input::Send(peer, request) => self.send(peer, *request, out),
+            Input::Respond(key, response) => self.respond(key, *response, out),
+            Input::Lost(peer) => self.lost(peer, out),
+            Input::Tick => {}
+        }
+    }
+
+    /// When [`Input::Tick`] is next needed.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.due.first().map(|d| d.0)
+    }
+
+    /// Transactions that are not over.
+    pub fn len(&self) -> usize {
+        self.servers.len() + self.clients.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Whether a CANCEL may be sent for a request of the user now.
+    pub fn may_cancel(&self, key: &Key) -> bool {
+        self.clients.get(key).is_some_and(|c| c.1.may_cancel())
+    }
+
+    /// The key under which a request of the user goes.
+    pub fn key_of(request: &Request) -> Key {
+        Key::client(&request.names.branch, request.method())
+    }
+
+    fn request(&mut self, peer: Peer, request: Request, out: &mut Vec<Output>) {
+        let key = Key::server(&request);
+        if self.servers.contains_key(&key) {
+            let method = request.method();
+            return self.on_server(&key, out, |server, now, steps| server.received(now, method, steps));
+        }
+        match request.method() {
+            // Not of a failure: of a 2xx, whose transaction it is not (section 13.2.2.4).
+            Method::Ack => return out.push(Output::Ack(peer, Box::new(request))),
+            _ if self.servers.len() >= SERVERS => {
+                let mut full = request.answer(503, "full");
+                full.raw.headers.push(rsip::Header::RetryAfter("1".into()));
+                return out.push(Output::Transmit(peer, Box::new(Message::Response(full))));
+            }
+            Method::Cancel => return self.cancel(key, peer, request, out),
+            _ => {}
+        }
+        self.begin(&key, peer, &request);
+        out.push(Output::Request(key, peer, Box::new(request)));
+    }
+
+    fn begin(&mut self, key: &Key, peer: Peer, request: &Request) {
+        let server = Server::new(self.now, request.clone(), peer.transport);
+        self.due.extend(server.next_due().map(|at| (at, key.clone())));
+        self.servers.insert(key.clone(), (peer, server));
+    }
+
+    /// A CANCEL is answered here (section 9.2): 200 if what it is about is known, else 481. The user is told if that
+    /// has no final answer yet.
+    fn cancel(&mut self, key: Key, peer: Peer, request: Request, out: &mut Vec<Output>) {
+        let about = Key::cancelled(&request);
+        let known = self.servers.get(&about).map(|(_, s)| s.is_answered());
+        self.begin(&key, peer, &request);
+        let status = if known.is_some() { 200 } else { 481 };
+        let answer = request.answer(status, "c");
+        self.on_server(&key, out, |server, now, steps| {
+            server.respond(now, answer, steps);
+        });
+        if known == Some(false) {
+            out.push(Output::Cancelled(about));
+        }
+    }
+
+    fn respond(&mut self, key: Key, response: Response, out: &mut Vec<Output>) {
+        if self.servers.contains_key(&key) {
+            self.on_server(&key, out, |server, now, steps| {
+                server.respond(now, response, steps);
+            });
+        }
+    }
+
+    fn send(&mut self, peer: Peer, request: Request, out: &mut Vec<Output>) {
+        if request.method() == Method::Ack {
+            return out.push(Output::Transmit(peer, Box::new(Message::Request(request))));
+        }
+        let key = Layer::key_of(&request);
+        let mut steps = Vec::new();
+        let client = Client::new(self.now, request, peer.transport, &mut steps);
+        self.due.extend(client.next_due().map(|at| (at, key.clone())));
+        self.clients.insert(key.clone(), (peer, client));
+        carry_out(&key, peer, steps, out);
+    }
+
+    fn response(&mut self, peer: Peer, response: Response, out: &mut Vec<Output>) {
+        let key = Key::client(&response.names.branch, response.method);
+        let ours = |c: &(Peer, Client)| {
+            let (own, got) = (&c.1.request().names, &response.names);
+            // A forged response that does not know the call and its tag is nobody's.
+            own.call == got.call && own.from_tag == got.from_tag && own.seq == got.seq
+        };
+        if self.clients.get(&key).is_some_and(ours) {
+            self.on_client(&key, out, |client, now, steps| client.received(now, response, steps));
+        } else if response.method == Method::Invite && (200..300).contains(&response.status) {
+            out.push(Output::Stray(peer, Box::new(response)));
+        }
+    }
+
+    /// A stream is gone: requests that wait on it will have no answer.
+    fn lost(&mut self, peer: Peer, out: &mut Vec<Output>) {
+        let on = |p: &Peer| *p == peer && peer.transport == Transport::Tcp;
+        let gone: Vec<Key> = self.clients.iter().filter(|(_, c)| on(&c.0)).map(|(k, _)| k.clone()).collect();
+        for key in gone {
+            if let Some((_, client)) = self.clients.remove(&key) {
+                self.due.retain(|d| d.1 != key);
+                if !client.is_answered() {
+                    out.push(Output::TimedOut(key));
+                }
+            }
+        }
+    }
+
+    fn run_due(&mut self, out: &mut Vec<Output>) {
+        while let Some((at, key)) = self.due.first().filter(|d| d.0 <= self.now).cloned() {
+            self.due.remove(&(at, key.clone()));
+            match key.side {
+                Side::Server => self.on_server(&key, out, |server, now, steps| server.due(now, steps)),
+                Side::Client => self.on_client(&key, out, |client, now, steps| client.due(now, steps)),
+            }
+        }
+    }
+
+    fn on_server(
+        &mut self,
+        key: &Key,
+        out: &mut Vec<Output>,
+        f: impl FnOnce(&mut Server, Micros, &mut Vec<server::Step>),
+    ) {
+        let Some((peer, server)) = self.servers.get_mut(key) else { return };
+        if let Some(at) = server.next_due() {
+            self.due.remove(&(at, key.clone()));
+        }
+        let mut steps = Vec::new();
+        f(server, self.now, &mut steps);
+        for step in steps {
+            out.push(match step {
+                server::Step::Send(response) => {
+                    Output::Transmit(*peer, Box::new(Message::Response(*response)))
+                }
+                server::Step::NoAck => Output::NoAck(key.clone()),
+            });
+        }
+        if server.is_over() {
+            self.servers.remove(key);
+        } else if let Some(at) = server.next_due() {
+            self.due.insert((at, key.clone()));
+        }
+    }
+
+    fn on_client(
+        &mut self,
+        key: &Key,
+        out: &mut Vec<Output>,
+        f: impl FnOnce(&mut Client, Micros, &mut Vec<client::Step>),
+    ) {
+        let Some((peer, client)) = self.clients.get_mut(key) else { return };
+        if let Some(at) = client.next_due() {
+            self.due.remove(&(at, key.clone()));
+        }
+        let mut steps = Vec::new();
+        f(client, self.now, &mut steps);
+        let (peer, over, next) = (*peer, client.is_over(), client.next_due());
+        carry_out(key, peer, steps, out);
+        if over {
+            self.clients.remove(key);
+        } else if let Some(at) = next {
+            self.due.insert((at, key.clone()));
+        }
+    }
+}
+
+fn carry_out(key: &Key, peer: Peer, steps: Vec<client::Step>, out: &mut Vec<Output>) {
+    for step in steps {
+        out.push(match step {
+            client::Step::Send(request) => Output::Transmit(peer, Box::new(Message::Request(*request))),
+            client::Step::Tell(response) => Output::Response(key.clone(), response),
+            client::Step::TimedOut => Output::TimedOut(key.clone()),
+        });
+    }
+}
