--- /dev/null
+++ b/crates/sip/src/dialog.rs
@@ -0,0 +1,218 @@
+//! Dialogs (RFC 3261, section 12): what both sides of a call must remember to speak of it.
+
+use rsip::headers::{ToTypedHeader, UntypedHeader};
+use rsip::message::HeadersExt;
+use rsip::{Header, Headers};
+
+use crate::message::{COOKIE, Message, MessageError, Method, Request, Response};
+
+/// Record-Route entries at most; each request of the dialog carries them all.
+pub const ROUTES: usize = 16;
+
+/// Makes names that nobody else has: branches, tags, call ids. Seeded, so that a run can be repeated.
+#[derive(Debug, Clone)]
+pub struct Mint(u64);
+
+impl Mint {
+    /// Names that follow from a seed.
+    pub fn new(seed: u64) -> Self {
+        Mint(seed)
+    }
+
+    /// Splitmix64: spreads every seed over all numbers, and never comes to the same one twice in its period.
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let z = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    /// A tag or a call id.
+    pub fn name(&mut self) -> String {
+        format!("{:016x}", self.next())
+    }
+
+    /// A branch.
+    pub fn branch(&mut self) -> String {
+        format!("{COOKIE}{:016x}", self.next())
+    }
+}
+
+/// Who we are on one hop.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Local {
+    /// `UDP` or `TCP`.
+    pub transport: &'static str,
+    /// Where answers come: `host:port`.
+    pub sent_by: String,
+}
+
+/// A dialog, from one side.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Dialog {
+    call: String,
+    local_tag: String,
+    remote_tag: String,
+    local: String,
+    remote: String,
+    target: String,
+    routes: Vec<String>,
+    seq: u32,
+    remote_seq: Option<u32>,
+}
+
+/// The address within the first `Contact`.
+fn contact(message: &impl HeadersExt) -> Result<String, MessageError> {
+    let bad = |_| MessageError::Field("Contact");
+    Ok(message.contact_header().map_err(bad)?.typed().map_err(bad)?.uri.to_string())
+}
+
+fn record_routes(headers: &Headers) -> Result<Vec<String>, MessageError> {
+    let mut routes = Vec::new();
+    for header in headers.iter() {
+        if let Header::RecordRoute(route) = header {
+            routes.extend(route.value().split(',').map(|r| r.trim().to_owned()));
+        }
+    }
+    if routes.len() > ROUTES { Err(MessageError::Field("Record-Route")) } else { Ok(routes) }
+}
+
+/// The address of a `From` or `To`, without its tag.
+fn address(text: &str) -> String {
+    match text.rfind('>') {
+        Some(end) => text[..=end].to_owned(),
+        None => format!("<{}>", text.split(';').next().unwrap_or_default().trim()),
+    }
+}
+
+fn parties(message: &impl HeadersExt) -> Result<(String, String), MessageError> {
+    let from = message.from_header().map_err(|_| MessageError::Field("From"))?.value();
+    let to = message.to_header().map_err(|_| MessageError::Field("To"))?.value();
+    Ok((address(from), address(to)))
+}
+
+impl Dialog {
+    /// The side that was asked, with the tag that its answer carries.
+    pub fn as_server(invite: &Request, tag: &str) -> Result<Dialog, MessageError> {
+        let (from, to) = parties(&invite.raw)?;
+        Ok(Dialog {
+            call: invite.names.call.clone(),
+            local_tag: tag.to_owned(),
+            remote_tag: invite.names.from_tag.clone(),
+            local: to,
+            remote: from,
+            target: contact(&invite.raw)?,
+            routes: record_routes(&invite.raw.headers)?,
+            seq: 0,
+            remote_seq: Some(invite.names.seq),
+        })
+    }
+
+    /// The side that asked, from the answer.
+    pub fn as_client(invite: &Request, answer: &Response) -> Result<Dialog, MessageError> {
+        let (from, to) = parties(&answer.raw)?;
+        let mut routes = record_routes(&answer.raw.headers)?;
+        routes.reverse();
+        Ok(Dialog {
+            call: invite.names.call.clone(),
+            local_tag: invite.names.from_tag.clone(),
+            remote_tag: answer.names.to_tag.clone().ok_or(MessageError::Field("To"))?,
+            local: from,
+            remote: to,
+            target: contact(&answer.raw)?,
+            routes,
+            seq: invite.names.seq,
+            remote_seq: None,
+        })
+    }
+
+    /// Where its requests go if no route leads there: the other side's own address.
+    pub fn target(&self) -> &str {
+        &self.target
+    }
+
+    /// The next request of the dialog; none: what the other side gave as its address makes no request.
+    pub fn request(
+        &mut self,
+        method: Method,
+        at: &Local,
+        branch: &str,
+        body: Option<&str>,
+    ) -> Option<Request> {
+        self.seq += 1;
+        self.build(method, self.seq, at, branch, body)
+    }
+
+    /// The ACK of a 2xx to the INVITE of this number (section 13.2.2.4): a branch of its own, the INVITE's number.
+    pub fn ack(&self, seq: u32, at: &Local, branch: &str) -> Option<Request> {
+        self.build(Method::Ack, seq, at, branch, None)
+    }
+
+    fn build(
+        &self,
+        method: Method,
+        seq: u32,
+        at: &Local,
+        branch: &str,
+        body: Option<&str>,
+    ) -> Option<Request> {
+        use std::fmt::Write as _;
+        let body = body.unwrap_or_default();
+        let mut text = format!(
+            "{method} {} SIP/2.0\r\nVia: SIP/2.0/{} {};branch={branch}\r\nMax-Forwards: 70\r\n",
+            self.target, at.transport, at.sent_by
+        );
+        for route in &self.routes {
+            let _ = write!(text, "Route: {route}\r\n");
+        }
+        let _ = write!(
+            text,
+            "From: {};tag={}\r\nTo: {};tag={}\r\nCall-ID: {}\r\nCSeq: {seq} {method}\r\nContact: <sip:{}>\r\n",
+            self.local, self.local_tag, self.remote, self.remote_tag, self.call, at.sent_by
+        );
+        if !body.is_empty() {
+            text.push_str("Content-Type: application/sdp\r\n");
+        }
+        let _ = write!(text, "Content-Length: {}\r\n\r\n{body}", body.len());
+        match Message::parse(text.as_bytes()) {
+            Ok(Message::Request(request)) => Some(request),
+            _ => None,
+        }
+    }
+
+    /// Whether a request is of this dialog and in order; else the status that says why not: 481 for a foreign one, 500
+    /// for one that comes after a later one (section 12.2.2).
+    pub fn takes(&mut self, request: &Request) -> Result<(), u16> {
+        let names = &request.names;
+        let ours = names.call == self.call
+            && names.from_tag == self.remote_tag
+            && names.to_tag.as_deref() == Some(self.local_tag.as_str());
+        if !ours {
+            return Err(481);
+        }
+        // An ACK has the number of its INVITE.
+        if request.method() == Method::Ack {
+            return Ok(());
+        }
+        if self.remote_seq.is_some_and(|last| names.seq <= last) {
+            return Err(500);
+        }
+        self.remote_seq = Some(names.seq);
+        if matches!(request.method(), Method::Invite | Method::Update)
+            && let Ok(target) = contact(&request.raw)
+        {
+            self.target = target; // a target refresh (section 12.2.1.1)
+        }
+        Ok(())
+    }
+
+    /// The `Call-ID`.
+    pub fn call(&self) -> &str {
+        &self.call
+    }
+
+    /// Our tag.
+    pub fn local_tag(&self) -> &str {
+        &self.local_tag
+    }
+}
