Back-to-back user agent for SIP on the same core, without I/O

agent::Agent ties callers' and boxes' legs to the front's core: an INVITE is an ask, an attempt an INVITE on a connection of its own, a leg's end a verdict, a release a BYE, a rung an UPDATE with the offer limited to its rate. The core now tells the rate with a changed rung.

Tested with the real core on a simulated clock and network between scripted callers and boxes of twelve manners, and by a property over any mix of them with CANCELs, missing ACKs and BYEs at any time: one final answer in the caller's time, one attempt out at once, nothing left at a box.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -525,11 +525,13 @@
         match action {
             Action::SetUp(id, server, until) => self.set_up(id, server, until, out),
             Action::SetRung(id, rung) => {
+                let Some(class) = self.sessions.get(&id).map(|s| s.class) else { return };
+                let rate_kb = self.rate_kb(class, rung);
                 let Some(session) = self.sessions.get_mut(&id) else { return };
                 session.rung = rung;
                 if let Stage::Playing(Playing { server, layers: Some(layers), .. }) = &session.stage {
                     let (server, layers) = (*server, layers.to_string());
-                    out.push(Output::SetRung { server, session: id, layers, rung });
+                    out.push(Output::SetRung { server, session: id, layers, rung, rate_kb });
                 }
             }
             Action::Refuse(id, advice) => {
@@ -552,12 +554,16 @@
         }
     }
 
+    /// The rate of a rung of a class, kB a second.
+    fn rate_kb(&self, class: ClassId, rung: Rung) -> f64 {
+        let scale = self.set.classes.get(usize::from(class.0)).map_or(1.0, |c| c.scale);
+        scale * self.set.ladder.rates_kb.get(usize::from(rung.0)).copied().unwrap_or(0.0)
+    }
+
     fn set_up(&mut self, id: SessionId, server: ServerId, until: Micros, out: &mut Vec<Output>) {
         let line = self.catalog.server(server);
-        let rate_kb = |class: ClassId, rung: Rung| {
-            let scale = self.set.classes.get(usize::from(class.0)).map_or(1.0, |c| c.scale);
-            scale * self.set.ladder.rates_kb.get(usize::from(rung.0)).copied().unwrap_or(0.0)
-        };
+        let Some((class, rung)) = self.sessions.get(&id).map(|s| (s.class, s.rung)) else { return };
+        let rate_kb = self.rate_kb(class, rung);
         let Some(session) = self.sessions.get_mut(&id) else { return };
         let number = session.made;
         session.made += 1;
@@ -565,8 +571,7 @@
         match (&mut session.stage, line) {
             (Stage::Owed(owed, out_now @ None), Some(line)) => {
                 *out_now = Some(Attempt { id: attempt, server, until });
-                let (request, rung, url) = (owed.request(), session.rung, line.url.clone());
-                let rate_kb = rate_kb(session.class, rung);
+                let (request, url) = (owed.request(), line.url.clone());
                 self.overdue.insert((overdue(until), id));
                 out.push(Output::SetUp { attempt, request, server, url, rung, rate_kb, until });
             }
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -252,6 +252,8 @@
         layers: String,
         /// The rung.
         rung: Rung,
+        /// The rung's rate, kB a second.
+        rate_kb: f64,
     },
     /// End a session at a box, and say how it went.
     Release {
--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -322,7 +322,7 @@
             }
             // The viewer's own thread dropped the attempt when it saw the hang-up.
             Output::Cancel(_) => {}
-            Output::SetRung { server, session, layers, rung } => {
+            Output::SetRung { server, session, layers, rung, .. } => {
                 debug!(
                     target: "core", session = format_args!("{:016x}", session.0), server = server.0, rung = rung.0,
                     "rung"
--- a/crates/sip/src/callee.rs
+++ b/crates/sip/src/callee.rs
@@ -12,6 +12,7 @@
 use crate::dialog::{Dialog, Local, Mint};
 use crate::message::{Method, Request, Response};
 use crate::timer::TRIES;
+use crate::transaction::{Key, Layer};
 
 /// What happens to the leg.
 #[derive(Debug, Clone, Copy)]
@@ -57,8 +58,8 @@
     Calling { tried: bool, given_up: Option<Micros> },
     /// The call stands.
     Up(Box<Dialog>),
-    /// A BYE is out.
-    Ending(Box<Dialog>),
+    /// A BYE is out, under this key.
+    Ending(Box<Dialog>, Option<Key>),
     /// Given up without a final response; a late 2xx is still ended until this time.
     Abandoned { until: Micros },
     /// Nothing is left.
@@ -89,6 +90,11 @@
         if let State::Up(dialog) = &mut self.state { Some(dialog) } else { None }
     }
 
+    /// The key of its BYE, while one is out.
+    pub fn bye_key(&self) -> Option<Key> {
+        if let State::Ending(_, bye) = &self.state { bye.clone() } else { None }
+    }
+
     /// Whether nothing is left of it.
     pub fn is_gone(&self) -> bool {
         matches!(self.state, State::Gone)
@@ -104,7 +110,7 @@
             In::End => self.end(now, mint, out),
             In::Bye => self.box_hung_up(out),
             In::ByeDone => {
-                if let State::Ending(_) = self.state {
+                if let State::Ending(..) = self.state {
                     self.gone(out);
                 }
             }
@@ -150,7 +156,7 @@
             out.extend(ack.map(|a| Out::Ack(Box::new(a))));
         };
         match &mut self.state {
-            State::Up(dialog) | State::Ending(dialog) => return ack(dialog, mint, out),
+            State::Up(dialog) | State::Ending(dialog, _) => return ack(dialog, mint, out),
             State::Gone => {
                 // Its BYE was answered, and yet the 2xx comes again: the ACK was lost.
                 if let Ok(dialog) = Dialog::as_client(&self.invite, response) {
@@ -177,8 +183,9 @@
             return;
         }
         let bye = dialog.request(Method::Bye, &self.at, &mint.branch(), None);
+        let key = bye.as_ref().map(Layer::key_of);
         out.extend(bye.map(|b| Out::Send(Box::new(b))));
-        self.state = State::Ending(Box::new(dialog));
+        self.state = State::Ending(Box::new(dialog), key);
         if counts {
             out.push(Out::Over(None));
         }
@@ -219,7 +226,7 @@
                 let bye = dialog.request(Method::Bye, &self.at, &mint.branch(), None);
                 match (bye, std::mem::replace(&mut self.state, State::Gone)) {
                     (Some(bye), State::Up(dialog)) => {
-                        self.state = State::Ending(dialog);
+                        self.state = State::Ending(dialog, Some(Layer::key_of(&bye)));
                         out.push(Out::Send(Box::new(bye)));
                     }
                     _ => self.gone(out),
--- a/crates/sip/src/lib.rs
+++ b/crates/sip/src/lib.rs
@@ -3,9 +3,11 @@
 //! [`message`] reads what comes from outside behind bounds, with a kept parser, and builds answers. [`framing`] cuts a
 //! byte stream into messages. [`transaction`] holds the four state machines of section 17 with the corrections of RFC
 //! 6026, and a bounded table of them that is driven by messages and by time. [`dialog`] is what both sides of a call
-//! remember; [`caller`] and [`callee`] are the two legs of a call that a back-to-back user agent ties together.
+//! remember; [`caller`] and [`callee`] are the two legs of a call, which the back-to-back user agent in
+//! [`agent`] ties to the front's core.
 #![forbid(unsafe_code)]
 
+pub mod agent;
 pub mod callee;
 pub mod caller;
 pub mod dialog;
--- a/crates/sip/src/transaction/layer.rs
+++ b/crates/sip/src/transaction/layer.rs
@@ -79,6 +79,8 @@
     pub address: SocketAddr,
     /// How it is reached.
     pub transport: Transport,
+    /// Which connection, on a stream; 0 for datagrams.
+    pub conn: u64,
 }
 
 /// What happens to the layer.
--- a/crates/sip/tests/transactions.rs
+++ b/crates/sip/tests/transactions.rs
@@ -14,7 +14,7 @@
 const S: u64 = 1_000_000;
 
 fn peer(transport: Transport) -> Peer {
-    Peer { address: "127.0.0.1:5070".parse().expect("an address"), transport }
+    Peer { address: "127.0.0.1:5070".parse().expect("an address"), transport, conn: 0 }
 }
 
 fn text(method: &str, n: u32, to_tag: &str) -> String {
--- a/crates/whep/src/sdp.rs
+++ b/crates/whep/src/sdp.rs
@@ -76,6 +76,16 @@
     !media.get_attributes().iter().any(stops)
 }
 
+/// The rate that a media line is limited to by its sender, kB a second.
+fn limit_kb(video: &SdpMedia) -> Option<f64> {
+    let bits = video.get_bandwidth().iter().filter_map(|b| match b {
+        SdpBandwidth::Tias(bits) => Some(f64::from(*bits)),
+        SdpBandwidth::As(kbits) => Some(f64::from(*kbits) * 1000.0),
+        _ => None,
+    });
+    bits.reduce(f64::min).map(|bits| bits / 8000.0)
+}
+
 impl Offer {
     /// Checks an offer: it must have a video line that can flow the right way, and what ICE and DTLS need.
     pub fn parse(body: &[u8], publishes: bool) -> Result<Offer, SdpError> {
@@ -94,13 +104,15 @@
                 return Err(SdpError::Unusable(lacks));
             }
         }
-        let bits = video.get_bandwidth().iter().filter_map(|b| match b {
-            SdpBandwidth::Tias(bits) => Some(f64::from(*bits)),
-            SdpBandwidth::As(kbits) => Some(f64::from(*kbits) * 1000.0),
-            _ => None,
-        });
-        let max_rate_kb = bits.reduce(f64::min).map(|bits| bits / 8000.0);
-        Ok(Offer { text: text.to_owned(), max_rate_kb })
+        Ok(Offer { text: text.to_owned(), max_rate_kb: limit_kb(video) })
+    }
+
+    /// Checks an offer of plain RTP, as SIP callers make it: it must have a video line that can receive.
+    pub fn parse_plain(body: &[u8]) -> Result<Offer, SdpError> {
+        let (text, session) = parse(body)?;
+        let video = videos(&session).filter(|m| m.get_port() != 0).find(|m| flows(m, true));
+        let video = video.ok_or(SdpError::Unusable("no video line that can receive"))?;
+        Ok(Offer { text: text.to_owned(), max_rate_kb: limit_kb(video) })
     }
 
     /// The offer with its video lines limited to a rate, kB a second, by `b=TIAS` (RFC 3890).
