SIP on sockets: one front takes calls beside WHEP and WHIP, on one core and list

front.sip names an address for calls over UDP and TCP. One thread owns the user agent; each attempt has a stream of its own to its box. Boxes name their SIP address on the list, and only those that do are asked for calls; the core knows what each client speaks. Stand-in boxes take calls with the faults of their HTTP side, stand-in callers lose datagrams both ways.

Seven tests on sockets: a call from start to end, refusals, six faults of a box passed by, a CANCEL during set-up, a lost box whose callers are hung up, twelve callers losing a fifth of all datagrams (no second set-up), seats shared between a call and a player.

--- a/crates/config/src/front.rs
+++ b/crates/config/src/front.rs
@@ -49,6 +49,8 @@
 pub struct FrontSettings {
     /// Where it listens.
     pub listen: SocketAddr,
+    /// Where it takes SIP calls, over UDP and TCP, if it does.
+    pub sip: Option<SocketAddr>,
     /// The deployment.
     pub service: Service,
     /// For the module, complete.
@@ -90,6 +92,7 @@
     let b = top.section("boxes");
     FrontSettings {
         listen,
+        sip: f.address("sip"),
         settings,
         seed: f.whole("seed", 0..=u64::MAX),
         list: list_source(&top.section("list"), &service),
--- a/crates/config/src/list.rs
+++ b/crates/config/src/list.rs
@@ -35,12 +35,14 @@
     if !b.has("address") {
         b.fault("address", "missing");
     }
+    let sip: Option<std::net::SocketAddr> = b.address("sip");
     let states = [("ready", ServerState::Ready), ("draining", ServerState::Draining)];
     let last = u64::from(service.settings.racks.saturating_sub(1));
     BoxLine {
         id,
         name: b.text("name").unwrap_or_else(|| format!("box-{}", id.0)).into(),
         url: address.map_or_else(String::new, |a| a.to_string()).into(),
+        sip: sip.map(|a| a.to_string().into()),
         state: b.choice("state", &states).unwrap_or(ServerState::Ready),
         rack: b.whole("rack", 0..=last).unwrap_or(0) as u16,
         zone: ZoneId(b.index("zone", &service.zones, "zone").unwrap_or(0) as u16),
--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -9,6 +9,8 @@
 
 use beechloft::interface::*;
 
+use crate::io::Protocol;
+
 /// Boxes in one message at most; a longer one is refused whole.
 pub const MAX_BOXES: usize = 20_000;
 /// Titles at most, over all messages.
@@ -23,6 +25,8 @@
     pub name: Arc<str>,
     /// Where it listens: `host:port`.
     pub url: Arc<str>,
+    /// Where it takes SIP calls, if it does.
+    pub sip: Option<Arc<str>>,
     /// Its state.
     pub state: ServerState,
     /// The rack it stands in.
@@ -77,6 +81,16 @@
     Failed,
 }
 
+impl BoxLine {
+    /// Where sessions of a protocol are set up; none: not at this box.
+    pub fn address(&self, protocol: Protocol) -> Option<&Arc<str>> {
+        match protocol {
+            Protocol::Whep | Protocol::Whip => Some(&self.url),
+            Protocol::Sip => self.sip.as_ref(),
+        }
+    }
+}
+
 /// A title, ready to be asked for.
 #[derive(Debug, Clone)]
 pub struct Title {
@@ -233,6 +247,15 @@
         self.boxes.get(&id)
     }
 
+    /// Those of a title's holders that speak a protocol.
+    pub fn holders(&self, title: &Title, protocol: Protocol) -> Arc<BTreeSet<ServerId>> {
+        if protocol != Protocol::Sip {
+            return title.holders.clone(); // every box speaks WHEP and WHIP
+        }
+        let speaks = |id: &&ServerId| self.server(**id).is_some_and(|b| b.address(protocol).is_some());
+        Arc::new(title.holders.iter().filter(speaks).copied().collect())
+    }
+
     /// All boxes known.
     pub fn boxes(&self) -> impl Iterator<Item = &BoxLine> {
         self.boxes.values()
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -232,7 +232,7 @@
             session: ask.session,
             class: title.class,
             title: title.id,
-            on: Some(title.holders.clone()),
+            on: Some(self.catalog.holders(title, ask.protocol)),
             top: self.top_rung(class, ask.max_rate_kb),
             gives_up,
             hint: title.length,
@@ -241,6 +241,7 @@
         };
         let session = Session {
             secret: ask.secret,
+            protocol: ask.protocol,
             stage: Stage::Owed(Owed::new(ask.request), None),
             class: title.class,
             rung: Rung::default(),
@@ -568,10 +569,11 @@
         let number = session.made;
         session.made += 1;
         let attempt = attempt_id(id, number);
-        match (&mut session.stage, line) {
-            (Stage::Owed(owed, out_now @ None), Some(line)) => {
+        let address = line.and_then(|l| l.address(session.protocol)).cloned();
+        match (&mut session.stage, address) {
+            (Stage::Owed(owed, out_now @ None), Some(url)) => {
                 *out_now = Some(Attempt { id: attempt, server, until });
-                let (request, url) = (owed.request(), line.url.clone());
+                let request = owed.request();
                 self.overdue.insert((overdue(until), id));
                 out.push(Output::SetUp { attempt, request, server, url, rung, rate_kb, until });
             }
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -28,6 +28,18 @@
     pub number: u16,
 }
 
+/// What a client speaks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Protocol {
+    /// WHEP: it watches.
+    #[default]
+    Whep,
+    /// WHIP: it publishes.
+    Whip,
+    /// SIP: it calls.
+    Sip,
+}
+
 /// A client's wish for a session.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Ask {
@@ -39,8 +51,8 @@
     pub secret: Secret,
     /// The title, as in the list.
     pub title: String,
-    /// It publishes (WHIP) rather than watches (WHEP).
-    pub publishes: bool,
+    /// What it speaks, and so which of a box's addresses it is set up at.
+    pub protocol: Protocol,
     /// The highest rate that the client can use, kB a second; none: any.
     pub max_rate_kb: Option<f64>,
     /// Recognises the same offer sent again.
--- a/crates/core/src/session.rs
+++ b/crates/core/src/session.rs
@@ -4,7 +4,7 @@
 
 use beechloft::interface::{ClassId, Micros, Rung, ServerId, SessionId};
 
-use crate::io::{Answer, AttemptId, BoxReply, Output, RepeatKey, RequestId, Secret};
+use crate::io::{Answer, AttemptId, BoxReply, Output, Protocol, RepeatKey, RequestId, Secret};
 
 /// How long an attempt may take to end after it was dropped, before it counts as over.
 ///
@@ -87,6 +87,8 @@
 pub struct Session {
     /// For its address.
     pub secret: Secret,
+    /// What its client speaks.
+    pub protocol: Protocol,
     /// Where it is in its life.
     pub stage: Stage,
     /// Its class.
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -50,6 +50,7 @@
         id: ServerId(n),
         name: format!("box-{n}").into(),
         url: format!("127.0.0.1:{}", 9000 + n).into(),
+        sip: (n < 2).then(|| format!("127.0.0.1:{}", 7000 + n).into()),
         state,
         rack: (n % 2) as u16,
         zone: ZoneId((n % 2) as u16),
@@ -98,7 +99,7 @@
         session: SessionId(n),
         secret: Secret(n * 7),
         title: title.into(),
-        publishes: false,
+        protocol: Protocol::Whep,
         max_rate_kb: None,
         repeat: None,
     }
--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -13,6 +13,7 @@
 use beechloft_core::io::{Answer, Ask, AttemptId, Input, Output, RequestId, Secret};
 use beechloft_core::{Core, Exchanged};
 use beechloft_http::client::Pool;
+use beechloft_sip::agent;
 use beechloft_whep::events::PlayerEvent;
 use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
 use tracing::{debug, info, warn};
@@ -84,6 +85,7 @@
     Call(Input, RequestId, Sender<Told>),
     Status(Sender<Status>),
     Follow(SessionId, Secret, Sender<PlayerEvent>),
+    Sip(Sender<agent::Input>),
     End,
 }
 
@@ -145,6 +147,11 @@
         self.addresses.read().unwrap_or_else(PoisonError::into_inner).get(&server).copied()
     }
 
+    /// What concerns SIP goes to its agent from now on.
+    pub fn sip(&self, agent: Sender<agent::Input>) {
+        let _ = self.sender.send(Message::Sip(agent));
+    }
+
     /// A playing session's events, until it is over; nothing comes if there is no such session.
     pub fn follow(&self, session: SessionId, secret: Secret) -> Receiver<PlayerEvent> {
         let (sender, receiver) = bounded(FOLLOW_BEHIND);
@@ -194,7 +201,8 @@
         let recording = record.then(Recording::default);
         let (waiting, followers) = (BTreeMap::new(), BTreeMap::new());
         let ended = handle.ended.clone();
-        let run = Run { core, clock, calls, watchers, waiting, followers, out: Vec::new(), recording };
+        let run =
+            Run { core, clock, calls, watchers, waiting, followers, out: Vec::new(), recording, sip: None };
         let thread = thread::Builder::new().name("core".into()).spawn(move || {
             let recording = run.run(&receiver);
             ended.store(true, Ordering::SeqCst);
@@ -219,6 +227,7 @@
     followers: BTreeMap<SessionId, Vec<Sender<PlayerEvent>>>,
     out: Vec<Output>,
     recording: Option<Recording>,
+    sip: Option<Sender<agent::Input>>,
 }
 
 impl Run {
@@ -271,10 +280,27 @@
                     followers.push(sender);
                 }
             }
+            Message::Sip(agent) => self.sip = Some(agent),
             Message::End => {}
         }
     }
 
+    /// Hands what concerns SIP to its agent; whether that was all that is to be done.
+    fn for_sip(&self, output: &Output) -> bool {
+        let Some(agent) = &self.sip else { return false };
+        let (its, all) = match output {
+            Output::SetUp { request, .. } | Output::Reply(request, _) => (request.0 & agent::OWN != 0, true),
+            Output::SetRung { layers, .. } => (layers.starts_with(agent::RESOURCE), true),
+            Output::Release { resource, .. } => (resource.starts_with(agent::RESOURCE), true),
+            Output::Cancel(_) | Output::Over(..) => (true, false),
+            _ => (false, false),
+        };
+        if its {
+            let _ = agent.send(agent::Input::Core(Box::new(output.clone())));
+        }
+        its && all
+    }
+
     /// Tells those who follow a session; one that does not keep up is dropped.
     fn tell(&mut self, session: SessionId, event: PlayerEvent) {
         if let Some(followers) = self.followers.get_mut(&session) {
@@ -296,7 +322,9 @@
         }
         for output in std::mem::take(&mut self.out) {
             debug!(target: "core", ?output, "output");
-            self.carry_out(output);
+            if !self.for_sip(&output) {
+                self.carry_out(output);
+            }
         }
         if let Some(session) = gone {
             debug!(target: "core", session = format_args!("{:016x}", session.0), "client hung up");
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -12,6 +12,7 @@
 mod engine;
 mod list;
 mod player;
+mod sip;
 mod watch;
 
 use std::io;
@@ -43,6 +44,7 @@
     shared: Shared,
     server: Server,
     engine: Engine,
+    sip: Option<SocketAddr>,
 }
 
 impl Front {
@@ -70,10 +72,14 @@
         let (engine, handle) = Engine::start(core, clock, settings.clone(), pool.clone(), record)?;
         let shared = Shared { handle, clock, pool, settings };
         list::start(&shared, seed)?;
+        let sip = match shared.settings.sip {
+            Some(listen) => Some(sip::start(&shared, listen, seed)?),
+            None => None,
+        };
         let handler = Arc::new(player::Player::new(shared.clone(), seed));
         let server = Server::start(listener, shared.settings.sizes.clone(), handler)?;
         info!(target: "core", address = %server.address(), "front is up");
-        Ok(Front { shared, server, engine })
+        Ok(Front { shared, server, engine, sip })
     }
 
     /// Where it listens.
@@ -81,6 +87,11 @@
         self.server.address()
     }
 
+    /// Where it takes SIP calls, if it does.
+    pub fn sip_address(&self) -> Option<SocketAddr> {
+        self.sip
+    }
+
     /// What it knows and holds now.
     pub fn status(&self) -> Status {
         self.shared.handle.status()
--- a/crates/front/src/player.rs
+++ b/crates/front/src/player.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use beechloft_core::api::{Micros, SessionId};
-use beechloft_core::io::{Answer, Ask, Input, Secret};
+use beechloft_core::io::{Answer, Ask, Input, Protocol, Secret};
 use beechloft_http::message::HeadError;
 use beechloft_http::server::{Handler, Link, Reply};
 use beechloft_http::{Method, Request, Response, StatusCode, header, sse, wait};
@@ -68,7 +68,7 @@
             session,
             secret,
             title: title.clone(),
-            publishes,
+            protocol: if publishes { Protocol::Whip } else { Protocol::Whep },
             max_rate_kb: offer.max_rate_kb,
             repeat: Some(offer.key(&title, token)),
         };
--- /dev/null
+++ b/crates/front/tests/sip.rs
@@ -0,0 +1,161 @@
+//! SIP on sockets: callers over datagrams, the front, boxes over streams; one front serves both protocols.
+
+mod support;
+
+use std::time::Duration;
+
+use beechloft_checker::{Recorder, Report, Rules, What, check};
+use beechloft_front::Front;
+use beechloft_standin::caller::Caller;
+use beechloft_standin::dice::Dice;
+use beechloft_standin::fault::Fault;
+use beechloft_standin::fleet::Fleet;
+use beechloft_standin::player::{self, Wish};
+use support::*;
+
+struct Sip {
+    recorder: Recorder,
+    fleet: Fleet,
+    front: Front,
+    seed: u64,
+}
+
+impl Sip {
+    fn new(boxes: u32) -> Sip {
+        let recorder = Recorder::default();
+        let fleet = Fleet::start(&fleet_spec(boxes), &recorder).expect("a fleet");
+        let mut settings = settings(&format!("url: {}", fleet.list.url()), "");
+        settings.sip = Some("127.0.0.1:0".parse().expect("an address"));
+        let front = Front::start(settings, None).expect("a front");
+        until("the list is known", || front.status().boxes == boxes as usize);
+        Sip { recorder, fleet, front, seed: 10 }
+    }
+
+    fn caller(&mut self) -> Caller {
+        self.seed += 1;
+        Caller::new(self.front.sip_address().expect("SIP is up"), 0, self.seed).expect("a caller")
+    }
+
+    fn finish(self) -> Report {
+        until("the boxes' calls are over", || self.fleet.sessions() == 0);
+        let report = check(&self.recorder.trace(), &Rules { drain_grace_us: 1_000_000, ..Rules::default() });
+        assert!(report.kept(), "{report:#?}");
+        report
+    }
+}
+
+#[test]
+fn a_call_is_placed_plays_and_ends() {
+    let mut s = Sip::new(2);
+    let mut caller = s.caller();
+    let mut call = caller.call("all", None, &s.recorder).standing.expect("a call");
+    caller.acknowledge(&call);
+    assert_eq!((s.fleet.sessions(), s.front.status().playing), (1, 1));
+    assert!(caller.hang_up(&mut call, &s.recorder));
+    until("it is over", || s.front.status().playing == 0);
+    assert_eq!(s.finish().playing, 1);
+}
+
+#[test]
+fn unknown_titles_and_titles_without_holders_are_refused() {
+    let mut s = Sip::new(1);
+    let status =
+        |s: &mut Sip, title: &str| s.caller().call(title, None, &s.recorder).response.map(|r| r.status);
+    assert_eq!(status(&mut s, "nothing"), Some(404));
+    assert_eq!(status(&mut s, "none"), Some(503));
+    s.finish();
+}
+
+#[test]
+fn calls_go_past_boxes_in_trouble() {
+    for fault in [
+        Fault::NeverAnswer,
+        Fault::StandStill,
+        Fault::Reset,
+        Fault::Fail { share: 1.0 },
+        Fault::Late { ms: 700 },
+        Fault::Die,
+    ] {
+        let mut s = Sip::new(2);
+        s.fleet.get(1).expect("box 1").fault(fault);
+        for _ in 0..4 {
+            let mut caller = s.caller();
+            let called = caller.call("pair", None, &s.recorder);
+            let mut call = called.standing.unwrap_or_else(|| panic!("{fault:?}: {:?}", called.finals));
+            caller.acknowledge(&call);
+            assert!(caller.hang_up(&mut call, &s.recorder), "{fault:?}");
+        }
+        s.finish();
+    }
+}
+
+#[test]
+fn a_cancelled_call_gets_its_487_and_leaves_nothing_at_the_box() {
+    let mut s = Sip::new(1);
+    s.fleet.fault(1, Fault::Late { ms: 600 });
+    let mut caller = s.caller();
+    caller.cancels = Some(Duration::from_millis(100));
+    assert_eq!(caller.call("one", None, &s.recorder).finals, [487]);
+    let report = s.finish();
+    assert_eq!((report.hung_up, report.playing), (1, 0));
+}
+
+#[test]
+fn a_lost_box_hangs_up_on_its_callers() {
+    let mut s = Sip::new(1);
+    let mut caller = s.caller();
+    let call = caller.call("one", None, &s.recorder).standing.expect("a call");
+    caller.acknowledge(&call);
+    s.fleet.get(1).expect("box 1").fault(Fault::Die);
+    assert!(caller.is_hung_up(&call, Duration::from_secs(10)));
+    s.finish();
+}
+
+#[test]
+fn over_a_network_that_loses_a_fifth_each_call_has_one_answer_and_one_set_up() {
+    let mut s = Sip::new(2);
+    let mut callers: Vec<Caller> = (0..12).map(|_| s.caller()).collect();
+    std::thread::scope(|scope| {
+        for caller in &mut callers {
+            let recorder = &s.recorder;
+            scope.spawn(move || {
+                caller.loses = 0.2;
+                let called = caller.call("all", None, recorder);
+                assert!(called.finals.iter().all(|f| *f == called.finals[0]), "{:?}", called.finals);
+                if let Some(mut call) = called.standing {
+                    caller.acknowledge(&call);
+                    caller.hang_up(&mut call, recorder);
+                }
+            });
+        }
+    });
+    let seen = s.recorder.trace();
+    let offered = seen.iter().filter(|s| matches!(s.what, What::Offered { .. })).count();
+    assert!(offered <= 12, "a repeated INVITE made a second set-up: {offered}");
+    let report = s.finish();
+    assert!(report.playing >= 10, "{report:?}");
+}
+
+#[test]
+fn both_protocols_share_one_module_and_its_seats() {
+    let recorder = Recorder::default();
+    let fleet = Fleet::start(&fleet_spec(1), &recorder).expect("a fleet");
+    let mut settings = settings(&format!("url: {}", fleet.list.url()), "");
+    settings.sip = Some("127.0.0.1:0".parse().expect("an address"));
+    settings.settings.classes[0].seats = Some(2);
+    let front = Front::start(settings, None).expect("a front");
+    until("the list is known", || front.status().boxes == 1);
+    let mut s = Sip { recorder, fleet, front, seed: 10 };
+    let mut caller = s.caller();
+    let mut call = caller.call("one", None, &s.recorder).standing.expect("a call");
+    caller.acknowledge(&call);
+    let mut dice = Dice::new(5);
+    let wish = Wish::new(s.front.address(), 0, "one");
+    let first = player::ask(&wish, &mut dice, &s.recorder);
+    assert!(first.playing.is_some());
+    assert_eq!(s.front.status().playing, 2);
+    let third = player::ask(&wish, &mut dice, &s.recorder).response.expect("an answer");
+    assert_eq!(third.status, 503, "two seats are taken, one by a call, one by a player");
+    assert!(caller.hang_up(&mut call, &s.recorder));
+    s.finish();
+}
--- a/crates/list/src/lib.rs
+++ b/crates/list/src/lib.rs
@@ -34,6 +34,9 @@
     pub name: String,
     /// Where it listens, `host:port`.
     pub address: String,
+    /// Where it takes SIP calls, `host:port`, if it does.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub sip: Option<String>,
     /// `ready`, `draining` or `gone`.
     pub state: String,
     /// Its rack.
@@ -147,7 +150,9 @@
         "gone" => ServerState::Gone,
         other => return Err(format!("no state is called '{other}'")),
     };
-    b.address.parse::<SocketAddr>().map_err(|_| format!("'{}' is no address with a port", b.address))?;
+    for address in [Some(&b.address), b.sip.as_ref()].into_iter().flatten() {
+        address.parse::<SocketAddr>().map_err(|_| format!("'{address}' is no address with a port"))?;
+    }
     if u32::from(b.rack) >= service.settings.racks {
         return Err(format!("rack {} of {}", b.rack, service.settings.racks));
     }
@@ -158,6 +163,7 @@
         id: ServerId(b.id),
         name: b.name.into(),
         url: b.address.into(),
+        sip: b.sip.map(Into::into),
         state,
         rack: b.rack,
         zone: ZoneId(position(&service.zones, &b.zone, "zone")? as u16),
--- a/crates/sip/src/agent.rs
+++ b/crates/sip/src/agent.rs
@@ -10,7 +10,7 @@
 
 use beechloft_core::api::{LoadReport, Micros, Outcome, ServerId, SessionId};
 use beechloft_core::io::{
-    self as core_io, Answer, Ask, AttemptId, BoxNews, BoxReply, RequestId, Secret, Verdict,
+    self as core_io, Answer, Ask, AttemptId, BoxNews, BoxReply, Protocol, RequestId, Secret, Verdict,
 };
 use beechloft_core::release::Ticket;
 use beechloft_whep::sdp::{self, Offer};
@@ -28,7 +28,7 @@
 /// What begins the path of a call at a box, as the core knows it.
 pub const RESOURCE: &str = "sip:";
 /// The agent's own requests to the core are told from others' by this bit.
-const OWN: u64 = 1 << 63;
+pub const OWN: u64 = 1 << 63;
 /// What we understand in `Require`.
 const EXTENSIONS: [&str; 1] = ["timer"];
 const ALLOW: &str = "INVITE, ACK, CANCEL, BYE, UPDATE, OPTIONS";
@@ -212,7 +212,7 @@
     fn request(&mut self, key: Key, peer: Peer, request: Request) {
         let by_box = self.by_box.get(&request.names.call).copied();
         if let Some(leg) = by_box {
-            return self.from_box(&key, leg, &request);
+            return self.box_asks(&key, leg, &request);
         }
         if request.names.to_tag.is_some() {
             let name = (request.names.call.clone(), request.names.from_tag.clone());
@@ -304,8 +304,15 @@
         self.by_invite.insert(key.clone(), session);
         let call = Call { request: number, secret, leg, peer, key, name, title: title.clone(), offer };
         self.calls.insert(session, call);
-        let ask =
-            Ask { request: number, session, secret, title, publishes: false, max_rate_kb, repeat: None };
+        let ask = Ask {
+            request: number,
+            session,
+            secret,
+            title,
+            protocol: Protocol::Sip,
+            max_rate_kb,
+            repeat: None,
+        };
         self.tell(core_io::Input::Ask(ask));
     }
 
@@ -370,10 +377,10 @@
 
     fn core(&mut self, output: core_io::Output) {
         match output {
-            core_io::Output::SetUp { attempt, request, server, url, rate_kb, until, .. } => {
-                if self.by_request.contains_key(&request) {
-                    self.set_up(attempt, server, &url, rate_kb, until);
-                }
+            core_io::Output::SetUp { attempt, request, server, url, rate_kb, until, .. }
+                if self.by_request.contains_key(&request) =>
+            {
+                self.set_up(attempt, server, &url, rate_kb, until);
             }
             core_io::Output::Cancel(attempt) => {
                 let leg =
@@ -490,7 +497,7 @@
     }
 
     /// A request of a box within its call.
-    fn from_box(&mut self, key: &Key, leg: u64, request: &Request) {
+    fn box_asks(&mut self, key: &Key, leg: u64, request: &Request) {
         let Some(placed) = self.placed.get_mut(&leg) else { return };
         let taken = placed.leg.dialog().map_or(Err(481), |d| d.takes(request));
         let status = match (taken, request.method()) {
--- a/crates/sip/tests/agent.rs
+++ b/crates/sip/tests/agent.rs
@@ -112,7 +112,8 @@
         let boxes = (0..manners.len() as u32).map(|n| BoxLine {
             id: ServerId(n),
             name: format!("box-{n}").into(),
-            url: format!("127.0.0.1:{}", 9000 + n).into(),
+            url: format!("127.0.0.1:{}", 8000 + n).into(),
+            sip: Some(format!("127.0.0.1:{}", 9000 + n).into()),
             state: ServerState::Ready,
             rack: 0,
             zone: ZoneId(0),
@@ -260,7 +261,7 @@
         self.now = end;
     }
 
-    fn from_caller(&mut self, request: &Request) {
+    fn caller_sends(&mut self, request: &Request) {
         let message = Box::new(Message::Request(request.clone()));
         self.agent(Input::Received(udp(), message));
     }
@@ -319,7 +320,7 @@
 #[test]
 fn a_call_is_placed_stands_and_ends_on_both_sides() {
     let mut w = World::new(&[Manner::Sound]);
-    w.from_caller(&invite("c1"));
+    w.caller_sends(&invite("c1"));
     w.wait(100 * MS);
     assert_eq!(w.finals("c1"), [200]);
     let ok = w.ok_of("c1").expect("an answer");
@@ -330,8 +331,8 @@
         "a rung is written into the offer: {:?}",
         w.rates
     );
-    w.from_caller(&caller("ACK", "c1", 1, &tag_of(&ok), "", ""));
-    w.from_caller(&caller("BYE", "c1", 2, &tag_of(&ok), "", ""));
+    w.caller_sends(&caller("ACK", "c1", 1, &tag_of(&ok), "", ""));
+    w.caller_sends(&caller("BYE", "c1", 2, &tag_of(&ok), "", ""));
     w.wait(S);
     assert_eq!((w.standing.len(), w.core.playing(), w.agent.len()), (0, 0, (0, 0)));
     assert!(w.core.is_idle());
@@ -341,14 +342,14 @@
 fn repeated_invites_make_one_set_up() {
     let mut w = World::new(&[Manner::Late(200)]);
     for _ in 0..5 {
-        w.from_caller(&invite("c1"));
+        w.caller_sends(&invite("c1"));
         w.wait(20 * MS);
     }
     w.wait(S);
     assert_eq!(w.invites.len(), 1);
     // By another way: the same request with another branch.
     let other = String::from_utf8(invite("c1").encode()).expect("text").replace("z9hG4bKc1", "z9hG4bKx1");
-    w.from_caller(&request(&other));
+    w.caller_sends(&request(&other));
     assert!(w.received.iter().any(|m| matches!(m, Message::Response(r) if r.status == 482)));
     assert_eq!(w.invites.len(), 1);
 }
@@ -372,7 +373,7 @@
     ] {
         let mut w = World::new(&[manner, Sound]);
         for n in 0..4 {
-            w.from_caller(&invite(&format!("c{n}")));
+            w.caller_sends(&invite(&format!("c{n}")));
             w.wait(2 * S);
         }
         for n in 0..4 {
@@ -398,9 +399,9 @@
         (Manner::Sound, 3),
     ] {
         let mut w = World::new(&[manner]);
-        w.from_caller(&invite("c1"));
+        w.caller_sends(&invite("c1"));
         w.wait(after * MS);
-        w.from_caller(&invite("c1").cancel());
+        w.caller_sends(&invite("c1").cancel());
         w.wait(2 * S);
         assert_eq!(w.finals("c1").iter().copied().collect::<BTreeSet<_>>(), [487].into(), "{manner:?}");
         w.wait(40 * S);
@@ -445,13 +446,13 @@
         (200, caller("OPTIONS", "k", 1, "", "", "")),
     ];
     for (status, request) in cases {
-        w.from_caller(&request);
+        w.caller_sends(&request);
         let of = |m: &Message| matches!(m, Message::Response(r) if r.status == status && r.names.call == request.names.call);
         assert!(w.received.iter().any(of), "{status}: {:?}", w.received.last());
     }
     assert!(w.invites.is_empty());
     let mut w = World::new(&[Manner::Refuses(486)]);
-    w.from_caller(&invite("c1"));
+    w.caller_sends(&invite("c1"));
     w.wait(S);
     assert_eq!(w.finals("c1").first(), Some(&503));
     let text = w.received.iter().find_map(|m| match m {
@@ -464,10 +465,10 @@
 #[test]
 fn a_box_that_hangs_up_and_a_lost_box_end_the_callers_side() {
     let mut w = World::new(&[Manner::Sound]);
-    w.from_caller(&invite("c1"));
+    w.caller_sends(&invite("c1"));
     w.wait(100 * MS);
     let ok = w.ok_of("c1").expect("an answer");
-    w.from_caller(&caller("ACK", "c1", 1, &tag_of(&ok), "", ""));
+    w.caller_sends(&caller("ACK", "c1", 1, &tag_of(&ok), "", ""));
     w.core(core_io::Input::Box(ServerId(0), core_io::BoxNews::Refused));
     w.wait(100 * MS);
     let bye = |m: &Message| matches!(m, Message::Request(r) if r.method() == Method::Bye);
@@ -493,17 +494,17 @@
         for (n, (gap, cancel, ack, bye)) in calls.iter().enumerate() {
             let call = format!("p{n}");
             let asked = w.now;
-            w.from_caller(&invite(&call));
+            w.caller_sends(&invite(&call));
             if let Some(after) = cancel {
                 w.wait(after * MS);
-                w.from_caller(&invite(&call).cancel());
+                w.caller_sends(&invite(&call).cancel());
             }
             w.wait(4 * S - (w.now - asked));
             let kinds: BTreeSet<u16> = w.finals(&call).into_iter().collect();
             prop_assert_eq!(kinds.len(), 1, "one answer in the caller's time: {}: {:?}", call, kinds);
             if let Some(ok) = w.ok_of(&call) {
-                if *ack { w.from_caller(&caller("ACK", &call, 1, &tag_of(&ok), "", "")); }
-                if *bye { w.from_caller(&caller("BYE", &call, 2, &tag_of(&ok), "", "")); }
+                if *ack { w.caller_sends(&caller("ACK", &call, 1, &tag_of(&ok), "", "")); }
+                if *bye { w.caller_sends(&caller("BYE", &call, 2, &tag_of(&ok), "", "")); }
             }
             w.wait(gap * MS);
         }
--- a/crates/standin/src/boxes/mod.rs
+++ b/crates/standin/src/boxes/mod.rs
@@ -1,6 +1,7 @@
 //! A box: a streaming server that speaks WHEP and WHIP, as far as a front and a player can tell.
 
 mod serve;
+mod sip;
 
 use std::collections::BTreeMap;
 use std::io;
@@ -83,7 +84,7 @@
 }
 
 /// A box that runs until it is dropped.
-pub struct StandBox(Arc<Inner>);
+pub struct StandBox(Arc<Inner>, SocketAddr);
 
 impl StandBox {
     /// Starts a box on a free port; `warm`: it has run for long.
@@ -117,7 +118,13 @@
         inner.come_up(listener, warm)?;
         let of_thread = inner.clone();
         thread::Builder::new().name("box".into()).stack_size(256 * 1024).spawn(move || of_thread.keep())?;
-        Ok(StandBox(inner))
+        let sip = sip::start(&inner, TcpListener::bind("127.0.0.1:0")?)?;
+        Ok(StandBox(inner, sip))
+    }
+
+    /// Where it takes SIP calls.
+    pub fn sip_address(&self) -> Option<SocketAddr> {
+        Some(self.1)
     }
 
     /// Where it listens; the same over restarts.
--- /dev/null
+++ b/crates/standin/src/caller.rs
@@ -0,0 +1,213 @@
+//! A SIP caller over datagrams: invites, acknowledges, hangs up, cancels; repeats what is not answered, and can be told
+//! to lose a part of what it sends and hears.
+
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::time::{Duration, Instant};
+
+use beechloft_checker::trace::Ending;
+use beechloft_checker::{Recorder, What};
+use beechloft_sip::dialog::{Dialog, Local};
+use beechloft_sip::message::{COOKIE, Message, Method, Request, Response};
+
+use crate::dice::Dice;
+use crate::offer;
+
+/// A caller with a port of its own.
+#[derive(Debug)]
+pub struct Caller {
+    socket: UdpSocket,
+    front: SocketAddr,
+    number: u32,
+    dice: Dice,
+    /// Part of all datagrams that is lost, both ways.
+    pub loses: f64,
+    /// How long it waits for its answer.
+    pub patience: Duration,
+    /// It cancels after so long, if it has no answer by then.
+    pub cancels: Option<Duration>,
+}
+
+/// A call that stands.
+#[derive(Debug)]
+pub struct Standing {
+    /// What names the offer on the whole way.
+    pub offer: String,
+    dialog: Dialog,
+    answer: Response,
+}
+
+/// How calling went.
+#[derive(Debug)]
+pub struct Called {
+    /// Final statuses to the INVITE, in order, repeated ones included.
+    pub finals: Vec<u16>,
+    /// The final response.
+    pub response: Option<Response>,
+    /// The call, if it stands.
+    pub standing: Option<Standing>,
+}
+
+impl Caller {
+    /// A caller of this front.
+    pub fn new(front: SocketAddr, number: u32, seed: u64) -> io::Result<Caller> {
+        let socket = UdpSocket::bind("127.0.0.1:0")?;
+        socket.set_read_timeout(Some(Duration::from_millis(5)))?;
+        let (dice, patience) = (Dice::new(seed), Duration::from_secs(4));
+        Ok(Caller { socket, front, number, dice, loses: 0.0, patience, cancels: None })
+    }
+
+    fn local(&self) -> Local {
+        let sent_by = self.socket.local_addr().map_or_else(|_| String::new(), |a| a.to_string());
+        Local { transport: "UDP", sent_by }
+    }
+
+    fn branch(&mut self) -> String {
+        format!("{COOKIE}{:016x}", self.dice.number())
+    }
+
+    fn send(&mut self, request: &Request) {
+        if !self.dice.chance(self.loses) {
+            let _ = self.socket.send_to(&request.encode(), self.front);
+        }
+    }
+
+    fn receive(&mut self) -> Option<Message> {
+        let mut buf = [0; 4096];
+        let (n, _) = self.socket.recv_from(&mut buf).ok()?;
+        if self.dice.chance(self.loses) { None } else { Message::parse(&buf[..n]).ok() }
+    }
+
+    fn invite(&mut self, title: &str, id: &str, max_rate_kb: Option<f64>) -> Option<Request> {
+        let body = offer::plain(id, max_rate_kb);
+        let (at, branch) = (self.local().sent_by, self.branch());
+        let text = format!(
+            "INVITE sip:{title}@{front} SIP/2.0\r\nVia: SIP/2.0/UDP {at};branch={branch}\r\nMax-Forwards: 70\r\n\
+             From: <sip:caller@{at}>;tag={id}\r\nTo: <sip:{title}@{front}>\r\nCall-ID: {id}@{at}\r\nCSeq: 1 INVITE\r\n\
+             Contact: <sip:caller@{at}>\r\nContent-Type: application/sdp\r\nContent-Length: {length}\r\n\r\n{body}",
+            front = self.front,
+            length = body.len(),
+        );
+        match Message::parse(text.as_bytes()) {
+            Ok(Message::Request(request)) => Some(request),
+            _ => None,
+        }
+    }
+
+    /// Calls a title. What is seen is noted; the first final answer counts, and others are noted as further ones.
+    pub fn call(&mut self, title: &str, max_rate_kb: Option<f64>, recorder: &Recorder) -> Called {
+        let id = format!("{:016x}", self.dice.number());
+        let Some(invite) = self.invite(title, &id, max_rate_kb) else {
+            return Called { finals: Vec::new(), response: None, standing: None };
+        };
+        let offer = offer::origin(&invite.raw.body).unwrap_or_default();
+        let patience_us = self.patience.as_micros() as u64;
+        let (front, title) = (self.number, title.to_owned());
+        recorder.note(What::Asked { offer: offer.clone(), front, title, patience_us });
+        let (finals, response) = self.exchange(&invite);
+        let kinds = finals.iter().collect::<std::collections::BTreeSet<_>>().len() as u32;
+        let ending = match response.as_ref().map(|r| r.status) {
+            Some(200) => Ending::Status(201),
+            Some(487) => Ending::HungUp,
+            Some(status) => Ending::Status(status),
+            None => Ending::TimedOut,
+        };
+        recorder.note(What::Ended { offer: offer.clone(), ending, extra: kinds.saturating_sub(1) });
+        let answer = response.clone().filter(|r| r.status == 200);
+        let standing = answer.and_then(|answer| {
+            Some(Standing { offer, dialog: Dialog::as_client(&invite, &answer).ok()?, answer })
+        });
+        Called { finals, response, standing }
+    }
+
+    /// Sends an INVITE until something comes, and reads on until a final answer, cancelling when told.
+    fn exchange(&mut self, invite: &Request) -> (Vec<u16>, Option<Response>) {
+        let began = Instant::now();
+        let (mut next, mut pause, mut heard) = (began, Duration::from_millis(500), false);
+        let (mut finals, mut last, mut cancelled) = (Vec::new(), None, None::<Instant>);
+        while began.elapsed() < self.patience {
+            if !heard && Instant::now() >= next {
+                self.send(invite);
+                next += pause;
+                pause *= 2;
+            }
+            let cancels = self.cancels.is_some_and(|after| heard && began.elapsed() >= after);
+            if cancels && cancelled.is_none_or(|at| at.elapsed() >= Duration::from_millis(500)) {
+                let cancel = invite.cancel();
+                self.send(&cancel);
+                cancelled = Some(Instant::now());
+            }
+            let Some(Message::Response(response)) = self.receive() else { continue };
+            if response.method != Method::Invite || response.names.call != invite.names.call {
+                continue;
+            }
+            heard = true;
+            if response.status < 200 {
+                continue;
+            }
+            finals.push(response.status);
+            if response.status >= 300 {
+                let ack = invite.ack_for(&response);
+                self.send(&ack);
+            }
+            last = Some(response);
+            break;
+        }
+        (finals, last)
+    }
+
+    /// Acknowledges a call until the front has stopped repeating its answer for a while.
+    pub fn acknowledge(&mut self, call: &Standing) {
+        let (at, branch) = (self.local(), self.branch());
+        let Some(ack) = call.dialog.ack(1, &at, &branch) else { return };
+        self.send(&ack);
+        let end = Instant::now() + Duration::from_millis(if self.loses > 0.0 { 1200 } else { 50 });
+        while Instant::now() < end {
+            if let Some(Message::Response(r)) = self.receive()
+                && r.names.call == call.answer.names.call
+                && r.status == 200
+                && r.method == Method::Invite
+            {
+                self.send(&ack);
+            }
+        }
+    }
+
+    /// Hangs up; whether the front said so.
+    pub fn hang_up(&mut self, call: &mut Standing, recorder: &Recorder) -> bool {
+        recorder.note(What::Left { offer: call.offer.clone() });
+        let (at, branch) = (self.local(), self.branch());
+        let Some(bye) = call.dialog.request(Method::Bye, &at, &branch, None) else { return false };
+        let began = Instant::now();
+        let (mut next, mut pause) = (began, Duration::from_millis(500));
+        while began.elapsed() < Duration::from_secs(8) {
+            if Instant::now() >= next {
+                self.send(&bye);
+                next += pause;
+                pause = (pause * 2).min(Duration::from_secs(4));
+            }
+            if let Some(Message::Response(r)) = self.receive()
+                && r.method == Method::Bye
+                && r.names.call == bye.names.call
+            {
+                return r.status == 200;
+            }
+        }
+        false
+    }
+
+    /// Waits for the front to hang up on a call, and answers it.
+    pub fn is_hung_up(&mut self, call: &Standing, within: Duration) -> bool {
+        let end = Instant::now() + within;
+        while Instant::now() < end {
+            if let Some(Message::Request(r)) = self.receive()
+                && r.method() == Method::Bye
+                && r.names.call == call.answer.names.call
+            {
+                let _ = self.socket.send_to(&r.answer(200, "").encode(), self.front);
+                return true;
+            }
+        }
+        false
+    }
+}
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -98,6 +98,7 @@
                 id,
                 name: format!("box-{id}.{}", b.zone),
                 address: started.address().to_string(),
+                sip: started.sip_address().map(|a| a.to_string()),
                 state: "ready".into(),
                 rack: b.rack,
                 zone: b.zone.clone(),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 
 pub mod boxes;
+pub mod caller;
 pub mod control;
 pub mod dice;
 pub mod fault;
--- a/crates/standin/src/offer.rs
+++ b/crates/standin/src/offer.rs
@@ -62,6 +62,23 @@
     )
 }
 
+/// A description of plain RTP, as SIP callers and boxes make it; its origin names it.
+pub fn plain(origin: &str, max_rate_kb: Option<f64>) -> String {
+    let limit = max_rate_kb.map_or(String::new(), |kb| format!("b=TIAS:{}\r\n", (kb * 8000.0) as u64));
+    let id = origin.bytes().fold(7u64, |n, b| n.wrapping_mul(31).wrapping_add(u64::from(b))) >> 2;
+    format!(
+        "v=0\r\no=- {id} 1 IN IP4 127.0.0.1\r\ns=-\r\nt=0 0\r\nm=video 40000 RTP/AVP 96\r\nc=IN IP4 127.0.0.1\r\n\
+         {limit}a=rtpmap:96 H264/90000\r\na=sendrecv\r\n"
+    )
+}
+
+/// The number in a description's origin line, which names it on the whole way.
+pub fn origin(description: &[u8]) -> Option<String> {
+    let text = std::str::from_utf8(description).ok()?;
+    let line = text.lines().find_map(|l| l.strip_prefix("o=- "))?;
+    line.split(' ').next().map(str::to_owned)
+}
+
 /// Where an answer says that its media comes from.
 pub fn candidate(answer: &str) -> Option<SocketAddr> {
     let line = answer.lines().find_map(|l| l.strip_prefix("a=candidate:"))?;
--- a/crates/standin/src/sessions.rs
+++ b/crates/standin/src/sessions.rs
@@ -67,6 +67,14 @@
         Some((session.offer.clone(), rate))
     }
 
+    /// Sets a rate outside the ladder's steps; the offer.
+    pub fn set_rate(&mut self, path: &str, rate_kb: f64) -> Option<String> {
+        let session = self.by_path.get_mut(path)?;
+        self.asked_kb += rate_kb - session.rate_kb;
+        session.rate_kb = rate_kb;
+        Some(session.offer.clone())
+    }
+
     /// Notes a consent; the rate of the session.
     pub fn consent(&mut self, name: &str, now: Instant) -> Option<f64> {
         let session = self.by_path.get_mut(self.by_name.get(name)?)?;
