--- a/crates/checker/src/check.rs
+++ b/crates/checker/src/check.rs
@@ -86,7 +86,7 @@
     trace.sort_by_key(|s| s.at);
     let calls = calls(&trace);
     let attempts = attempts(&trace);
-    answers(&calls, &killings(&trace), &mut report);
+    answers(&calls, &killings(&trace), &starts(&trace), &mut report);
     overlaps(&attempts, rules, &mut report);
     drains(&trace, rules, &mut report);
     cold(&trace, rules, &mut report);
@@ -178,18 +178,33 @@
     up
 }
 
-fn answers(calls: &[Call], killed: &BTreeMap<u32, Vec<u64>>, report: &mut Report) {
+/// A call that began while its front's process was not there was not taken by it, unless it was answered later: over
+/// datagrams nothing says so at once.
+fn answers(
+    calls: &[Call],
+    killed: &BTreeMap<u32, Vec<u64>>,
+    up: &BTreeMap<u32, Vec<u64>>,
+    report: &mut Report,
+) {
     // 1 us to 100 s at three digits; the bounds are sound, so that there is always a histogram.
     let mut times = Histogram::<u64>::new_with_bounds(1, 100_000_000, 3).ok();
     for call in calls {
         let (end, ending, extra) = call.end.unwrap_or((u64::MAX, Ending::TimedOut, 0));
         let died = killed.get(&call.front).is_some_and(|k| k.iter().any(|t| *t >= call.at && *t <= end));
         let took = end.saturating_sub(call.at);
+        let last = |of: &BTreeMap<u32, Vec<u64>>| {
+            of.get(&call.front).and_then(|t| t.iter().rev().find(|t| **t <= call.at)).copied()
+        };
+        let absent = last(killed).is_some_and(|k| last(up).is_none_or(|u| u < k));
         if extra > 0 {
             report.duplicate_answers += 1;
             report.describe("answered twice", format!("{}: {extra} more", call.offer));
         }
         match ending {
+            Ending::TimedOut | Ending::Broken if absent => {
+                report.not_taken += 1;
+                continue;
+            }
             Ending::NotTaken => {
                 report.not_taken += 1;
                 continue;
--- a/crates/checker/tests/falsified.rs
+++ b/crates/checker/tests/falsified.rs
@@ -110,6 +110,16 @@
         at(2 * S, What::Ended { offer: "b".into(), ending: Ending::Status(503), extra: 1 }),
     ];
     assert_eq!(breaks(&with(twice)), only(1, 1));
+    let up = |t| at(t, What::FrontUp { front: 0 });
+    let while_down = vec![
+        up(1),
+        at(S, What::FrontKilled { front: 0 }),
+        asked(2 * S, "b", "t"),
+        ended(6 * S, "b", Ending::TimedOut),
+    ];
+    assert_eq!((breaks(&with(while_down.clone())), with(while_down.clone()).not_taken), ([0; 9], 1));
+    let back_before = [while_down, vec![up(S + 5)]].concat();
+    assert_eq!(breaks(&with(back_before)), only(0, 1));
     let not_taken = vec![asked(S, "b", "t"), ended(S, "b", Ending::NotTaken)];
     assert_eq!(breaks(&with(not_taken)), [0; 9]);
 }
--- a/crates/day/src/fronts.rs
+++ b/crates/day/src/fronts.rs
@@ -23,6 +23,7 @@
 pub struct FrontProcess {
     number: u32,
     address: SocketAddr,
+    sip: SocketAddr,
     program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
@@ -43,13 +44,14 @@
     ) -> io::Result<Self> {
         // A port that is free now; the front takes it over, and takes it again after a restart.
         let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        let sip = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
         let settings = folder.join(format!("front-{number}.yaml"));
         let zone = &day.fronts[number as usize].zone;
         let service: serde_json::Value = serde_json::from_str(&day.service_text)?;
         let text = serde_json::json!({
             "service": service,
             "front": {
-                "listen": address.to_string(), "number": number, "of": day.fronts.len(), "zone": zone,
+                "listen": address.to_string(), "sip": sip.to_string(), "number": number, "of": day.fronts.len(), "zone": zone,
                 "seed": seed.wrapping_add(u64::from(number)) >> 1,
             },
             "list": {"url": list, "cache": folder.join(format!("list-{number}.json"))},
@@ -58,7 +60,7 @@
         fs::write(&settings, serde_json::to_string_pretty(&text)?)?;
         let log = folder.join(format!("front-{number}.log"));
         let (program, recorder) = (program.to_owned(), recorder.clone());
-        Ok(FrontProcess { number, address, program, settings, log, child: None, recorder })
+        Ok(FrontProcess { number, address, sip, program, settings, log, child: None, recorder })
     }
 
     /// Where it listens.
@@ -66,6 +68,11 @@
         self.address
     }
 
+    /// Where it takes calls.
+    pub fn sip(&self) -> SocketAddr {
+        self.sip
+    }
+
     /// Starts the process and waits until it serves.
     pub fn start(&mut self) -> io::Result<()> {
         let log = fs::OpenOptions::new().create(true).append(true).open(&self.log)?;
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -11,7 +11,7 @@
 use beechloft_standin::fleet::Fleet;
 use thiserror::Error;
 
-use crate::crowd::CrowdRun;
+use crate::crowd::{CrowdRun, Reach};
 use crate::fronts::FrontProcess;
 use crate::script::{Day, Timed, Trouble};
 
@@ -56,8 +56,11 @@
         front.start()?;
         fronts.push(front);
     }
-    let addresses =
-        fronts.iter().zip(&day.fronts).map(|(f, spec)| (f.address(), spec.zone.clone())).collect();
+    let addresses = fronts
+        .iter()
+        .zip(&day.fronts)
+        .map(|(f, spec)| Reach { http: f.address(), sip: f.sip(), zone: spec.zone.clone() })
+        .collect();
     let mut crowd = CrowdRun::new(day, addresses, seed, recorder.clone())?;
     let mut plan = plan(day);
     let mut failed = None;
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -83,6 +83,10 @@
     pub repeats: f64,
     /// How unevenly titles are wanted.
     pub zipf: f64,
+    /// Part that calls by SIP rather than WHEP.
+    pub sip: f64,
+    /// Part of SIP datagrams that is lost, both ways.
+    pub loses: f64,
 }
 
 /// A front of the day.
@@ -244,6 +248,8 @@
         capped: part("capped", 0.2),
         trickles: part("trickles", 0.2),
         repeats: part("repeats", 0.01),
+        sip: part("sip", 0.0),
+        loses: part("loses", 0.0),
         zipf: s.number("zipf", 0.0..=3.0).unwrap_or(0.8),
     }
 }
--- a/crates/front/src/sip.rs
+++ b/crates/front/src/sip.rs
@@ -40,7 +40,7 @@
     let callers = Arc::new(Streams::default());
     let (sender, receiver) = unbounded();
     shared.handle.sip(sender.clone());
-    let agent = Agent::new(address, seed ^ 0x0073_6970);
+    let agent = Agent::new(address, shared.settings.settings.number, seed ^ 0x0073_6970);
     let run = Run {
         shared: shared.clone(),
         agent,
--- a/crates/sip/src/agent.rs
+++ b/crates/sip/src/agent.rs
@@ -98,6 +98,7 @@
     layer: Layer,
     mint: Mint,
     sent_by: String,
+    number: u32,
     now: Micros,
     next: u64,
     calls: BTreeMap<SessionId, Call>,
@@ -115,12 +116,13 @@
 }
 
 impl Agent {
-    /// An agent that others reach at this address.
-    pub fn new(listen: SocketAddr, seed: u64) -> Self {
+    /// The agent of the front of this number, which others reach at this address.
+    pub fn new(listen: SocketAddr, number: u32, seed: u64) -> Self {
         Agent {
             layer: Layer::default(),
             mint: Mint::new(seed),
             sent_by: listen.to_string(),
+            number,
             now: Micros(0),
             next: 0,
             calls: BTreeMap::new(),
@@ -435,9 +437,10 @@
             let text = format!(
                 "INVITE sip:{title}@{address} SIP/2.0\r\nVia: SIP/2.0/TCP {at};branch={branch}\r\nMax-Forwards: 69\r\n\
                  From: <sip:front@{at}>;tag={tag}\r\nTo: <sip:{title}@{address}>\r\nCall-ID: {call}\r\nCSeq: 1 INVITE\r\n\
-                 Contact: <sip:front@{at};transport=tcp>\r\nContent-Type: application/sdp\r\n\
+                 Contact: <sip:front@{at};transport=tcp>\r\nUser-Agent: {agent}\r\nContent-Type: application/sdp\r\n\
                  Content-Length: {length}\r\n\r\n{body}",
                 at = self.sent_by,
+                agent = user_agent(self.number),
                 length = body.len(),
             );
             match Message::parse(text.as_bytes()) {
@@ -601,6 +604,21 @@
     }
 }
 
+/// How a front names itself to boxes (section 20.41).
+fn user_agent(number: u32) -> String {
+    format!("beechloft-{number}")
+}
+
+/// The number of the front that sent a request, if it says so.
+pub fn front_of(request: &Request) -> Option<u32> {
+    let agent = request
+        .raw
+        .headers
+        .iter()
+        .find_map(|h| if let Header::UserAgent(a) = h { Some(a.value()) } else { None })?;
+    agent.strip_prefix("beechloft-")?.parse().ok()
+}
+
 fn resource_of(leg: u64) -> String {
     format!("{RESOURCE}{leg}")
 }
--- a/crates/standin/src/boxes/sip.rs
+++ b/crates/standin/src/boxes/sip.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use beechloft_checker::What;
+use beechloft_sip::agent;
 use beechloft_sip::framing::{Framed, Framer};
 use beechloft_sip::message::{Message, Method, Request, Response};
 use beechloft_whep::sdp;
@@ -161,7 +162,7 @@
         self.inner.recorder.note(What::Offered {
             server: self.inner.spec.id,
             offer: offer.clone(),
-            front: 0,
+            front: agent::front_of(&invite).unwrap_or(u32::MAX),
             title,
             rate_kb: sdp::limit_of(&invite.raw.body).unwrap_or(f64::MAX),
         });
