--- a/crates/checker/src/trace.rs
+++ b/crates/checker/src/trace.rs
@@ -177,6 +177,11 @@
         seen.push(Seen { at: self.now(), what });
     }
 
+    /// Notes something that was seen at an earlier time.
+    pub fn note_at(&self, at: u64, what: What) {
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner).push(Seen { at, what });
+    }
+
     /// All that was seen so far, in order of time.
     pub fn trace(&self) -> Vec<Seen> {
         self.seen.lock().unwrap_or_else(PoisonError::into_inner).clone()
--- a/crates/sip/src/agent.rs
+++ b/crates/sip/src/agent.rs
@@ -109,6 +109,8 @@
     placed: BTreeMap<u64, Placed>,
     /// Legs at boxes by their `Call-ID`.
     by_box: BTreeMap<String, u64>,
+    /// Calls that stand at boxes.
+    standing: BTreeMap<SessionId, u64>,
     /// When each leg is next due, both ways.
     timers: BTreeSet<(Micros, Owner)>,
     armed: BTreeMap<Owner, Micros>,
@@ -131,6 +133,7 @@
             by_invite: BTreeMap::new(),
             placed: BTreeMap::new(),
             by_box: BTreeMap::new(),
+            standing: BTreeMap::new(),
             timers: BTreeSet::new(),
             armed: BTreeMap::new(),
             out: Vec::new(),
@@ -402,7 +405,14 @@
                 }
                 _ => self.tell(core_io::Input::Released(ticket, true)),
             },
-            core_io::Output::Over(session, _) => self.on_caller(session, caller::In::End, None),
+            core_io::Output::Over(session, _) => {
+                self.on_caller(session, caller::In::End, None);
+                // Of a box that is lost the core asks nothing more, but its process may run on and the call with it:
+                // unlike a player's session it does not end by itself when its caller has gone.
+                if let Some(leg) = self.standing.get(&session).copied() {
+                    self.on_box(leg, callee::In::End);
+                }
+            }
             _ => {}
         }
     }
@@ -545,6 +555,7 @@
                 callee::Out::Rings(status) if status > 100 => self.on_caller(session, caller::In::Ring, None),
                 callee::Out::Rings(_) => {}
                 callee::Out::Up(body) => {
+                    self.standing.insert(session, leg);
                     let verdict = accepted(leg, body);
                     self.verdict(leg, attempt, server, verdict, sent);
                 }
@@ -581,6 +592,9 @@
     fn gone(&mut self, leg: u64) {
         let Some(placed) = self.placed.remove(&leg) else { return };
         self.by_box.remove(&placed.leg.invite().names.call);
+        if self.standing.get(&placed.session) == Some(&leg) {
+            self.standing.remove(&placed.session);
+        }
         self.out.push(Output::Close(placed.peer));
         if let Some(ticket) = placed.release {
             self.tell(core_io::Input::Released(ticket, true));
--- a/crates/sip/tests/agent.rs
+++ b/crates/sip/tests/agent.rs
@@ -474,6 +474,9 @@
     let bye = |m: &Message| matches!(m, Message::Request(r) if r.method() == Method::Bye);
     assert!(w.received.iter().any(bye), "the caller is hung up");
     assert_eq!(w.core.playing(), 0);
+    // The box only refuses new connections: its process runs on, and the call must not stay there.
+    w.wait(S);
+    assert!(w.standing.is_empty() && w.agent.len().1 == 0, "{:?}", w.standing);
 }
 
 proptest! {
