What a call must be before anybody sees it, in a module of its own

The checks of an INVITE outside any dialog move out of the agent, which had grown past what one file should do. No change of behaviour; the tests of the statuses stand.

--- /dev/null
+++ b/crates/sip/src/admission.rs
@@ -0,0 +1,41 @@
+//! What an INVITE must be before anybody else sees it (RFC 3261, section 8.2).
+
+use rsip::{Header, headers::UntypedHeader};
+
+use crate::message::{Request, Response};
+
+/// Methods that are taken.
+pub const ALLOW: &str = "INVITE, ACK, CANCEL, BYE, UPDATE, OPTIONS";
+/// What is understood in `Require`.
+const EXTENSIONS: [&str; 1] = ["timer"];
+
+/// The answer to an INVITE outside any dialog that can't be taken; none: it can.
+///
+/// `full`: no further call fits. `merged`: the same request came by another way already (section 8.2.2.2).
+pub fn fault(request: &Request, tag: &str, full: bool, merged: bool) -> Option<Response> {
+    let headers = &request.raw.headers;
+    let with = |status, header: Header| {
+        let mut answer = request.answer(status, tag);
+        answer.raw.headers.push(header);
+        Some(answer)
+    };
+    if headers.iter().any(|h| matches!(h, Header::MaxForwards(m) if m.value().trim() == "0")) {
+        return Some(request.answer(483, tag));
+    }
+    let required =
+        headers.iter().filter_map(|h| if let Header::Require(r) = h { Some(r.value()) } else { None });
+    let unknown: Vec<&str> =
+        required.flat_map(|r| r.split(',')).map(str::trim).filter(|r| !EXTENSIONS.contains(r)).collect();
+    if !unknown.is_empty() {
+        return with(420, Header::Unsupported(unknown.join(", ").into()));
+    }
+    let kind =
+        headers.iter().find_map(|h| if let Header::ContentType(t) = h { Some(t.value()) } else { None });
+    if !request.raw.body.is_empty() && !beechloft_whep::is_type(kind, beechloft_whep::SDP) {
+        return with(415, Header::Accept("application/sdp".into()));
+    }
+    if full {
+        return with(503, Header::RetryAfter("1".into()));
+    }
+    merged.then(|| request.answer(482, tag))
+}
--- a/crates/sip/src/agent.rs
+++ b/crates/sip/src/agent.rs
@@ -16,6 +16,7 @@
 use beechloft_whep::sdp::{self, Offer};
 use rsip::{Header, headers::UntypedHeader};
 
+use crate::admission;
 use crate::callee::{self, BoxLeg};
 use crate::caller::{self, CallerLeg, Why};
 use crate::dialog::{Local, Mint};
@@ -29,9 +30,6 @@
 pub const RESOURCE: &str = "sip:";
 /// The agent's own requests to the core are told from others' by this bit.
 pub const OWN: u64 = 1 << 63;
-/// What we understand in `Require`.
-const EXTENSIONS: [&str; 1] = ["timer"];
-const ALLOW: &str = "INVITE, ACK, CANCEL, BYE, UPDATE, OPTIONS";
 
 /// What happens to the agent.
 #[derive(Debug, Clone, PartialEq)]
@@ -232,56 +230,26 @@
             Method::Invite => self.invite(key, peer, request),
             Method::Options => {
                 let mut ok = request.answer(200, &self.mint.name());
-                ok.raw.headers.push(Header::Allow(ALLOW.into()));
+                ok.raw.headers.push(Header::Allow(admission::ALLOW.into()));
                 ok.raw.headers.push(Header::Accept("application/sdp".into()));
                 self.respond(&key, ok);
             }
             Method::Bye | Method::Update => self.respond(&key, request.answer(481, "")),
             _ => {
                 let mut no = request.answer(405, &self.mint.name());
-                no.raw.headers.push(Header::Allow(ALLOW.into()));
+                no.raw.headers.push(Header::Allow(admission::ALLOW.into()));
                 self.respond(&key, no);
             }
         }
     }
 
-    /// Checks an INVITE before anybody else sees it; the answer, if it can't be taken.
-    fn fault(&mut self, request: &Request) -> Option<Response> {
+    fn invite(&mut self, key: Key, peer: Peer, request: Request) {
         let tag = self.mint.name();
-        let headers = &request.raw.headers;
-        let with = |status, header: Header| {
-            let mut answer = request.answer(status, &tag);
-            answer.raw.headers.push(header);
-            Some(answer)
-        };
-        if headers.iter().any(|h| matches!(h, Header::MaxForwards(m) if m.value().trim() == "0")) {
-            return Some(request.answer(483, &tag));
-        }
-        let required =
-            headers.iter().filter_map(|h| if let Header::Require(r) = h { Some(r.value()) } else { None });
-        let unknown: Vec<&str> =
-            required.flat_map(|r| r.split(',')).map(str::trim).filter(|r| !EXTENSIONS.contains(r)).collect();
-        if !unknown.is_empty() {
-            return with(420, Header::Unsupported(unknown.join(", ").into()));
-        }
-        let kind =
-            headers.iter().find_map(|h| if let Header::ContentType(t) = h { Some(t.value()) } else { None });
-        if !request.raw.body.is_empty() && !beechloft_whep::is_type(kind, beechloft_whep::SDP) {
-            return with(415, Header::Accept("application/sdp".into()));
-        }
-        if self.calls.len() >= CALLS {
-            return with(503, Header::RetryAfter("1".into()));
-        }
-        // The same request by another way (section 8.2.2.2).
         let name = (request.names.call.clone(), request.names.from_tag.clone());
-        self.by_caller.contains_key(&name).then(|| request.answer(482, &tag))
-    }
-
-    fn invite(&mut self, key: Key, peer: Peer, request: Request) {
-        if let Some(fault) = self.fault(&request) {
+        let merged = self.by_caller.contains_key(&name);
+        if let Some(fault) = admission::fault(&request, &tag, self.calls.len() >= CALLS, merged) {
             return self.respond(&key, fault);
         }
-        let tag = self.mint.name();
         let offer = match Offer::parse_plain(&request.raw.body) {
             Ok(offer) => offer,
             Err(e) => {
@@ -292,7 +260,6 @@
             return self.respond(&key, request.answer(404, &tag));
         };
         let at = self.local(peer.transport);
-        let name = (request.names.call.clone(), request.names.from_tag.clone());
         let Ok(leg) = CallerLeg::new(request.clone(), at, &mut self.mint) else {
             return self.respond(&key, request.answer(400, &tag));
         };
--- a/crates/sip/src/lib.rs
+++ b/crates/sip/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`agent`] ties to the front's core.
 #![forbid(unsafe_code)]
 
+pub mod admission;
 pub mod agent;
 pub mod callee;
 pub mod caller;
