Probes tested on sockets: loads reach the core, silence is told as a failure

Deployments whose boxes report with probes alone were never run on sockets. Boxes count the calls for their load; a front probes them as sessions pay for it, what they report reaches the core, and a box that stands still is told as a failed probe.

--- a/crates/front/tests/whep.rs
+++ b/crates/front/tests/whep.rs
@@ -225,3 +225,37 @@
     let answer = player::slow_sender(rig.address, b"POST /whep/all HTTP/1.1\r\nho", Duration::from_secs(3));
     assert!(String::from_utf8_lossy(&answer).contains(" 408 "));
 }
+
+#[test]
+fn boxes_that_report_with_probes_alone_are_probed_and_one_that_stands_still_is_found_out() {
+    let recorder = beechloft_checker::Recorder::default();
+    let fleet = beechloft_standin::fleet::Fleet::start(&fleet_spec(2), &recorder).expect("a fleet");
+    let mut settings = settings(&format!("url: {}", fleet.list.url()), "boxes: {call_ms: 300}\n");
+    settings.settings.reporting = beechloft_core::api::Reporting::InProbes;
+    settings.settings.limits.probes = true;
+    let front = beechloft_front::Front::start_recorded(settings).expect("a front");
+    until("the list is known", || front.status().boxes == 2);
+    let mut dice = beechloft_standin::dice::Dice::new(4);
+    let wish = Wish::new(front.address(), 0, "all");
+    let probes = || fleet.boxes().map(|(_, b)| b.probes()).sum::<u64>();
+    until("a box is probed", || {
+        player::ask(&wish, &mut dice, &recorder);
+        std::thread::sleep(Duration::from_millis(100));
+        probes() > 0
+    });
+    fleet.boxes().for_each(|(_, b)| b.fault(Fault::StandStill));
+    // Each session taken pays for a probe; those that wait on a box that stands still end in time.
+    std::thread::sleep(Duration::from_millis(3500));
+    let recording = front.stop(Duration::from_secs(1));
+    let told = |ok: bool| {
+        let is = |i: &beechloft_core::io::Input| match i {
+            beechloft_core::io::Input::Probed { outcome, load, .. } => {
+                (*outcome == beechloft_core::api::Outcome::Ok && load.link.is_some()) == ok
+            }
+            _ => false,
+        };
+        recording.inputs.iter().filter(|(_, i)| is(i)).count()
+    };
+    assert!(told(true) > 0, "what it reported reached the core");
+    assert!(told(false) > 0, "a probe without an answer is told as a failure");
+}
--- a/crates/standin/src/boxes/mod.rs
+++ b/crates/standin/src/boxes/mod.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -81,6 +81,7 @@
     media: UdpSocket,
     address: SocketAddr,
     end: AtomicBool,
+    probes: AtomicU64,
 }
 
 /// A box that runs until it is dropped.
@@ -114,6 +115,7 @@
             media,
             address,
             end: AtomicBool::new(false),
+            probes: AtomicU64::new(0),
         });
         inner.come_up(listener, warm)?;
         let of_thread = inner.clone();
@@ -168,6 +170,11 @@
         }
     }
 
+    /// How often it was asked for its load.
+    pub fn probes(&self) -> u64 {
+        self.0.probes.load(Ordering::SeqCst)
+    }
+
     /// Sessions that it runs.
     pub fn sessions(&self) -> usize {
         self.0.lock().sessions.len()
--- a/crates/standin/src/boxes/serve.rs
+++ b/crates/standin/src/boxes/serve.rs
@@ -3,6 +3,7 @@
 use std::io::Write;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -245,6 +246,7 @@
         Reply::Whole(match (&request.method, path) {
             (&Method::GET, news::PATH) => return this.events(),
             (&Method::GET, news::LOAD_PATH) => {
+                this.probes.fetch_add(1, Ordering::SeqCst);
                 let report = this.lock().reported;
                 Response::new(StatusCode::OK).body(load::BODY, load::write(&report))
             }
