No walk over all boxes or calls with each input

Read again as a whole, the change walked all watched boxes with every input of the core (when is the next lost, which are), all legs for each timed-out or cancelled call, and all timers for each broken stream. Boxes whose stream is down, transactions and attempts are now found by their own keys. A log line that its own input already gave is gone. Behaviour is the same; all tests stand unchanged.

--- a/crates/core/src/watch.rs
+++ b/crates/core/src/watch.rs
@@ -4,7 +4,7 @@
 //! a box: nobody listens at its address any more, it names another start of its process, or it has been out of
 //! reach for [`LOST_AFTER`]. In the last case it may still run them, and they are released as well.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use beechloft::interface::{Micros, ServerId};
 
@@ -32,13 +32,15 @@
 #[derive(Debug, Default)]
 pub struct Watches {
     seen: BTreeMap<ServerId, Seen>,
+    /// Boxes whose stream is down, the longest first: looked at with every input, while nearly all boxes are up.
+    broken: BTreeSet<(Micros, ServerId)>,
 }
 
 impl Watches {
     /// The stream is up, and the box names this start of its process.
     pub fn hello(&mut self, server: ServerId, boot: u64) -> Fate {
+        self.mend(server);
         let seen = self.seen.entry(server).or_default();
-        seen.broken_since = None;
         match seen.boot.replace(boot) {
             Some(before) if before != boot => Fate::Gone,
             _ => Fate::Kept,
@@ -47,33 +49,41 @@
 
     /// The stream broke. The time counts from the first break.
     pub fn broken(&mut self, now: Micros, server: ServerId) {
-        self.seen.entry(server).or_default().broken_since.get_or_insert(now);
+        let since = *self.seen.entry(server).or_default().broken_since.get_or_insert(now);
+        self.broken.insert((since, server));
     }
 
     /// Nobody listens there.
     pub fn refused(&mut self, server: ServerId) -> Fate {
-        let seen = self.seen.entry(server).or_default();
-        *seen = Seen::default();
+        self.forget(server);
         Fate::Gone
     }
 
     /// Boxes that have been out of reach too long, once each.
     pub fn take_lost(&mut self, now: Micros) -> Vec<ServerId> {
-        let lost = |s: &Seen| s.broken_since.is_some_and(|t| now - t >= LOST_AFTER);
-        let ids: Vec<_> = self.seen.iter().filter(|(_, s)| lost(s)).map(|(&id, _)| id).collect();
-        for id in &ids {
-            self.seen.entry(*id).and_modify(|s| s.broken_since = None);
-        }
+        let lost = self.broken.iter().take_while(|(since, _)| now - *since >= LOST_AFTER);
+        let mut ids: Vec<_> = lost.map(|(_, id)| *id).collect();
+        ids.sort_unstable();
+        ids.iter().for_each(|id| self.mend(*id));
         ids
     }
 
+    /// Its stream counts as down no longer.
+    fn mend(&mut self, server: ServerId) {
+        let since = self.seen.get_mut(&server).and_then(|s| s.broken_since.take());
+        if let Some(since) = since {
+            self.broken.remove(&(since, server));
+        }
+    }
+
     /// When the next box may be lost.
     pub fn next_due(&self) -> Option<Micros> {
-        self.seen.values().filter_map(|s| s.broken_since).min().map(|t| t + LOST_AFTER)
+        self.broken.first().map(|(since, _)| *since + LOST_AFTER)
     }
 
     /// Forgets a box that is off the list.
     pub fn forget(&mut self, server: ServerId) {
+        self.mend(server);
         self.seen.remove(&server);
     }
 }
--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -310,8 +310,6 @@
 
     fn input(&mut self, input: Input) {
         debug!(target: "core", ?input, "input");
-        // A client that hung up is told nothing any more; its own thread ends the attempt that is out.
-        let gone = if let Input::HungUp(session) = &input { Some(*session) } else { None };
         let now = self.clock.now();
         if let Some(recording) = &mut self.recording {
             recording.inputs.push((now, input.clone()));
@@ -326,9 +324,6 @@
                 self.carry_out(output);
             }
         }
-        if let Some(session) = gone {
-            debug!(target: "core", session = format_args!("{:016x}", session.0), "client hung up");
-        }
     }
 
     fn carry_out(&mut self, output: Output) {
--- a/crates/sip/src/agent.rs
+++ b/crates/sip/src/agent.rs
@@ -81,6 +81,8 @@
     release: Option<Ticket>,
     /// The caller's offer, for changes of the rung.
     offer: Offer,
+    /// Its transactions, the INVITE's first.
+    keys: Vec<Key>,
 }
 
 /// Whose time has come.
@@ -107,6 +109,10 @@
     placed: BTreeMap<u64, Placed>,
     /// Legs at boxes by their `Call-ID`.
     by_box: BTreeMap<String, u64>,
+    /// Legs at boxes by the transactions that they wait for.
+    by_key: BTreeMap<Key, u64>,
+    /// Attempts that are out.
+    trying: BTreeMap<SessionId, u64>,
     /// Calls that stand at boxes.
     standing: BTreeMap<SessionId, u64>,
     /// When each leg is next due, both ways.
@@ -131,6 +137,8 @@
             by_invite: BTreeMap::new(),
             placed: BTreeMap::new(),
             by_box: BTreeMap::new(),
+            by_key: BTreeMap::new(),
+            trying: BTreeMap::new(),
             standing: BTreeMap::new(),
             timers: BTreeSet::new(),
             armed: BTreeMap::new(),
@@ -144,7 +152,10 @@
         match input {
             Input::Received(peer, message) => self.layer(transaction::Input::Received(peer, message)),
             Input::Lost(peer, refused) => {
-                self.placed.values_mut().filter(|p| p.peer == peer).for_each(|p| p.refused = refused);
+                // The connection of an attempt has its leg's number.
+                if let Some(placed) = self.placed.get_mut(&(peer.conn & !OWN)).filter(|p| p.peer == peer) {
+                    placed.refused = refused;
+                }
                 self.layer(transaction::Input::Lost(peer));
             }
             Input::Core(output) => self.core(*output),
@@ -355,9 +366,9 @@
                 self.set_up(attempt, server, &url, rate_kb, until);
             }
             core_io::Output::Cancel(attempt) => {
-                let leg =
-                    self.placed.iter().find(|(_, p)| p.attempt == attempt && p.until.is_some()).map(|p| *p.0);
-                if let Some(leg) = leg {
+                // At most one attempt of a session is out.
+                let leg = self.trying.get(&attempt.session).copied();
+                if let Some(leg) = leg.filter(|l| self.placed.get(l).is_some_and(|p| p.attempt == attempt)) {
                     self.on_box(leg, callee::In::End);
                 }
             }
@@ -436,9 +447,22 @@
         self.by_box.insert(request.names.call.clone(), id);
         let leg = BoxLeg::new(request.clone(), self.local(Transport::Tcp));
         let (sent, until) = (self.now, Some(until));
-        let placed =
-            Placed { leg, peer, server, session, attempt, sent, until, refused: false, release: None, offer };
+        let placed = Placed {
+            leg,
+            peer,
+            server,
+            session,
+            attempt,
+            sent,
+            until,
+            refused: false,
+            release: None,
+            offer,
+            keys: Vec::new(),
+        };
         self.placed.insert(id, placed);
+        self.trying.insert(session, id);
+        self.name(id, &request);
         self.arm(Owner::Box(id));
         self.layer(transaction::Input::Send(peer, Box::new(request)));
     }
@@ -464,15 +488,13 @@
     }
 
     fn timed_out(&mut self, key: &Key) {
-        // The transaction is named by its branch alone; the legs that may wait for it are few: those at one box.
-        let of = |p: &Placed| Layer::key_of(p.leg.invite()) == *key;
-        let bye = |p: &Placed| p.leg.bye_key().as_ref() == Some(key);
-        let found = self.placed.iter().find(|(_, p)| of(p) || bye(p)).map(|(leg, p)| (*leg, of(p)));
-        match found {
-            Some((leg, true)) => self.on_box(leg, callee::In::Lost),
+        let Some(leg) = self.by_key.get(key).copied() else { return };
+        let Some(placed) = self.placed.get(&leg) else { return };
+        if placed.keys.first() == Some(key) {
+            self.on_box(leg, callee::In::Lost);
+        } else if placed.leg.bye_key().as_ref() == Some(key) {
             // A BYE that nobody answered: its other side is gone.
-            Some((leg, false)) => self.on_box(leg, callee::In::ByeDone),
-            None => {}
+            self.on_box(leg, callee::In::ByeDone);
         }
     }
 
@@ -515,7 +537,10 @@
         let (sent, refused) = (placed.sent, placed.refused);
         for output in done {
             match output {
-                callee::Out::Send(request) => self.layer(transaction::Input::Send(peer, request)),
+                callee::Out::Send(request) => {
+                    self.name(leg, &request);
+                    self.layer(transaction::Input::Send(peer, request));
+                }
                 callee::Out::Ack(request) => {
                     self.out.push(Output::Transmit(peer, Box::new(Message::Request(*request))));
                 }
@@ -553,12 +578,25 @@
         if let Some(placed) = self.placed.get_mut(&leg) {
             placed.until = None;
         }
+        self.trying.remove(&attempt.session);
         self.tell(core_io::Input::Verdict { attempt, server, verdict, sent, load: LoadReport::default() });
     }
 
+    /// Notes a transaction that a leg waits for.
+    fn name(&mut self, leg: u64, request: &Request) {
+        let key = Layer::key_of(request);
+        if let Some(placed) = self.placed.get_mut(&leg) {
+            placed.keys.push(key.clone());
+            self.by_key.insert(key, leg);
+        }
+    }
+
     fn gone(&mut self, leg: u64) {
         let Some(placed) = self.placed.remove(&leg) else { return };
         self.by_box.remove(&placed.leg.invite().names.call);
+        for key in &placed.keys {
+            self.by_key.remove(key);
+        }
         if self.standing.get(&placed.session) == Some(&leg) {
             self.standing.remove(&placed.session);
         }
--- a/crates/sip/src/transaction/layer.rs
+++ b/crates/sip/src/transaction/layer.rs
@@ -253,7 +253,9 @@
         let gone: Vec<Key> = self.clients.iter().filter(|(_, c)| on(&c.0)).map(|(k, _)| k.clone()).collect();
         for key in gone {
             if let Some((_, client)) = self.clients.remove(&key) {
-                self.due.retain(|d| d.1 != key);
+                if let Some(at) = client.next_due() {
+                    self.due.remove(&(at, key.clone()));
+                }
                 if !client.is_answered() {
                     out.push(Output::TimedOut(key));
                 }
