--- a/crates/front/tests/faults.rs
+++ b/crates/front/tests/faults.rs
@@ -329,3 +329,27 @@
     rig.settle(0);
     rig.finish();
 }
+
+#[test]
+fn a_box_that_grows_slow_and_dies_and_one_that_delivers_nothing() {
+    let mut rig = Rig::new(2);
+    rig.fleet.fault(1, Fault::GrowSlow { ms_per_s: 400.0, dies_after_s: 2.0 });
+    until("it is dead", || {
+        let playing = rig.play("pair");
+        playing.end(&rig.pool, &rig.recorder).expect("a response");
+        std::thread::sleep(Duration::from_millis(30));
+        !rig.fleet.get(1).is_some_and(|b| b.is_up())
+    });
+    for _ in 0..3 {
+        rig.play("pair");
+    }
+    assert_eq!(rig.fleet.sessions(), 3, "all at the sound box");
+    // No front can see that media stays out; its player does, and ends the session like any other.
+    rig.fleet.fault(2, Fault::DeliverNothing);
+    let playing = rig.play("pair");
+    let shares = watch(&playing, Duration::from_millis(400));
+    assert!(!shares.is_empty() && shares.iter().all(|share| *share == 0.0), "{shares:?}");
+    playing.end(&rig.pool, &rig.recorder).expect("a response");
+    rig.settle(0);
+    rig.finish();
+}
