Overload control for calls: a module without I/O, RFC 7339 on the wire, new calls in a lane

A front past its rate let every caller wait in one queue, and their repeated INVITEs made it longer.

- sip/overload: the least wait of an interval says whether a queue stands; then new calls are taken at a rate that follows what is worked off, and neighbours that take part (RFC 7339) are told the share to keep back.
One that claims to and does not is thinned like the others.
A refusal holds no transaction, is remembered by a number and is the same for every copy.
- The agent's thread takes new calls behind everything else; both lanes of datagrams are bounded.
- The agent is three files now; a comma within quotation marks no longer splits a Via.
- standin/trunk: thousands of calls a second from one socket; `beechloft overload` measures with it.

--- a/crates/cli/src/bench.rs
+++ b/crates/cli/src/bench/mod.rs
@@ -2,6 +2,8 @@
 //!
 //! The boxes are stand-ins in this process, large enough not to be the limit; the front is a process of its own.
 
+pub mod overload;
+
 use std::io;
 use std::net::SocketAddr;
 use std::process::ExitCode;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -70,6 +70,18 @@
         #[arg(long, default_value_t = 10_000)]
         playing: usize,
     },
+    /// Drive a front past its own rate of calls, with overload control and without
+    Overload {
+        /// The front's own rate, calls a second; it is looked for if not given
+        #[arg(long)]
+        rate: Option<f64>,
+        /// How many times its own rate
+        #[arg(long, default_value_t = 3.0)]
+        times: f64,
+        /// Seconds of each part
+        #[arg(long, default_value_t = 10)]
+        seconds: u64,
+    },
 }
 
 /// Exit codes: 0 all well, 1 a rule broken or a run that failed, 2 bad input.
@@ -80,6 +92,7 @@
         Command::Demo { boxes } => demo::demo(boxes),
         Command::Day { file, seed, json, keep } => day::day(&file, seed, json, keep.as_deref()),
         Command::Bench { rate, seconds, clients, playing } => bench::bench(rate, seconds, clients, playing),
+        Command::Overload { rate, times, seconds } => bench::overload::overload(rate, times, seconds),
     }
 }
 
--- a/crates/config/src/front.rs
+++ b/crates/config/src/front.rs
@@ -51,6 +51,8 @@
     pub listen: SocketAddr,
     /// Where it takes SIP calls, over UDP and TCP, if it does.
     pub sip: Option<SocketAddr>,
+    /// Whether overload control bounds the calls that are taken; off only for comparisons.
+    pub sip_control: bool,
     /// The deployment.
     pub service: Service,
     /// For the module, complete.
@@ -93,6 +95,7 @@
     FrontSettings {
         listen,
         sip: f.address("sip"),
+        sip_control: true,
         settings,
         seed: f.whole("seed", 0..=u64::MAX),
         list: list_source(&top.section("list"), &service),
--- a/crates/front/src/sip.rs
+++ b/crates/front/src/sip.rs
@@ -11,12 +11,15 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use beechloft_core::api::Micros;
+use beechloft_http::wait;
 use beechloft_sip::agent::{Agent, Input, OWN, Output};
 use beechloft_sip::framing::{Framed, Framer};
-use beechloft_sip::message::{BYTES, Message};
+use beechloft_sip::message::{BYTES, Message, Method};
+use beechloft_sip::overload::Control;
 use beechloft_sip::transaction::Transport;
 use beechloft_sip::transaction::layer::Peer;
-use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
+use crossbeam_channel::{Receiver, Sender, bounded, select, unbounded};
 use tracing::{debug, info, warn};
 
 use crate::Shared;
@@ -27,6 +30,11 @@
 const IDLE: Duration = Duration::from_secs(120);
 /// How often a reader looks whether the front has ended.
 const LOOK: Duration = Duration::from_millis(200);
+/// Threads that read datagrams: reading a message costs as much as half of all else that is done for a call.
+const READERS: usize = 2;
+/// Messages within calls that wait for the agent, and new calls. As many as wait longer than a caller does.
+const WITHIN: usize = 16_384;
+const NEW: usize = 4_096;
 /// Messages that wait to be written on one stream.
 const WAITING: usize = 256;
 
@@ -38,9 +46,10 @@
     udp.set_read_timeout(Some(LOOK))?;
     tcp.set_nonblocking(true)?;
     let callers = Arc::new(Streams::default());
-    let (sender, receiver) = unbounded();
-    shared.handle.sip(sender.clone());
-    let agent = Agent::new(address, shared.settings.settings.number, seed ^ 0x0073_6970);
+    let (sender, lanes) = lanes();
+    shared.handle.sip(sender.certain.clone());
+    let (seed, number) = (seed ^ 0x0073_6970, shared.settings.settings.number);
+    let agent = Agent::with(address, number, seed, Control::new(seed, shared.settings.sip_control));
     let run = Run {
         shared: shared.clone(),
         agent,
@@ -52,17 +61,81 @@
     let spawn = |name: &str, f: Box<dyn FnOnce() + Send>| {
         thread::Builder::new().name(name.into()).stack_size(256 * 1024).spawn(f).map(drop)
     };
-    let of_udp = (shared.clone(), sender.clone());
-    spawn("sip-udp", Box::new(move || datagrams(&of_udp.0, &udp, &of_udp.1)))?;
+    for _ in 0..READERS {
+        let (shared, udp, sender) = (shared.clone(), udp.clone(), sender.clone());
+        spawn("sip-udp", Box::new(move || datagrams(&shared, &udp, &sender)))?;
+    }
     let of_tcp = shared.clone();
     spawn("sip-tcp", Box::new(move || accept(&of_tcp, &tcp, &callers, &sender)))?;
-    spawn("sip", Box::new(move || run.run(&receiver)))?;
+    spawn("sip", Box::new(move || run.run(&lanes)))?;
     info!(target: "core", %address, "SIP is up");
     Ok(address)
 }
 
-/// What the threads tell the agent's.
-type ToAgent = Sender<Input>;
+/// The ways to the agent's thread. New calls wait behind everything else: what is within a call ends it or frees its
+/// room, and a call that waits too long is turned away by the agent.
+#[derive(Clone)]
+struct ToAgent {
+    /// What must not be lost: the core's word, boxes' answers, streams that end.
+    certain: Sender<Input>,
+    /// Callers' messages within calls.
+    within: Sender<Input>,
+    /// New calls.
+    new: Sender<Input>,
+}
+
+/// The other ends.
+struct Lanes {
+    certain: Receiver<Input>,
+    within: Receiver<Input>,
+    new: Receiver<Input>,
+}
+
+fn lanes() -> (ToAgent, Lanes) {
+    let ((certain, a), (within, b), (new, c)) = (unbounded(), bounded(WITHIN), bounded(NEW));
+    (ToAgent { certain, within, new }, Lanes { certain: a, within: b, new: c })
+}
+
+impl Lanes {
+    /// The next input, waited for until a time.
+    fn next(&self, wait: Duration) -> Option<Input> {
+        let ready =
+            self.certain.try_recv().or_else(|_| self.within.try_recv()).or_else(|_| self.new.try_recv());
+        ready.ok().or_else(|| {
+            select! {
+                recv(self.certain) -> input => input.ok(),
+                recv(self.within) -> input => input.ok(),
+                recv(self.new) -> input => input.ok(),
+                default(wait) => None,
+            }
+        })
+    }
+}
+
+impl ToAgent {
+    fn lane(&self, message: &Message) -> &Sender<Input> {
+        match message {
+            Message::Request(r) if r.method() == Method::Invite && r.names.to_tag.is_none() => &self.new,
+            _ => &self.within,
+        }
+    }
+
+    /// A caller's datagram. One that finds its lane full is lost, as it is when the socket's buffer is: its sender
+    /// repeats it.
+    fn datagram(&self, peer: Peer, message: Message, at: Micros) {
+        let _ = self.lane(&message).try_send(Input::Received(peer, Box::new(message), at));
+    }
+
+    /// A message of a caller's stream, which nobody repeats: the stream waits.
+    fn streamed(&self, peer: Peer, message: Box<Message>, at: Micros) {
+        let _ = self.lane(&message).send(Input::Received(peer, message, at));
+    }
+
+    fn certain(&self, input: Input) {
+        // The agent's thread ends last; what comes after is nobody's any more.
+        let _ = self.certain.send(input);
+    }
+}
 
 /// Streams that callers opened, for what is written to them.
 type Streams = Mutex<BTreeMap<Peer, Arc<TcpStream>>>;
@@ -87,12 +160,12 @@
 }
 
 impl Run {
-    fn run(mut self, receiver: &Receiver<Input>) {
+    fn run(mut self, lanes: &Lanes) {
         let mut out = Vec::new();
         while !self.shared.handle.ended() {
             let due = self.agent.next_due().map(|at| self.shared.clock.instant(at));
             let wait = due.map_or(LOOK, |at| at.saturating_duration_since(Instant::now()).min(LOOK));
-            let input = receiver.recv_timeout(wait).unwrap_or(Input::Tick);
+            let input = lanes.next(wait).unwrap_or(Input::Tick);
             if let Input::Lost(peer, _) = &input {
                 self.boxes.remove(peer);
             }
@@ -147,7 +220,7 @@
             sender
         });
         if writer.try_send(ToWrite::Message(bytes)).is_err() {
-            let _ = self.sender.send(Input::Lost(peer, false));
+            self.sender.certain(Input::Lost(peer, false));
         }
     }
 }
@@ -159,7 +232,7 @@
         Err(error) => {
             let refused = error.kind() == io::ErrorKind::ConnectionRefused;
             debug!(target: "boxes", peer = %peer.address, %error, "no stream");
-            return drop(agent.send(Input::Lost(peer, refused)));
+            return agent.certain(Input::Lost(peer, refused));
         }
     };
     let _ = stream.set_nodelay(true);
@@ -167,7 +240,7 @@
     let thread = thread::Builder::new().name("sip-read".into()).stack_size(256 * 1024);
     let reader = thread.spawn(move || read(&of_reader, &reads, peer, &to_agent, Duration::MAX));
     if reader.is_err() {
-        return drop(agent.send(Input::Lost(peer, false)));
+        return agent.certain(Input::Lost(peer, false));
     }
     while let Ok(ToWrite::Message(bytes)) = receiver.recv() {
         if (&*stream).write_all(&bytes).is_err() {
@@ -183,7 +256,7 @@
         let Ok((n, address)) = udp.recv_from(&mut buf) else { continue };
         let peer = Peer { address, transport: Transport::Udp, conn: 0 };
         match Message::parse(&buf[..n]) {
-            Ok(message) => drop(agent.send(Input::Received(peer, Box::new(message)))),
+            Ok(message) => agent.datagram(peer, message, shared.clock.now()),
             // Keep-alives of four bytes are no messages (RFC 5626, section 3.5.1).
             Err(error) if n > 4 => debug!(target: "http", peer = %address, %error, "datagram dropped"),
             Err(_) => {}
@@ -195,9 +268,17 @@
     let open = Arc::new(AtomicUsize::new(0));
     let mut next = 0;
     while !shared.handle.ended() {
-        let Ok((stream, address)) = listener.accept() else {
-            thread::sleep(Duration::from_millis(5));
-            continue;
+        let (stream, address) = match listener.accept() {
+            Ok(accepted) => accepted,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                wait::acceptable(listener, LOOK);
+                continue;
+            }
+            // Out of descriptors, or a connection that broke at once.
+            Err(_) => {
+                thread::sleep(Duration::from_millis(5));
+                continue;
+            }
         };
         if open.load(Ordering::SeqCst) >= STREAMS || stream.set_nonblocking(false).is_err() {
             continue; // closed as it is: no request was taken
@@ -243,11 +324,14 @@
         }
         for part in framed.drain(..) {
             match part {
-                Framed::Message(message) => drop(agent.send(Input::Received(peer, message))),
+                Framed::Message(message) if peer.conn >= OWN => {
+                    agent.certain(Input::Received(peer, message, shared.clock.now()));
+                }
+                Framed::Message(message) => agent.streamed(peer, message, shared.clock.now()),
                 Framed::Ping => drop((&**stream).write_all(b"\r\n")),
             }
         }
     }
     let _ = stream.shutdown(Shutdown::Both);
-    let _ = agent.send(Input::Lost(peer, false));
+    agent.certain(Input::Lost(peer, false));
 }
--- /dev/null
+++ b/crates/front/tests/trunk.rs
@@ -0,0 +1,60 @@
+//! A front that is called by a gateway at more than it bears: the rules hold, and nobody hears two answers.
+
+mod support;
+
+use std::time::Duration;
+
+use beechloft_checker::{Recorder, Rules, check};
+use beechloft_front::Front;
+use beechloft_standin::fleet::Fleet;
+use beechloft_standin::trunk::{Plan, Tally, Trunk};
+use support::*;
+
+/// Calls a front of its own for two seconds; in a build without optimisation this is several times what it holds.
+fn called(claims: bool, obeys: bool) -> Tally {
+    let recorder = Recorder::default();
+    let fleet = Fleet::start(&fleet_spec(4), &recorder).expect("a fleet");
+    let mut settings = settings(&format!("url: {}", fleet.list.url()), "");
+    settings.sip = Some("127.0.0.1:0".parse().expect("an address"));
+    let front = Front::start(settings, None).expect("a front");
+    until("the list is known", || front.status().boxes == 4);
+    let plan = Plan {
+        front: front.sip_address().expect("SIP is up"),
+        number: 0,
+        titles: vec!["all".into(), "pair".into(), "one".into()],
+        rate: 1_200.0,
+        lasts: Duration::from_secs(2),
+        holds: Duration::from_millis(150),
+        patience: Duration::from_secs(4),
+        obeys,
+        claims,
+        returns: true,
+        seed: 4,
+    };
+    let tally = Trunk::new(plan, Some(recorder.clone())).and_then(Trunk::run).expect("a trunk");
+    until("the boxes' calls are over", || fleet.sessions() == 0);
+    let report = check(&recorder.trace(), &Rules { drain_grace_us: 1_000_000, ..Rules::default() });
+    assert!(report.kept(), "{report:#?}");
+    assert_eq!((tally.twice, tally.timed_out), (0, 0), "{tally:?}");
+    assert!(tally.accepted > 20, "{tally:?}");
+    // Every call that was taken had its answer, and none was forgotten.
+    let refused: u64 = tally.refused.values().sum();
+    assert_eq!(tally.accepted + refused + tally.kept_back + tally.not_taken, tally.wanted, "{tally:?}");
+    tally
+}
+
+#[test]
+fn callers_that_know_nothing_of_overload_control() {
+    let tally = called(false, false);
+    assert_eq!(tally.kept_back, 0);
+}
+
+#[test]
+fn a_gateway_that_keeps_calls_back() {
+    called(true, true);
+}
+
+#[test]
+fn a_gateway_that_claims_to_and_does_not() {
+    called(true, false);
+}
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -170,19 +170,13 @@
                     refuse(stream, shared, &mut lingering);
                 }
             }
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => wait_for(listener),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => wait::acceptable(listener, LOOK),
             // Out of descriptors or a connection that broke at once: go on, but don't spin.
             Err(_) => thread::sleep(Duration::from_millis(5)),
         }
     }
 }
 
-fn wait_for(listener: &TcpListener) {
-    use rustix::event::{PollFd, PollFlags, Timespec, poll};
-    let mut fds = [PollFd::new(listener, PollFlags::IN)];
-    let _ = poll(&mut fds, Some(&Timespec { tv_sec: 0, tv_nsec: LOOK.subsec_nanos().into() }));
-}
-
 /// Gives a connection to a spare thread or a new one; gives it back if the bound is reached.
 fn hand_over(
     stream: TcpStream,
--- a/crates/http/src/wait.rs
+++ b/crates/http/src/wait.rs
@@ -1,7 +1,7 @@
 //! Waiting for sockets to have something to say.
 
 use std::io;
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
@@ -27,6 +27,14 @@
     }
 }
 
+/// Waits until a connection is there to be accepted, at most so long.
+pub fn acceptable(listener: &TcpListener, most: Duration) {
+    let mut fds = [PollFd::new(listener, PollFlags::IN)];
+    let timeout = Timespec { tv_sec: most.as_secs() as i64, tv_nsec: most.subsec_nanos().into() };
+    // A wait that was cut short is made up for by the caller's next look.
+    let _ = poll(&mut fds, Some(&timeout));
+}
+
 /// Whether the other side has closed or broken the connection. Bytes that wait to be read hide a close behind them.
 pub fn hung_up(socket: &TcpStream) -> bool {
     let mut fds = [PollFd::new(socket, PollFlags::IN | PollFlags::RDHUP)];
--- /dev/null
+++ b/crates/sip/src/agent/gate.rs
@@ -0,0 +1,79 @@
+//! The agent's gate: a new call passes it before anything else is done for it.
+
+use beechloft_core::api::Micros;
+use beechloft_core::io::RequestId;
+use rsip::Header;
+
+use super::{Agent, Output};
+use crate::message::{Message, Method, Request, Response};
+use crate::overload::refused::Name;
+use crate::overload::{Ruling, wire};
+use crate::transaction::Key;
+use crate::transaction::layer::Peer;
+
+impl Agent {
+    /// Whether a message that came at a time is to be worked on. A new call that is turned away has its answer by then.
+    pub(super) fn passes(&mut self, peer: Peer, message: &Message, at: Micros) -> bool {
+        let Message::Request(invite) = message else { return true };
+        let new = invite.method() == Method::Invite && invite.names.to_tag.is_none();
+        if !new || self.layer.knows(invite) {
+            return true;
+        }
+        self.arrived = at;
+        let name = self.refused.name(invite);
+        if let Some(after) = self.refused.had(name) {
+            self.turn_away(peer, invite, name, after);
+            return false;
+        }
+        let claims = wire::claims(&invite.raw.headers);
+        match self.control.judge(self.now, at, peer.address, claims) {
+            Ruling::Take => true,
+            Ruling::TurnAway(after) => {
+                if self.refused.remember(self.now, name, after) {
+                    self.turn_away(peer, invite, name, after);
+                }
+                false
+            }
+        }
+    }
+
+    /// A refusal without a transaction: it is not repeated, and its ACK means nothing to us.
+    fn turn_away(&mut self, peer: Peer, invite: &Request, name: Name, after: Option<u64>) {
+        let mut refusal = invite.answer(503, &name.tag());
+        if let Some(after) = after {
+            refusal.raw.headers.push(Header::RetryAfter(after.to_string().into()));
+        }
+        self.advise_peer(peer, &mut refusal);
+        self.out.push(Output::Transmit(peer, Box::new(Message::Response(refusal))));
+    }
+
+    /// The core said something on a caller's request: how long its call waited for that is the sign of overload.
+    pub(super) fn first_word(&mut self, request: RequestId) {
+        let call = self.by_request.get(&request).and_then(|s| self.calls.get_mut(s));
+        if let Some(arrived) = call.and_then(|c| c.arrived.take()) {
+            self.control.worked(self.now, arrived);
+        }
+    }
+
+    /// Adds to an answer what its caller's side is to keep back, if it takes part.
+    pub(super) fn advise(&mut self, key: &Key, response: &mut Response) {
+        if response.method == Method::Invite
+            && let Some(peer) = self.layer.peer_of(key)
+        {
+            self.advise_peer(peer, response);
+        }
+    }
+
+    fn advise_peer(&mut self, peer: Peer, response: &mut Response) {
+        if wire::claims(&response.raw.headers)
+            && let Some(advice) = self.control.advice(self.now, peer.address)
+        {
+            wire::advise(response, advice);
+        }
+    }
+
+    /// The overload control, to be looked at.
+    pub fn control(&self) -> &crate::overload::Control {
+        &self.control
+    }
+}
--- a/crates/sip/src/lib.rs
+++ b/crates/sip/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod dialog;
 pub mod framing;
 pub mod message;
+pub mod overload;
 pub mod timer;
 pub mod transaction;
 
--- a/crates/sip/src/message.rs
+++ b/crates/sip/src/message.rs
@@ -140,7 +140,13 @@
         let long = COMPACT.iter().find(|c| short.eq_ignore_ascii_case(c.0.as_bytes()));
         let name = long.map_or(short, |c| c.1.as_bytes());
         let via = name.eq_ignore_ascii_case(b"via");
-        for value in value.split(|b| via && *b == b',') {
+        // A comma within quotation marks joins nothing.
+        let mut quoted = false;
+        let ends = |b: &u8| {
+            quoted ^= *b == b'"';
+            via && !quoted && *b == b','
+        };
+        for value in value.split(ends) {
             out.extend_from_slice(name);
             out.extend_from_slice(b": ");
             out.extend_from_slice(value.trim_ascii());
--- a/crates/sip/src/transaction/layer.rs
+++ b/crates/sip/src/transaction/layer.rs
@@ -160,6 +160,16 @@
         self.len() == 0
     }
 
+    /// Whether a request belongs to a transaction that is known: it is a copy.
+    pub fn knows(&self, request: &Request) -> bool {
+        self.servers.contains_key(&Key::server(request))
+    }
+
+    /// Who is on the other side of a transaction in which we were asked.
+    pub fn peer_of(&self, key: &Key) -> Option<Peer> {
+        self.servers.get(key).map(|s| s.0)
+    }
+
     /// Whether a CANCEL may be sent for a request of the user now.
     pub fn may_cancel(&self, key: &Key) -> bool {
         self.clients.get(key).is_some_and(|c| c.1.may_cancel())
--- a/crates/sip/tests/agent.rs
+++ b/crates/sip/tests/agent.rs
@@ -161,7 +161,8 @@
     }
 
     fn back(&mut self, after: u64, peer: Peer, message: Message) {
-        self.wire.push((self.now + after, Input::Received(peer, Box::new(message))));
+        self.wire
+            .push((self.now + after, Input::Received(peer, Box::new(message), Micros(self.now + after))));
     }
 
     fn at_box(&mut self, peer: Peer, message: Message) {
@@ -263,7 +264,7 @@
 
     fn caller_sends(&mut self, request: &Request) {
         let message = Box::new(Message::Request(request.clone()));
-        self.agent(Input::Received(udp(), message));
+        self.agent(Input::Received(udp(), message, Micros(self.now)));
     }
 
     /// Final answers to the INVITE of a caller, each status once for each time it came.
--- a/crates/standin/src/boxes/sip.rs
+++ b/crates/standin/src/boxes/sip.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use beechloft_checker::What;
+use beechloft_http::wait;
 use beechloft_sip::agent;
 use beechloft_sip::framing::{Framed, Framer};
 use beechloft_sip::message::{Message, Method, Request, Response};
@@ -22,6 +23,8 @@
 const LONGEST: Duration = Duration::from_secs(600);
 /// How often a stream is looked at.
 const LOOK: Duration = Duration::from_millis(10);
+/// How often the listener looks whether it is to end.
+const ACCEPT: Duration = Duration::from_millis(50);
 
 /// Takes calls until the box is dropped.
 pub(super) fn start(inner: &Arc<Inner>, listener: TcpListener) -> io::Result<SocketAddr> {
@@ -38,6 +41,7 @@
                     let thread = thread::Builder::new().name("box-call".into()).stack_size(256 * 1024);
                     let _ = thread.spawn(move || Stream::new(inner, stream).run());
                 }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => wait::acceptable(&listener, ACCEPT),
                 Err(_) => thread::sleep(Duration::from_millis(2)),
             }
         }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod offer;
 pub mod player;
 mod sessions;
+pub mod trunk;
