Calls that stand at boxes are refreshed, and one that a box forgot is found out

A front that died, or a BYE that was not heard, left a call at its box for as long as the box liked; a box that had started anew was not noticed while its connection stood. Two changes of the rung could cross each other.

- sip/standing: one UPDATE at a time at a box, the newest rung first; refreshes at half the interval (RFC 4028), sooner after a broken connection; 481, 408 or silence end the call on our side; 491 and Retry-After are waited out.
- Stand-in boxes keep calls by Call-ID with a session timer, fall over when cold like their HTTP side, and have six faults that only SIP has: stuck, ring, answer_cancelled, lose_bye, other_port, half_close.
- Stand-in callers' datagrams overtake each other when told to.

--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -278,6 +278,12 @@
         "lose_answers",
         "take_link",
         "bad_answer",
+        "stuck",
+        "ring",
+        "answer_cancelled",
+        "lose_bye",
+        "other_port",
+        "half_close",
         "die",
     ];
     Some(match s.choice("fault", &kinds.map(|k| (k, k)))? {
@@ -296,6 +302,12 @@
         "lose_answers" => Fault::LoseAnswers { share: share() },
         "take_link" => Fault::TakeLink { share: share() },
         "bad_answer" => Fault::BadAnswer,
+        "stuck" => Fault::Stuck,
+        "ring" => Fault::Ring,
+        "answer_cancelled" => Fault::AnswerCancelled,
+        "lose_bye" => Fault::LoseBye,
+        "other_port" => Fault::OtherPort,
+        "half_close" => Fault::HalfClose,
         _ => Fault::Die,
     })
 }
--- a/crates/sip/src/agent/boxes.rs
+++ b/crates/sip/src/agent/boxes.rs
@@ -10,8 +10,8 @@
 use super::{Agent, OWN, Output, Owner, Placed, leg_of, resource_of, user_agent};
 use crate::callee::{self, BoxLeg};
 use crate::caller;
-use crate::dialog::Local;
 use crate::message::{Message, Method, Request, Response};
+use crate::standing::timer_fields;
 use crate::transaction::layer::Peer;
 use crate::transaction::{self, Key, Layer, Transport};
 
@@ -40,7 +40,12 @@
                 length = body.len(),
             );
             match Message::parse(text.as_bytes()) {
-                Ok(Message::Request(request)) => Some((request, address)),
+                Ok(Message::Request(mut request)) => {
+                    for field in timer_fields() {
+                        request.raw.headers.push(field);
+                    }
+                    Some((request, address))
+                }
                 _ => None,
             }
         });
@@ -85,6 +90,10 @@
         match response.method {
             Method::Invite => self.on_box(leg, callee::In::Response(response)),
             Method::Bye if response.is_final() => self.on_box(leg, callee::In::ByeDone),
+            Method::Update if response.is_final() => {
+                self.on_box(leg, callee::In::Updated(key, Some(response)));
+                self.forget(leg, key);
+            }
             _ => {}
         }
     }
@@ -103,6 +112,17 @@
         } else if placed.leg.bye_key().as_ref() == Some(key) {
             // A BYE that nobody answered: its other side is gone.
             self.on_box(leg, callee::In::ByeDone);
+        } else if placed.leg.update_key() == Some(key) {
+            self.on_box(leg, callee::In::Updated(key, None));
+            self.forget(leg, key);
+        }
+    }
+
+    /// A transaction that a leg waited for is over, and the leg goes on.
+    fn forget(&mut self, leg: u64, key: &Key) {
+        self.by_key.remove(key);
+        if let Some(placed) = self.placed.get_mut(&leg) {
+            placed.keys.retain(|k| k != key);
         }
     }
 
@@ -125,14 +145,10 @@
 
     /// A rung is changed by an UPDATE with the caller's offer limited to the rung's rate (RFC 3311, RFC 3890).
     pub(super) fn set_rung(&mut self, resource: &str, rate_kb: f64) {
-        let Some(placed) = leg_of(resource).and_then(|leg| self.placed.get_mut(&leg)) else { return };
-        let (at, branch) = (Local { transport: "TCP", sent_by: self.sent_by.clone() }, self.mint.branch());
+        let Some(leg) = leg_of(resource) else { return };
+        let Some(placed) = self.placed.get(&leg) else { return };
         let body = placed.offer.limited(rate_kb);
-        let update = placed.leg.dialog().and_then(|d| d.request(Method::Update, &at, &branch, Some(&body)));
-        let peer = placed.peer;
-        if let Some(update) = update {
-            self.layer(transaction::Input::Send(peer, Box::new(update)));
-        }
+        self.on_box(leg, callee::In::Change(&body));
     }
 
     /// Hands something to a leg at a box and carries out what it wants.
--- a/crates/sip/src/agent/mod.rs
+++ b/crates/sip/src/agent/mod.rs
@@ -172,10 +172,14 @@
             }
             Input::Lost(peer, refused) => {
                 // The connection of an attempt has its leg's number.
-                if let Some(placed) = self.placed.get_mut(&(peer.conn & !OWN)).filter(|p| p.peer == peer) {
+                let leg = peer.conn & !OWN;
+                if let Some(placed) = self.placed.get_mut(&leg).filter(|p| p.peer == peer) {
                     placed.refused = refused;
                 }
                 self.layer(transaction::Input::Lost(peer));
+                if self.placed.get(&leg).is_some_and(|p| p.peer == peer) {
+                    self.on_box(leg, callee::In::Broken);
+                }
             }
             Input::Core(output) => self.core(*output),
             Input::Tick => self.layer(transaction::Input::Tick),
--- a/crates/sip/src/callee.rs
+++ b/crates/sip/src/callee.rs
@@ -11,6 +11,7 @@
 
 use crate::dialog::{Dialog, Local, Mint};
 use crate::message::{Method, Request, Response};
+use crate::standing::{Means, Standing};
 use crate::timer::TRIES;
 use crate::transaction::{Key, Layer};
 
@@ -27,6 +28,12 @@
     Bye,
     /// A response to its BYE, or none in time.
     ByeDone,
+    /// Another rung: the offer that says so.
+    Change(&'a str),
+    /// The final answer to its UPDATE of this key, or none in time.
+    Updated(&'a Key, Option<&'a Response>),
+    /// The connection of a call that stands is gone.
+    Broken,
     /// Time passes.
     Tick,
 }
@@ -57,7 +64,7 @@
     /// The INVITE is out. Whether a provisional response has come, and whether it was given up and when.
     Calling { tried: bool, given_up: Option<Micros> },
     /// The call stands.
-    Up(Box<Dialog>),
+    Up(Box<Standing>),
     /// A BYE is out, under this key.
     Ending(Box<Dialog>, Option<Key>),
     /// Given up without a final response; a late 2xx is still ended until this time.
@@ -87,7 +94,7 @@
 
     /// The dialog, while the call stands.
     pub fn dialog(&mut self) -> Option<&mut Dialog> {
-        if let State::Up(dialog) = &mut self.state { Some(dialog) } else { None }
+        if let State::Up(standing) = &mut self.state { Some(standing.dialog()) } else { None }
     }
 
     /// The key of its BYE, while one is out.
@@ -95,6 +102,11 @@
         if let State::Ending(_, bye) = &self.state { bye.clone() } else { None }
     }
 
+    /// The key of its UPDATE, while one is out.
+    pub fn update_key(&self) -> Option<&Key> {
+        if let State::Up(standing) = &self.state { standing.key() } else { None }
+    }
+
     /// Whether nothing is left of it.
     pub fn is_gone(&self) -> bool {
         matches!(self.state, State::Gone)
@@ -104,7 +116,7 @@
     pub fn handle(&mut self, now: Micros, input: In<'_>, mint: &mut Mint, out: &mut Vec<Out>) {
         match input {
             In::Response(response) if response.status < 200 => self.provisional(response.status, out),
-            In::Response(response) if response.status < 300 => self.accepted(response, mint, out),
+            In::Response(response) if response.status < 300 => self.accepted(now, response, mint, out),
             In::Response(response) => self.refused(response.status, out),
             In::Lost => self.lost(now, out),
             In::End => self.end(now, mint, out),
@@ -114,7 +126,8 @@
                     self.gone(out);
                 }
             }
-            In::Tick => self.due(now, out),
+            In::Change(_) | In::Updated(..) | In::Broken => self.standing(now, input, mint, out),
+            In::Tick => self.due(now, mint, out),
         }
     }
 
@@ -123,6 +136,7 @@
         match &self.state {
             State::Calling { given_up: Some(at), .. } => Some(*at + GRACE),
             State::Abandoned { until } => Some(*until),
+            State::Up(standing) => standing.next_due(),
             _ => None,
         }
     }
@@ -149,14 +163,15 @@
     }
 
     /// Every 2xx is acknowledged, also a repeated one; what nobody wants any more is ended.
-    fn accepted(&mut self, response: &Response, mint: &mut Mint, out: &mut Vec<Out>) {
+    fn accepted(&mut self, now: Micros, response: &Response, mint: &mut Mint, out: &mut Vec<Out>) {
         let seq = self.invite.names.seq;
         let ack = |dialog: &Dialog, mint: &mut Mint, out: &mut Vec<Out>| {
             let ack = dialog.ack(seq, &self.at, &mint.branch());
             out.extend(ack.map(|a| Out::Ack(Box::new(a))));
         };
         match &mut self.state {
-            State::Up(dialog) | State::Ending(dialog, _) => return ack(dialog, mint, out),
+            State::Up(standing) => return ack(standing.dialog(), mint, out),
+            State::Ending(dialog, _) => return ack(dialog, mint, out),
             State::Gone => {
                 // Its BYE was answered, and yet the 2xx comes again: the ACK was lost.
                 if let Ok(dialog) = Dialog::as_client(&self.invite, response) {
@@ -178,7 +193,7 @@
         };
         ack(&dialog, mint, out);
         if wanted {
-            self.state = State::Up(Box::new(dialog));
+            self.state = State::Up(Box::new(Standing::new(now, dialog, response)));
             out.push(Out::Up(response.raw.body.clone()));
             return;
         }
@@ -222,18 +237,37 @@
                     self.cancel(out);
                 }
             }
-            State::Up(dialog) => {
-                let bye = dialog.request(Method::Bye, &self.at, &mint.branch(), None);
-                match (bye, std::mem::replace(&mut self.state, State::Gone)) {
-                    (Some(bye), State::Up(dialog)) => {
-                        self.state = State::Ending(dialog, Some(Layer::key_of(&bye)));
-                        out.push(Out::Send(Box::new(bye)));
-                    }
-                    _ => self.gone(out),
-                }
+            State::Up(_) => self.bye(mint, out),
+            _ => {}
+        }
+    }
+
+    /// Ends a call that stands.
+    fn bye(&mut self, mint: &mut Mint, out: &mut Vec<Out>) {
+        let State::Up(standing) = std::mem::replace(&mut self.state, State::Gone) else { return };
+        let mut dialog = standing.into_dialog();
+        match dialog.request(Method::Bye, &self.at, &mint.branch(), None) {
+            Some(bye) => {
+                self.state = State::Ending(Box::new(dialog), Some(Layer::key_of(&bye)));
+                out.push(Out::Send(Box::new(bye)));
+            }
+            None => self.gone(out),
+        }
+    }
+
+    /// What concerns a call that stands; what the box does not have any more is over, and a BYE makes it certain.
+    fn standing(&mut self, now: Micros, input: In<'_>, mint: &mut Mint, out: &mut Vec<Out>) {
+        let State::Up(standing) = &mut self.state else { return };
+        match input {
+            In::Change(offer) => standing.change(now, offer),
+            In::Broken => standing.broken(now, mint),
+            In::Updated(key, answer) if standing.answered(now, key, answer, mint) == Means::Gone => {
+                out.push(Out::HungUp);
+                return self.bye(mint, out);
             }
             _ => {}
         }
+        out.extend(standing.due(now, &self.at, mint).map(|u| Out::Send(Box::new(u))));
     }
 
     fn box_hung_up(&mut self, out: &mut Vec<Out>) {
@@ -243,13 +277,16 @@
         }
     }
 
-    fn due(&mut self, now: Micros, out: &mut Vec<Out>) {
-        match &self.state {
+    fn due(&mut self, now: Micros, mint: &mut Mint, out: &mut Vec<Out>) {
+        match &mut self.state {
             State::Calling { given_up: Some(at), .. } if *at + GRACE <= now => {
                 out.push(Out::Close);
                 self.abandon(now, out);
             }
             State::Abandoned { until } if *until <= now => self.gone(out),
+            State::Up(standing) => {
+                out.extend(standing.due(now, &self.at, mint).map(|u| Out::Send(Box::new(u))));
+            }
             _ => {}
         }
     }
--- a/crates/sip/src/caller.rs
+++ b/crates/sip/src/caller.rs
@@ -5,7 +5,7 @@
 //! the call when they stay out, so that its room is free again.
 
 use beechloft_core::api::Micros;
-use rsip::Header;
+use rsip::{Header, Headers};
 
 use crate::dialog::{Dialog, Local, Mint};
 use crate::message::{MessageError, Method, Request, Response};
@@ -89,16 +89,16 @@
 }
 
 /// A value among the fields that the parser does not know.
-fn other<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
-    request.raw.headers.iter().find_map(|h| match h {
+fn other<'a>(headers: &'a Headers, name: &str) -> Option<&'a str> {
+    headers.iter().find_map(|h| match h {
         Header::Other(key, value) if key.eq_ignore_ascii_case(name) => Some(value.as_str()),
         _ => None,
     })
 }
 
 /// The seconds of a `Session-Expires`, if there is one.
-fn session_expires(request: &Request) -> Option<u32> {
-    other(request, "Session-Expires")?.split(';').next()?.trim().parse().ok()
+pub(crate) fn session_expires(headers: &Headers) -> Option<u32> {
+    other(headers, "Session-Expires")?.split(';').next()?.trim().parse().ok()
 }
 
 impl CallerLeg {
@@ -115,7 +115,7 @@
 
     /// The refusal that the caller's wish for refreshes calls for, if any (RFC 4028, section 9).
     pub fn session_fault(&self) -> Option<Response> {
-        let short = session_expires(&self.invite).is_some_and(|s| s < MIN_SE);
+        let short = session_expires(&self.invite.raw.headers).is_some_and(|s| s < MIN_SE);
         short.then(|| {
             let mut refusal = self.invite.answer(422, self.tag());
             refusal.raw.headers.push(Header::Other("Min-SE".into(), MIN_SE.to_string()));
@@ -169,7 +169,7 @@
         if !self.is_owed() {
             return;
         }
-        let interval = session_expires(&self.invite).map_or(SESSION, |s| s.max(MIN_SE));
+        let interval = session_expires(&self.invite.raw.headers).map_or(SESSION, |s| s.max(MIN_SE));
         let answer = Box::new(self.ok(&self.invite, Some(sdp), interval));
         self.session = Some((interval, now + Micros(u64::from(interval) * 1_000_000)));
         let mut backoff = Backoff::bounded();
@@ -234,7 +234,7 @@
             Method::Invite if matches!(self.state, State::Accepted { .. }) => out.push(plain(491)),
             Method::Invite => out.push(plain(488)),
             Method::Update if request.raw.body.is_empty() => {
-                let interval = session_expires(request).map_or(SESSION, |s| s.max(MIN_SE));
+                let interval = session_expires(&request.raw.headers).map_or(SESSION, |s| s.max(MIN_SE));
                 self.session = Some((interval, now + Micros(u64::from(interval) * 1_000_000)));
                 out.push(Out::Answer(Box::new(self.ok(request, None, interval))));
             }
--- a/crates/sip/src/dialog.rs
+++ b/crates/sip/src/dialog.rs
@@ -27,6 +27,11 @@
         z ^ (z >> 31)
     }
 
+    /// Any number, for what is spread by chance.
+    pub fn number(&mut self) -> u64 {
+        self.next()
+    }
+
     /// A tag or a call id.
     pub fn name(&mut self) -> String {
         format!("{:016x}", self.next())
--- a/crates/sip/src/lib.rs
+++ b/crates/sip/src/lib.rs
@@ -3,7 +3,8 @@
 //! [`message`] reads what comes from outside behind bounds, with a kept parser, and builds answers. [`framing`] cuts a
 //! byte stream into messages. [`transaction`] holds the four state machines of section 17 with the corrections of RFC
 //! 6026, and a bounded table of them that is driven by messages and by time. [`dialog`] is what both sides of a call
-//! remember; [`caller`] and [`callee`] are the two legs of a call, which the back-to-back user agent in
+//! remember; [`caller`] and [`callee`] are the two legs of a call, [`standing`] is what a
+//! call that stands still asks of its box; both legs the back-to-back user agent in
 //! [`agent`] ties to the front's core.
 #![forbid(unsafe_code)]
 
@@ -15,6 +16,7 @@
 pub mod framing;
 pub mod message;
 pub mod overload;
+pub mod standing;
 pub mod timer;
 pub mod transaction;
 
--- a/crates/sip/tests/agent.rs
+++ b/crates/sip/tests/agent.rs
@@ -66,6 +66,10 @@
     Nonsense,
     /// Its 200 comes so late, milliseconds.
     Late(u64),
+    /// Sound, but it never hears a BYE.
+    LosesBye,
+    /// Sound, but it has no calls any more, as a process that started anew.
+    Forgot,
 }
 
 /// The world around one front: a network that takes a millisecond, boxes of some manner, callers by hand.
@@ -81,6 +85,9 @@
     /// Calls that stand at a box: box and Call-ID; and those acknowledged.
     standing: BTreeSet<(u32, String)>,
     acked: BTreeSet<(u32, String)>,
+    /// When a box ends a call that nobody refreshes.
+    expires: BTreeMap<(u32, String), u64>,
+    refreshes: usize,
     /// INVITEs out at boxes, by the session's title user and box.
     out: BTreeMap<String, u32>,
     most_out: usize,
@@ -104,6 +111,8 @@
             received: Vec::new(),
             standing: BTreeSet::new(),
             acked: BTreeSet::new(),
+            expires: BTreeMap::new(),
+            refreshes: 0,
             out: BTreeMap::new(),
             most_out: 0,
             invites: Vec::new(),
@@ -200,10 +209,18 @@
                 }
                 _ => {}
             },
+            Method::Bye if manner == Manner::LosesBye => {}
+            _ if manner == Manner::Forgot => self.answer(peer, &request, 481),
             Method::Bye => {
                 self.standing.remove(&call);
                 self.answer(peer, &request, 200);
             }
+            Method::Update if self.standing.contains(&call) => {
+                self.refreshes += usize::from(request.raw.body.is_empty());
+                self.expires.insert(call, self.now + interval(&request) * S);
+                self.answer(peer, &request, 200);
+            }
+            Method::Update => self.answer(peer, &request, 481),
             _ => self.answer(peer, &request, 200),
         }
     }
@@ -217,6 +234,7 @@
         ok.raw.headers.push(rsip::Header::Contact(format!("<sip:box@{}>", peer.address).into()));
         ok.raw.body = body.as_bytes().to_vec();
         let call = (u32::from(peer.address.port() - 9000), invite.names.call.clone());
+        self.expires.insert(call.clone(), self.now + interval(invite) * S);
         self.standing.insert(call);
         self.out.remove(&format!("{}", peer.conn));
         self.back(after, peer, Message::Response(ok));
@@ -224,7 +242,7 @@
 
     fn invited(&mut self, peer: Peer, invite: &Request, manner: Manner) {
         match manner {
-            Manner::Sound => {
+            Manner::Sound | Manner::LosesBye | Manner::Forgot => {
                 self.answer(peer, invite, 100);
                 self.answer(peer, invite, 180);
                 self.accept(5 * MS, peer, invite, SDP);
@@ -251,6 +269,7 @@
             let due = [self.core.next_due(), self.agent.next_due()].into_iter().flatten().map(|t| t.0).min();
             let Some(next) = arrival.into_iter().chain(due).min().filter(|t| *t <= end) else { break };
             self.now = self.now.max(next);
+            self.expire();
             if let Some(n) = self.wire.iter().position(|w| w.0 <= self.now) {
                 let (_, input) = self.wire.remove(n);
                 self.agent(input);
@@ -260,6 +279,13 @@
             }
         }
         self.now = end;
+        self.expire();
+    }
+
+    /// Boxes end the calls that nobody refreshed.
+    fn expire(&mut self) {
+        let (now, expires) = (self.now, &self.expires);
+        self.standing.retain(|c| expires.get(c).is_none_or(|at| *at > now));
     }
 
     fn caller_sends(&mut self, request: &Request) {
@@ -288,6 +314,17 @@
     }
 }
 
+/// The interval that a request sets, seconds. An INVITE that is made up from its CANCEL has none.
+fn interval(request: &Request) -> u64 {
+    let text = String::from_utf8(request.encode()).expect("text");
+    match text.lines().find_map(|l| l.strip_prefix("Session-Expires: ")) {
+        Some(value) => {
+            value.trim().strip_suffix(";refresher=uac").and_then(|v| v.parse().ok()).expect("we refresh")
+        }
+        None => 180,
+    }
+}
+
 /// The INVITE that a CANCEL is about, as far as its answer goes.
 fn as_invite(cancel: &Request) -> Request {
     let text = String::from_utf8(cancel.encode()).expect("text").replace("CANCEL", "INVITE");
@@ -480,6 +517,83 @@
     assert!(w.standing.is_empty() && w.agent.len().1 == 0, "{:?}", w.standing);
 }
 
+/// A call of `c1` that its caller keeps up for so long.
+fn kept_up(w: &mut World, seconds: u64) {
+    let ok = w.ok_of("c1").expect("an answer");
+    for n in 0..seconds / 60 {
+        w.caller_sends(&caller("UPDATE", "c1", 10 + n as u32, &tag_of(&ok), "", ""));
+        w.wait(60 * S);
+    }
+}
+
+fn stands(manner: Manner) -> World {
+    let mut w = World::new(&[manner]);
+    w.caller_sends(&invite("c1"));
+    w.wait(100 * MS);
+    let ok = w.ok_of("c1").expect("an answer");
+    w.caller_sends(&caller("ACK", "c1", 1, &tag_of(&ok), "", ""));
+    w
+}
+
+fn hung_up(w: &World) -> bool {
+    w.received.iter().any(|m| matches!(m, Message::Request(r) if r.method() == Method::Bye))
+}
+
+#[test]
+fn a_call_stands_at_its_box_for_as_long_as_it_is_refreshed_and_no_longer() {
+    let mut w = stands(Manner::Sound);
+    kept_up(&mut w, 1200);
+    assert_eq!((w.standing.len(), w.core.playing()), (1, 1));
+    assert!((12..=15).contains(&w.refreshes), "every 90 s: {}", w.refreshes);
+    // The front is gone from one moment to the next: its box gives the room back by itself.
+    w.expires.values_mut().for_each(|at| assert!(*at > w.now));
+    w.now += 181 * S;
+    w.expire();
+    assert!(w.standing.is_empty());
+}
+
+#[test]
+fn a_lost_bye_leaves_no_call_after_the_session_timer() {
+    let mut w = stands(Manner::LosesBye);
+    kept_up(&mut w, 120);
+    let ok = w.ok_of("c1").expect("an answer");
+    w.caller_sends(&caller("BYE", "c1", 99, &tag_of(&ok), "", ""));
+    w.wait(100 * MS);
+    assert_eq!((w.standing.len(), w.core.playing()), (1, 0), "the box did not hear of it");
+    w.wait(180 * S);
+    assert!(w.standing.is_empty() && w.agent.len() == (0, 0), "{:?}", w.standing);
+    assert!(w.core.is_idle());
+}
+
+#[test]
+fn a_box_that_does_not_have_a_call_any_more_is_found_out() {
+    // At the next refresh, or soon after its connection broke.
+    for (broken, within) in [(false, 95), (true, 3)] {
+        let mut w = stands(Manner::Forgot);
+        if broken {
+            let address = "127.0.0.1:9000".parse().expect("an address");
+            let conn = (1..9).map(|n| beechloft_sip::agent::OWN | n);
+            for conn in conn {
+                let peer = Peer { address, transport: Transport::Tcp, conn };
+                w.agent(Input::Lost(peer, false));
+            }
+        }
+        w.wait(within * S);
+        assert!(hung_up(&w) && w.core.playing() == 0, "{broken}");
+        w.wait(40 * S);
+        assert_eq!(w.agent.len(), (0, 0));
+    }
+    // A sound box is asked, too, and nothing comes of it.
+    let mut w = stands(Manner::Sound);
+    let address = "127.0.0.1:9000".parse().expect("an address");
+    for n in 1..9 {
+        let peer = Peer { address, transport: Transport::Tcp, conn: beechloft_sip::agent::OWN | n };
+        w.agent(Input::Lost(peer, false));
+    }
+    w.wait(3 * S);
+    assert_eq!((w.refreshes, w.core.playing(), hung_up(&w)), (1, 1, false));
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 120, rng_seed: RngSeed::Fixed(13), failure_persistence: None, ..ProptestConfig::default()
@@ -490,7 +604,7 @@
         manners in prop::collection::vec(prop_oneof![
             3 => Just(Manner::Sound), 1 => Just(Manner::Refuses(486)), 1 => Just(Manner::Refuses(500)), 1 => Just(Manner::Silent),
             1 => Just(Manner::Stuck), 1 => Just(Manner::Rings), 1 => Just(Manner::Crosses), 1 => Just(Manner::Absent),
-            1 => Just(Manner::Nonsense), 2 => (1..1200u64).prop_map(Manner::Late),
+            1 => Just(Manner::Nonsense), 1 => Just(Manner::LosesBye), 1 => Just(Manner::Forgot), 2 => (1..1200u64).prop_map(Manner::Late),
         ], 1..5),
         calls in prop::collection::vec((0..300u64, prop::option::weighted(0.4, 0..900u64), any::<bool>(), any::<bool>()), 1..8),
     ) {
--- a/crates/standin/src/boxes/mod.rs
+++ b/crates/standin/src/boxes/mod.rs
@@ -75,6 +75,10 @@
     racks: Arc<Racks>,
     recorder: Recorder,
     state: Mutex<State>,
+    /// SIP calls that stand.
+    calls: Mutex<sip::Calls>,
+    /// How often the streams of SIP calls were broken.
+    cut: AtomicU64,
     cores: Mutex<usize>,
     core_free: Condvar,
     server: Mutex<Option<Server>>,
@@ -110,6 +114,8 @@
             racks,
             recorder,
             state: Mutex::new(state),
+            calls: Mutex::default(),
+            cut: AtomicU64::new(0),
             core_free: Condvar::new(),
             server: Mutex::default(),
             media,
@@ -129,6 +135,16 @@
         Some(self.1)
     }
 
+    /// Breaks the streams of its SIP calls, and keeps the calls.
+    pub fn drop_streams(&self) {
+        self.0.drop_streams();
+    }
+
+    /// Forgets its SIP calls without a word.
+    pub fn drop_calls(&self) {
+        self.0.drop_calls();
+    }
+
     /// Where it listens; the same over restarts.
     pub fn address(&self) -> SocketAddr {
         self.0.address
@@ -298,6 +314,22 @@
         state.faults.iter().map(of).sum()
     }
 
+    /// Counts a set-up that has come; whether it pushes a cold box over, which it then has.
+    fn topples(self: &Arc<Self>) -> bool {
+        let toppled = self.lock().warmth.topples(self.spec.streams as f64);
+        if toppled {
+            self.topple();
+        }
+        toppled
+    }
+
+    /// Whether it turns set-ups away: all its streams run, or its link is asked for too much.
+    fn is_full(&self) -> bool {
+        let state = self.lock();
+        let over = self.spec.guard > 0.0 && self.share(&state).link >= self.spec.guard;
+        over || state.sessions.len() >= self.spec.streams
+    }
+
     /// Waits while the client is there.
     fn pause(&self, socket: &TcpStream, until: Instant) -> Result<(), Gone> {
         while Instant::now() < until {
--- a/crates/standin/src/boxes/serve.rs
+++ b/crates/standin/src/boxes/serve.rs
@@ -39,13 +39,7 @@
             title: title.to_owned(),
             rate_kb: limit.unwrap_or(f64::MAX),
         });
-        let toppled = {
-            let mut state = self.lock();
-            let streams = self.spec.streams as f64;
-            state.warmth.topples(streams)
-        };
-        if toppled {
-            self.topple();
+        if self.topples() {
             return Reply::HangUp;
         }
         match self.serve(title, publishes, limit, &offer, link.socket) {
@@ -88,12 +82,7 @@
         let Some(rates) = self.spec.titles.get(title) else {
             return plain(StatusCode::NOT_FOUND, "not held here");
         };
-        let full = {
-            let state = self.lock();
-            let over = self.spec.guard > 0.0 && self.share(&state).link >= self.spec.guard;
-            over || state.sessions.len() >= self.spec.streams
-        };
-        if full {
+        if self.is_full() {
             return plain(StatusCode::SERVICE_UNAVAILABLE, "full");
         }
         let deaf = self
--- a/crates/standin/src/boxes/sip.rs
+++ b/crates/standin/src/boxes/sip.rs
@@ -1,9 +1,13 @@
-//! A box's SIP side: calls over streams, with the same faults as its HTTP side.
+//! A box's SIP side: calls over streams, with the same faults as its HTTP side and some that only SIP can have.
+//!
+//! Calls are kept by `Call-ID`, whatever stream a request comes on. One that nobody refreshes is ended by its session
+//! timer (RFC 4028), and one whose stream ended, a while after, if nothing comes for it on another.
 
+use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -19,19 +23,38 @@
 use crate::offer;
 use crate::sessions::Session;
 
-/// A call that nobody ends is ended by the box after so long; the front's session timer ends it before.
-const LONGEST: Duration = Duration::from_secs(600);
+/// The interval of a call whose INVITE names none.
+const INTERVAL: Duration = Duration::from_secs(180);
+/// A call is kept for so long after its stream has ended.
+const STREAMLESS: Duration = Duration::from_secs(5);
 /// How often a stream is looked at.
 const LOOK: Duration = Duration::from_millis(10);
-/// How often the listener looks whether it is to end.
+/// How often the listener looks whether it is to end, and at the calls.
 const ACCEPT: Duration = Duration::from_millis(50);
 
+/// A call that stands.
+#[derive(Debug)]
+pub(super) struct Call {
+    /// Its path among the box's sessions.
+    path: String,
+    /// Which run of the box took it.
+    boot: u64,
+    /// When it ends if nobody refreshes it.
+    expires: Instant,
+    /// When it ends because its stream did.
+    streamless: Option<Instant>,
+}
+
+/// The calls of a box by `Call-ID`.
+pub(super) type Calls = BTreeMap<String, Call>;
+
 /// Takes calls until the box is dropped.
 pub(super) fn start(inner: &Arc<Inner>, listener: TcpListener) -> io::Result<SocketAddr> {
     let address = listener.local_addr()?;
     listener.set_nonblocking(true)?;
     let inner = inner.clone();
     thread::Builder::new().name("box-sip".into()).stack_size(256 * 1024).spawn(move || {
+        let mut looked = Instant::now();
         while !inner.end.load(Ordering::SeqCst) {
             match listener.accept() {
                 // A process that is not there, or refuses, has nobody to accept.
@@ -44,11 +67,57 @@
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => wait::acceptable(&listener, ACCEPT),
                 Err(_) => thread::sleep(Duration::from_millis(2)),
             }
+            if looked.elapsed() >= ACCEPT {
+                looked = Instant::now();
+                inner.end_calls();
+            }
         }
     })?;
     Ok(address)
 }
 
+impl Inner {
+    fn calls(&self) -> MutexGuard<'_, Calls> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Ends calls whose time is up; what a process before this one had is gone with it.
+    fn end_calls(&self) {
+        let (boot, now) = (self.lock().boot, Instant::now());
+        let mut over = Vec::new();
+        self.calls().retain(|_, call| {
+            let ends = call.expires.min(call.streamless.unwrap_or(call.expires));
+            if ends <= now && call.boot == boot {
+                over.push(call.path.clone());
+            }
+            ends > now && call.boot == boot
+        });
+        for path in over {
+            self.free(&path, true);
+        }
+    }
+
+    /// Breaks the streams that calls came on, and keeps the calls.
+    pub(super) fn drop_streams(&self) {
+        self.cut.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Forgets its calls without a word, as a process that started anew.
+    pub(super) fn drop_calls(&self) {
+        for (_, call) in std::mem::take(&mut *self.calls()) {
+            let gone = self.lock().sessions.remove(&call.path);
+            if let Some(Session { offer, .. }) = gone {
+                self.recorder.note(What::Freed { server: self.spec.id, offer, expired: true });
+            }
+        }
+    }
+
+    /// Whether the box is told to do such a thing to calls.
+    fn told(&self, fault: Fault) -> bool {
+        self.has(|f| *f == fault)
+    }
+}
+
 /// An INVITE that is being worked on.
 struct Pending {
     invite: Request,
@@ -60,15 +129,28 @@
     inner: Arc<Inner>,
     socket: TcpStream,
     pending: Option<Pending>,
-    /// The call that stands on this stream: its path among the box's sessions, and the answer.
-    call: Option<(String, Response)>,
+    /// `Call-ID`s of calls that came on this stream.
+    own: Vec<String>,
     boot: u64,
+    cut: u64,
+}
+
+fn interval(request: &Request) -> Duration {
+    let text = request.raw.headers.iter().find_map(|h| match h {
+        rsip::Header::Other(name, value) if name.eq_ignore_ascii_case("session-expires") => {
+            Some(value.as_str())
+        }
+        _ => None,
+    });
+    let seconds = text.and_then(|t| t.split(';').next()?.trim().parse().ok());
+    seconds.map_or(INTERVAL, Duration::from_secs)
 }
 
 impl Stream {
     fn new(inner: Arc<Inner>, socket: TcpStream) -> Self {
         let boot = inner.lock().boot;
-        Stream { inner, socket, pending: None, call: None, boot }
+        let cut = inner.cut.load(Ordering::SeqCst);
+        Stream { inner, socket, pending: None, own: Vec::new(), boot, cut }
     }
 
     fn send(&self, response: &Response) {
@@ -77,6 +159,7 @@
 
     fn run(mut self) {
         let _ = self.socket.set_nonblocking(false);
+        let _ = self.socket.set_nodelay(true);
         let _ = self.socket.set_read_timeout(Some(LOOK));
         let (mut framer, mut framed, mut buf) = (Framer::default(), Vec::new(), [0; 4096]);
         while !self.inner.end.load(Ordering::SeqCst) {
@@ -86,6 +169,9 @@
                     return;
                 }
             }
+            if self.inner.cut.load(Ordering::SeqCst) != self.cut {
+                break;
+            }
             if !self.inner.stands_still() {
                 self.due();
             }
@@ -111,50 +197,78 @@
         if let Some(pending) = self.pending.take() {
             self.inner.recorder.note(What::Dropped { server: self.inner.spec.id, offer: pending.offer });
         }
-        // A call that stands outlives its stream for a while; nobody comes back to it here.
-        if let Some((path, _)) = self.call.take() {
-            thread::sleep(Duration::from_millis(200));
-            self.inner.free(&path, false);
+        let streamless = Some(Instant::now() + STREAMLESS);
+        let mut calls = self.inner.calls();
+        for own in &self.own {
+            if let Some(call) = calls.get_mut(own) {
+                call.streamless = streamless;
+            }
         }
     }
 
     fn request(&mut self, request: Request) {
-        match request.method() {
-            Method::Invite => self.invite(request),
-            Method::Cancel => {
-                if self.inner.stands_still() {
-                    return;
-                }
-                self.send(&request.answer(200, "tb"));
-                if let Some(pending) = self.pending.take() {
-                    self.answered(&pending, 487);
-                    self.send(&pending.invite.answer(487, "tb"));
-                }
-            }
-            Method::Bye => {
-                self.send(&request.answer(200, "tb"));
-                if let Some((path, _)) = self.call.take() {
-                    self.inner.free(&path, false);
-                }
-            }
-            Method::Update => {
-                if let (Some((path, _)), Some(rate)) = (&self.call, sdp::limit_of(&request.raw.body)) {
-                    let set = self.inner.lock().sessions.set_rate(path, rate);
-                    if let Some(offer) = set {
-                        self.inner.recorder.note(What::Rate {
-                            server: self.inner.spec.id,
-                            offer,
-                            rate_kb: rate,
-                        });
-                    }
+        let method = request.method();
+        if !matches!(method, Method::Invite | Method::Cancel) {
+            // Whatever comes for a call shows that somebody has it, wherever it comes.
+            if let Some(call) = self.inner.calls().get_mut(&request.names.call) {
+                call.streamless = None;
+                if !self.own.contains(&request.names.call) {
+                    self.own.push(request.names.call.clone());
                 }
-                self.send(&request.answer(200, "tb"));
             }
+        }
+        match method {
+            Method::Invite => self.invite(request),
+            Method::Cancel => self.cancel(&request),
+            Method::Bye => self.bye(&request),
+            Method::Update => self.update(&request),
             Method::Ack => {}
             _ => self.send(&request.answer(405, "tb")),
         }
     }
 
+    fn cancel(&mut self, request: &Request) {
+        if self.inner.stands_still() || self.inner.told(Fault::Stuck) {
+            return;
+        }
+        self.send(&request.answer(200, "tb"));
+        // Its acceptance crosses the CANCEL on the way.
+        if self.inner.told(Fault::AnswerCancelled) {
+            if let Some(pending) = self.pending.take() {
+                self.accept(&pending);
+            }
+        } else if let Some(pending) = self.pending.take() {
+            self.answered(&pending, 487);
+            self.send(&pending.invite.answer(487, "tb"));
+        }
+    }
+
+    fn bye(&mut self, request: &Request) {
+        if self.inner.told(Fault::LoseBye) {
+            return;
+        }
+        let call = self.inner.calls().remove(&request.names.call);
+        self.send(&request.answer(if call.is_some() { 200 } else { 481 }, "tb"));
+        if let Some(call) = call {
+            self.inner.free(&call.path, false);
+        }
+    }
+
+    fn update(&mut self, request: &Request) {
+        let path = self.inner.calls().get_mut(&request.names.call).map(|call| {
+            call.expires = Instant::now() + interval(request);
+            call.path.clone()
+        });
+        let Some(path) = path else { return self.send(&request.answer(481, "tb")) };
+        if let Some(rate) = sdp::limit_of(&request.raw.body) {
+            let set = self.inner.lock().sessions.set_rate(&path, rate);
+            if let Some(offer) = set {
+                self.inner.recorder.note(What::Rate { server: self.inner.spec.id, offer, rate_kb: rate });
+            }
+        }
+        self.send(&request.answer(200, "tb"));
+    }
+
     fn answered(&self, pending: &Pending, status: u16) {
         let (server, offer) = (self.inner.spec.id, pending.offer.clone());
         self.inner.recorder.note(What::Answered { server, offer, status });
@@ -170,63 +284,106 @@
             title,
             rate_kb: sdp::limit_of(&invite.raw.body).unwrap_or(f64::MAX),
         });
-        let delay = self.inner.spec.set_up + self.inner.delay();
-        if !self.inner.stands_still() && !self.inner.has(|f| *f == Fault::NeverAnswer) {
+        if self.inner.topples() {
+            return;
+        }
+        let inner = &self.inner;
+        let warmth = inner.lock().warmth.now().max(0.05);
+        let delay = inner.spec.set_up.div_f64(warmth) + inner.delay();
+        if !inner.stands_still() && !inner.has(|f| *f == Fault::NeverAnswer) {
             self.send(&invite.answer(100, ""));
+            if inner.has(|f| matches!(f, Fault::Ring | Fault::AnswerCancelled)) {
+                self.send(&invite.answer(180, "tb"));
+            }
+        }
+        if inner.told(Fault::HalfClose) {
+            let _ = self.socket.shutdown(Shutdown::Write);
         }
         self.pending = Some(Pending { invite, offer, answers: Instant::now() + delay });
     }
 
     fn due(&mut self) {
         let now = Instant::now();
-        if self.inner.has(|f| *f == Fault::NeverAnswer) {
+        let never = [Fault::NeverAnswer, Fault::Stuck, Fault::Ring, Fault::AnswerCancelled, Fault::HalfClose];
+        if self.inner.has(|f| never.contains(f)) {
             return;
         }
         let Some(pending) = self.pending.take_if(|p| p.answers <= now) else { return };
-        let title = pending.invite.raw.uri.user().unwrap_or_default().to_owned();
+        let title = pending.invite.raw.uri.user().unwrap_or_default();
         let refuse = |status: u16| {
             self.answered(&pending, status);
             self.send(&pending.invite.answer(status, "tb"));
         };
         if self.inner.has(|f| *f == Fault::Reset) {
             self.answered(&pending, 0);
-            let _ = self.socket.shutdown(std::net::Shutdown::Both);
+            let _ = self.socket.shutdown(Shutdown::Both);
             return;
         }
         if self.inner.strikes(|f| if let Fault::Fail { share } = f { Some(*share) } else { None }) {
             return refuse(500);
         }
-        let Some(rates) = self.inner.spec.titles.get(&title).cloned() else { return refuse(404) };
-        let limit = sdp::limit_of(&pending.invite.raw.body);
+        if !self.inner.spec.titles.contains_key(title) {
+            return refuse(404);
+        }
+        if self.inner.is_full() {
+            return refuse(486);
+        }
+        self.accept(&pending);
+    }
+
+    /// Sets a call up and says so.
+    fn accept(&mut self, pending: &Pending) {
+        let invite = &pending.invite;
+        let rates =
+            invite.raw.uri.user().and_then(|t| self.inner.spec.titles.get(t)).cloned().unwrap_or_default();
+        let limit = sdp::limit_of(&invite.raw.body);
         let fitting = rates.iter().copied().take_while(|r| limit.is_none_or(|l| *r <= l * 1.0001)).last();
-        let path = {
+        let expires = Instant::now() + interval(invite);
+        let call = invite.names.call.clone();
+        let (path, boot) = {
             let mut state = self.inner.lock();
-            if state.sessions.len() >= self.inner.spec.streams {
-                drop(state);
-                return refuse(486);
-            }
             let session = Session {
                 offer: pending.offer.clone(),
-                name: pending.invite.names.call.clone(),
+                name: call.clone(),
                 version: 1,
                 rate_kb: fitting.or(rates.first().copied()).unwrap_or(0.0),
                 rates_kb: rates,
-                expires: now + LONGEST,
+                expires: expires + STREAMLESS,
             };
             let boot = state.boot;
-            state.sessions.add(boot, session)
+            (state.sessions.add(boot, session), boot)
         };
+        self.inner.calls().insert(call.clone(), Call { path, boot, expires, streamless: None });
+        self.own.push(call);
         self.inner.recorder.note(What::Began { server: self.inner.spec.id, offer: pending.offer.clone() });
-        self.answered(&pending, 201);
-        let mut ok = pending.invite.answer(200, "tb");
+        self.answered(pending, 201);
+        let mut ok = invite.answer(200, "tb");
         let local = self.socket.local_addr().unwrap_or(self.inner.address);
         ok.raw.headers.push(rsip::Header::Contact(format!("<sip:box@{local}>").into()));
+        let seconds = interval(invite).as_secs();
+        ok.raw
+            .headers
+            .push(rsip::Header::Other("Session-Expires".into(), format!("{seconds};refresher=uac")));
         let body = offer::plain("answer", None);
         ok.raw.headers.retain(|h| !matches!(h, rsip::Header::ContentLength(_)));
         ok.raw.headers.push(rsip::Header::ContentType("application/sdp".into()));
         ok.raw.headers.push(rsip::Header::ContentLength(body.len().to_string().into()));
         ok.raw.body = body.into_bytes();
-        self.send(&ok);
-        self.call = Some((path, ok));
+        if self.inner.told(Fault::OtherPort) {
+            // On a stream of its own to where the front's `Via` says that it listens (RFC 3261, section 18.2.2).
+            let to: Option<SocketAddr> = invite.names.sent_by.parse().ok();
+            if let Some(stream) =
+                to.and_then(|to| TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok())
+            {
+                let _ = (&stream).write_all(&ok.encode());
+                // It stays open until the front has read it.
+                thread::spawn(move || {
+                    thread::sleep(Duration::from_secs(1));
+                    drop(stream);
+                });
+            }
+        } else {
+            self.send(&ok);
+        }
     }
 }
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -22,6 +22,12 @@
     dice: Dice,
     /// Part of all datagrams that is lost, both ways.
     pub loses: f64,
+    /// Part of all datagrams that is overtaken by what comes after it, both ways.
+    pub swaps: f64,
+    /// Datagrams that are held back on their way to the front, and until when.
+    held: Vec<(Instant, Vec<u8>)>,
+    /// The same on their way to the caller.
+    late: Vec<(Instant, Message)>,
     /// How long it waits for its answer.
     pub patience: Duration,
     /// It cancels after so long, if it has no answer by then.
@@ -54,7 +60,19 @@
         let socket = UdpSocket::bind("127.0.0.1:0")?;
         socket.set_read_timeout(Some(Duration::from_millis(5)))?;
         let (dice, patience) = (Dice::new(seed), Duration::from_secs(4));
-        Ok(Caller { socket, front, number, dice, loses: 0.0, patience, cancels: None })
+        let (held, late) = (Vec::new(), Vec::new());
+        Ok(Caller {
+            socket,
+            front,
+            number,
+            dice,
+            loses: 0.0,
+            swaps: 0.0,
+            held,
+            late,
+            patience,
+            cancels: None,
+        })
     }
 
     fn local(&self) -> Local {
@@ -67,8 +85,26 @@
     }
 
     fn send(&mut self, request: &Request) {
-        if !self.dice.chance(self.loses) {
-            let _ = self.socket.send_to(&request.encode(), self.front);
+        if self.dice.chance(self.loses) {
+            return;
+        }
+        if self.dice.chance(self.swaps) {
+            let until = self.held_until();
+            return self.held.push((until, request.encode()));
+        }
+        let _ = self.socket.send_to(&request.encode(), self.front);
+    }
+
+    /// What is held back is overtaken by anything that follows within some tens of milliseconds.
+    fn held_until(&mut self) -> Instant {
+        Instant::now() + Duration::from_micros(self.dice.number() % 80_000)
+    }
+
+    /// Lets go what was held back for long enough.
+    fn let_go(&mut self) {
+        let now = Instant::now();
+        for (_, bytes) in self.held.extract_if(.., |h| h.0 <= now) {
+            let _ = self.socket.send_to(&bytes, self.front);
         }
     }
 
@@ -78,10 +114,21 @@
         if self.dice.chance(self.loses) { None } else { Some(message) }
     }
 
+    /// The next message on the wire, or one that was overtaken.
     fn wire(&mut self) -> Option<Message> {
+        self.let_go();
+        if let Some(n) = self.late.iter().position(|l| l.0 <= Instant::now()) {
+            return Some(self.late.swap_remove(n).1);
+        }
         let mut buf = [0; 4096];
         let (n, _) = self.socket.recv_from(&mut buf).ok()?;
-        Message::parse(&buf[..n]).ok()
+        let message = Message::parse(&buf[..n]).ok()?;
+        if self.dice.chance(self.swaps) {
+            let until = self.held_until();
+            self.late.push((until, message));
+            return None;
+        }
+        Some(message)
     }
 
     fn invite(&mut self, title: &str, id: &str, max_rate_kb: Option<f64>) -> Option<Request> {
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -55,6 +55,18 @@
         /// The status.
         status: u16,
     },
+    /// SIP: takes an INVITE (100), and says nothing more, not to a CANCEL either.
+    Stuck,
+    /// SIP: rings for ever.
+    Ring,
+    /// SIP: rings, and answers a CANCEL by accepting the call.
+    AnswerCancelled,
+    /// SIP: does not hear a BYE.
+    LoseBye,
+    /// SIP: accepts on a connection of its own making, from another port than it was asked on.
+    OtherPort,
+    /// SIP: closes its side of the connection after its 100.
+    HalfClose,
     /// Its process dies.
     Die,
 }
