--- a/crates/checker/src/check.rs
+++ b/crates/checker/src/check.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::report::{Report, Times};
-use crate::trace::{Ending, Seen, What};
+use crate::trace::{Ending, Seen, Speaks, What};
 
 /// What must not happen twice, and how far.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -66,6 +66,7 @@
     front: u32,
     at: u64,
     patience: u64,
+    speaks: Speaks,
     end: Option<(u64, Ending, u32)>,
 }
 
@@ -103,10 +104,11 @@
     let mut open: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
     for seen in trace {
         match &seen.what {
-            What::Asked { offer, front, patience_us, .. } => {
+            What::Asked { offer, front, patience_us, speaks, .. } => {
                 open.entry(offer).or_default().push(calls.len());
                 let (offer, patience) = (offer.clone(), *patience_us);
-                calls.push(Call { offer, front: *front, at: seen.at, patience, end: None });
+                let (front, speaks) = (*front, *speaks);
+                calls.push(Call { offer, front, at: seen.at, patience, speaks, end: None });
             }
             What::Ended { offer, ending, extra } => {
                 if let Some(call) = open
@@ -186,8 +188,7 @@
     up: &BTreeMap<u32, Vec<u64>>,
     report: &mut Report,
 ) {
-    // 1 us to 100 s at three digits; the bounds are sound, so that there is always a histogram.
-    let mut times = Histogram::<u64>::new_with_bounds(1, 100_000_000, 3).ok();
+    let mut times: BTreeMap<Speaks, Histogram<u64>> = BTreeMap::new();
     for call in calls {
         let (end, ending, extra) = call.end.unwrap_or((u64::MAX, Ending::TimedOut, 0));
         let died = killed.get(&call.front).is_some_and(|k| k.iter().any(|t| *t >= call.at && *t <= end));
@@ -210,13 +211,17 @@
                 continue;
             }
             Ending::Status(status) if took <= call.patience => {
-                if let Some(times) = &mut times {
+                if !times.contains_key(&call.speaks) {
+                    times.extend(histogram().map(|h| (call.speaks, h)));
+                }
+                if let Some(times) = times.get_mut(&call.speaks) {
                     times.saturating_record(took);
                 }
+                let part = report.by.entry(call.speaks).or_default();
                 match status {
-                    201 => report.playing += 1,
-                    503 => report.refused += 1,
-                    504 => report.failed += 1,
+                    201 => (report.playing, part.playing) = (report.playing + 1, part.playing + 1),
+                    503 => (report.refused, part.refused) = (report.refused + 1, part.refused + 1),
+                    504 => (report.failed, part.failed) = (report.failed + 1, part.failed + 1),
                     _ => report.declined += 1,
                 }
             }
@@ -231,9 +236,25 @@
             }
         }
         report.sessions += 1;
+        report.by.entry(call.speaks).or_default().sessions += 1;
+    }
+    let mut all = histogram();
+    for (speaks, part) in &times {
+        report.by.entry(*speaks).or_default().answer_ms = quantiles(part);
+        // Both have the same bounds.
+        all.as_mut().and_then(|all| all.add(part).ok());
     }
-    let ms = |q: f64| times.as_ref().map_or(0.0, |t| t.value_at_quantile(q) as f64 / 1000.0);
-    report.answer_ms = Times { p50: ms(0.5), p99: ms(0.99), max: ms(1.0) };
+    report.answer_ms = all.as_ref().map(quantiles).unwrap_or_default();
+}
+
+/// 1 us to 100 s at three digits: sound bounds, so that there always is one.
+fn histogram() -> Option<Histogram<u64>> {
+    Histogram::new_with_bounds(1, 100_000_000, 3).ok()
+}
+
+fn quantiles(of: &Histogram<u64>) -> Times {
+    let ms = |q: f64| of.value_at_quantile(q) as f64 / 1000.0;
+    Times { p50: ms(0.5), p99: ms(0.99), max: ms(1.0) }
 }
 
 fn overlaps(attempts: &BTreeMap<String, Vec<Attempt>>, rules: &Rules, report: &mut Report) {
--- a/crates/checker/src/report.rs
+++ b/crates/checker/src/report.rs
@@ -4,6 +4,8 @@
 
 use serde::Serialize;
 
+use crate::trace::Speaks;
+
 /// Times from asking to the answer, milliseconds.
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize)]
 pub struct Times {
@@ -15,6 +17,21 @@
     pub max: f64,
 }
 
+/// Counts of those who speak one protocol.
+#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize)]
+pub struct Part {
+    /// Requests that a running front took.
+    pub sessions: u64,
+    /// Those that came to play.
+    pub playing: u64,
+    /// Those turned away.
+    pub refused: u64,
+    /// Those that failed.
+    pub failed: u64,
+    /// From asking to the answer.
+    pub answer_ms: Times,
+}
+
 /// Counts of a run.
 #[derive(Debug, Clone, PartialEq, Default, Serialize)]
 pub struct Report {
@@ -58,6 +75,8 @@
     pub further_attempts: u64,
     /// From asking to the answer.
     pub answer_ms: Times,
+    /// The same by protocol.
+    pub by: BTreeMap<Speaks, Part>,
     /// The first few breaks of each rule, for people.
     pub breaks: BTreeMap<&'static str, Vec<String>>,
 }
--- a/crates/checker/src/trace.rs
+++ b/crates/checker/src/trace.rs
@@ -21,6 +21,17 @@
     HungUp,
 }
 
+/// What a player speaks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Speaks {
+    /// WHEP or WHIP over HTTP.
+    #[default]
+    Whep,
+    /// SIP.
+    Sip,
+}
+
 /// One thing seen.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "what", rename_all = "snake_case")]
@@ -35,6 +46,9 @@
         title: String,
         /// How long the player waits.
         patience_us: u64,
+        /// What it speaks.
+        #[serde(default)]
+        speaks: Speaks,
     },
     /// Its call ended.
     Ended {
--- a/crates/checker/tests/falsified.rs
+++ b/crates/checker/tests/falsified.rs
@@ -1,7 +1,7 @@
 //! A sound trace passes; falsified in one way each, it breaks the rule that it should, and no other.
 
 use beechloft_checker::check::{ClassRules, ColdRules, Repeat};
-use beechloft_checker::trace::Ending;
+use beechloft_checker::trace::{Ending, Speaks};
 use beechloft_checker::{Report, Rules, Seen, What, check};
 
 const S: u64 = 1_000_000;
@@ -24,7 +24,16 @@
 }
 
 fn asked(t: u64, offer: &str, title: &str) -> Seen {
-    at(t, What::Asked { offer: offer.into(), front: 0, title: title.into(), patience_us: 4 * S })
+    at(
+        t,
+        What::Asked {
+            offer: offer.into(),
+            front: 0,
+            title: title.into(),
+            patience_us: 4 * S,
+            speaks: Speaks::Whep,
+        },
+    )
 }
 
 fn ended(t: u64, offer: &str, ending: Ending) -> Seen {
@@ -233,3 +242,29 @@
     let died = at(2 * S, What::Died { server: 2 });
     assert_eq!(breaks(&with(vec![began(S, 2, "z"), died])), [0; 9]);
 }
+
+#[test]
+fn figures_are_told_apart_by_protocol() {
+    let mut trace = vec![asked(0, "a", "t"), ended(2_000, "a", Ending::Status(503))];
+    let sip = What::Asked {
+        offer: "b".into(),
+        front: 0,
+        title: "t".into(),
+        patience_us: 4 * S,
+        speaks: Speaks::Sip,
+    };
+    trace.extend([at(10, sip), ended(8_010, "b", Ending::Status(504))]);
+    let report = check(&trace, &Rules::default());
+    let part = |s| report.by[&s];
+    assert_eq!(
+        (part(Speaks::Whep).sessions, part(Speaks::Whep).refused, part(Speaks::Whep).failed),
+        (1, 1, 0)
+    );
+    assert_eq!((part(Speaks::Sip).sessions, part(Speaks::Sip).refused, part(Speaks::Sip).failed), (1, 0, 1));
+    let near = |ms: f64, about: f64| (ms - about).abs() < 0.1;
+    assert!(
+        near(part(Speaks::Whep).answer_ms.max, 2.0) && near(part(Speaks::Sip).answer_ms.p50, 8.0),
+        "{report:?}"
+    );
+    assert!(near(report.answer_ms.max, 8.0) && near(report.answer_ms.p50, 2.0), "{report:?}");
+}
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -61,6 +61,14 @@
         "answers: p50 {:.1} ms, p99 {:.1} ms, longest {:.1} ms",
         r.answer_ms.p50, r.answer_ms.p99, r.answer_ms.max
     );
+    if r.by.len() > 1 {
+        for (speaks, p) in &r.by {
+            println!(
+                "  {speaks:?}: {} sessions, {} played, {} refused, {} failed; p50 {:.1} ms, p99 {:.1} ms, longest {:.1} ms",
+                p.sessions, p.playing, p.refused, p.failed, p.answer_ms.p50, p.answer_ms.p99, p.answer_ms.max
+            );
+        }
+    }
     println!(
         "further attempts {}; sessions that boxes freed by themselves {}",
         r.further_attempts, r.expired_sessions
--- a/crates/day/src/crowd.rs
+++ b/crates/day/src/crowd.rs
@@ -236,7 +236,8 @@
         let Ok(mut caller) = Caller::new(self.fronts[number].sip, number as u32, self.dice.number()) else {
             return;
         };
-        (caller.loses, caller.patience, caller.cancels) = (load.loses, patience, cancels);
+        (caller.loses, caller.swaps) = (load.loses, load.overtakes);
+        (caller.patience, caller.cancels) = (patience, cancels);
         let (recorder, came, asking) = (self.recorder.clone(), self.came.clone(), self.asking.clone());
         asking.fetch_add(1, Ordering::SeqCst);
         let counted = self.asking.clone();
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -87,6 +87,8 @@
     pub sip: f64,
     /// Part of SIP datagrams that is lost, both ways.
     pub loses: f64,
+    /// Part of SIP datagrams that is overtaken by later ones, both ways.
+    pub overtakes: f64,
 }
 
 /// A front of the day.
@@ -248,12 +250,28 @@
         capped: part("capped", 0.2),
         trickles: part("trickles", 0.2),
         repeats: part("repeats", 0.01),
-        sip: part("sip", 0.0),
+        sip: protocol(s),
         loses: part("loses", 0.0),
+        overtakes: part("overtakes", 0.0),
         zipf: s.number("zipf", 0.0..=3.0).unwrap_or(0.8),
     }
 }
 
+/// The part of viewers that calls by SIP.
+fn protocol(s: &Section<'_>) -> f64 {
+    let words = [("whep", Some(0.0)), ("sip", Some(1.0)), ("mix", None)];
+    let share = s.number("sip_share", 0.0..=1.0);
+    match s.choice("protocol", &words) {
+        Some(None) => share.unwrap_or(0.5),
+        said => {
+            if share.is_some() {
+                s.fault("sip_share", "makes sense with 'protocol: mix' alone");
+            }
+            said.flatten().unwrap_or(0.0)
+        }
+    }
+}
+
 fn crowd(s: &Section<'_>) -> Crowd {
     Crowd {
         at: seconds(s, "at_s", 0.0),
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -5,7 +5,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::time::{Duration, Instant};
 
-use beechloft_checker::trace::Ending;
+use beechloft_checker::trace::{Ending, Speaks};
 use beechloft_checker::{Recorder, What};
 use beechloft_sip::dialog::{Dialog, Local};
 use beechloft_sip::message::{COOKIE, Message, Method, Request, Response};
@@ -156,7 +156,7 @@
         let offer = offer::origin(&invite.raw.body).unwrap_or_default();
         let patience_us = self.patience.as_micros() as u64;
         let (front, title) = (self.number, title.to_owned());
-        recorder.note(What::Asked { offer: offer.clone(), front, title, patience_us });
+        recorder.note(What::Asked { offer: offer.clone(), front, title, patience_us, speaks: Speaks::Sip });
         let (finals, response, first) = self.exchange(&invite, recorder);
         let kinds = finals.iter().collect::<std::collections::BTreeSet<_>>().len() as u32;
         // What counts is what came over the wire, and when: a network that loses an answer is not the front's doing.
--- a/crates/standin/src/player.rs
+++ b/crates/standin/src/player.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use beechloft_checker::trace::Ending;
+use beechloft_checker::trace::{Ending, Speaks};
 use beechloft_checker::{Recorder, What};
 use beechloft_http::client::{CallError, Conn, Pool};
 use beechloft_http::{Method, Request, Response, header};
@@ -102,7 +102,7 @@
     let offer = credentials.name.clone();
     let patience_us = wish.patience.as_micros() as u64;
     let (front, title) = (wish.number, wish.title.clone());
-    recorder.note(What::Asked { offer: offer.clone(), front, title, patience_us });
+    recorder.note(What::Asked { offer: offer.clone(), front, title, patience_us, speaks: Speaks::Whep });
     let began = Instant::now();
     let (ending, response, extra) = exchange(wish, &request, began);
     let took = began.elapsed();
--- a/crates/standin/src/trunk/mod.rs
+++ b/crates/standin/src/trunk/mod.rs
@@ -11,7 +11,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::time::{Duration, Instant};
 
-use beechloft_checker::trace::Ending;
+use beechloft_checker::trace::{Ending, Speaks};
 use beechloft_checker::{Recorder, What};
 use hdrhistogram::Histogram;
 
@@ -252,7 +252,8 @@
         if let Some(recorder) = &self.recorder {
             let patience_us = self.plan.patience.as_micros() as u64;
             let front = self.plan.number;
-            recorder.note(What::Asked { offer: names.offer.clone(), front, title, patience_us });
+            let (offer, speaks) = (names.offer.clone(), Speaks::Sip);
+            recorder.note(What::Asked { offer, front, title, patience_us, speaks });
         }
         self.send(&names.invite());
         let until = now + self.plan.patience;
