One thread for all SIP streams, names that no other start makes, calls in the bench

Two threads for each call at a box were 20,000 for 10,000 standing calls.

- front/streams: epoll over callers' and boxes' streams, bounded buffers, back pressure for new calls alone.
- Names (sessions, tags, Call-IDs) follow from the seed and the time of the start; a Call-ID names its host.
- Set-ups of calls are logged like those of players.
A free port is sought for both sockets of SIP.
- `beechloft bench` measures calls beside WHEP in one run; a caller's patience counts from the first copy that gets through.

--- a/crates/cli/src/bench/mod.rs
+++ b/crates/cli/src/bench/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! The boxes are stand-ins in this process, large enough not to be the limit; the front is a process of its own.
 
+mod calls;
 pub mod overload;
 
 use std::io;
@@ -14,7 +15,7 @@
 
 use beechloft_checker::Recorder;
 use beechloft_front::Front;
-use beechloft_http::client::{CallError, Pool};
+use beechloft_http::client::Pool;
 use beechloft_http::{Method, Request};
 use beechloft_standin::dice::Dice;
 use beechloft_standin::fleet::Fleet;
@@ -42,26 +43,44 @@
 fn run(rate: f64, time: Duration, clients: usize) -> io::Result<()> {
     let (link, streams) = (1e9, 1_000_000);
     let fleet = Fleet::start(&demo::fleet(4, link, streams, 1024, Duration::ZERO), &Recorder::default())?;
-    let settings = demo::settings(&fleet.list.url(), link, streams, "error").map_err(io::Error::other)?;
+    let mut settings = demo::settings(&fleet.list.url(), link, streams, "error").map_err(io::Error::other)?;
+    settings.sip = Some(([127, 0, 0, 1], 0).into());
     log::start(&settings.log);
     let front = Front::start(settings, None)?;
     if !demo::wait_for(&front, 4) {
         return Err(io::Error::other("the list did not come"));
     }
-    let direct: Vec<SocketAddr> = fleet.boxes().map(|(_, b)| b.address()).collect();
-    let through = vec![front.address()];
     println!("simulated servers on {} cores", thread::available_parallelism().map_or(0, |n| n.get()));
+    let sip: Vec<SocketAddr> = fleet.boxes().filter_map(|(_, b)| b.sip_address()).collect();
+    let whep = fleet.boxes().map(|(_, b)| b.address()).collect();
+    println!("WHEP:");
+    compare(one, whep, vec![front.address()], rate, time, clients)?;
+    println!("SIP over TCP, a connection for each call:");
+    compare(calls::one, sip, front.sip_address().into_iter().collect(), rate, time, clients)
+}
+
+/// One session of a protocol, straight to a box or through the front.
+type One = fn(&Pool, SocketAddr, &mut Dice) -> io::Result<Duration>;
+
+fn compare(
+    one: One,
+    direct: Vec<SocketAddr>,
+    through: Vec<SocketAddr>,
+    rate: f64,
+    time: Duration,
+    clients: usize,
+) -> io::Result<()> {
     println!("{rate} new sessions a second, {} s each:", time.as_secs());
-    let a = steady(&direct, rate, time)?;
+    let a = steady(one, &direct, rate, time)?;
     print("straight to the boxes", &a);
-    let b = steady(&through, rate, time)?;
+    let b = steady(one, &through, rate, time)?;
     print("through the front", &b);
     let added = |q| (b.times.value_at_quantile(q) as f64 - a.times.value_at_quantile(q) as f64) / 1000.0;
     println!("  added: p50 {:.3} ms, p99 {:.3} ms", added(0.5), added(0.99));
     println!("as fast as {clients} clients can, {} s each:", time.as_secs());
-    let a = flood(&direct, clients, time)?;
+    let a = flood(one, &direct, clients, time)?;
     print("straight to the boxes", &a);
-    let b = flood(&through, clients, time)?;
+    let b = flood(one, &through, clients, time)?;
     print("through the front", &b);
     let per_s = |p: &Part| p.done as f64 / p.took.as_secs_f64();
     println!("  share of the direct rate: {:.2}", per_s(&b) / per_s(&a));
@@ -161,19 +180,19 @@
 }
 
 /// Sets one session up and ends it; the time to the answer.
-fn one(pool: &Pool, to: SocketAddr, dice: &mut Dice) -> Result<Duration, CallError> {
+fn one(pool: &Pool, to: SocketAddr, dice: &mut Dice) -> io::Result<Duration> {
     let text = offer::offer(&Credentials::draw(dice), false, None);
     let request = Request::new(Method::POST, route::endpoint_path("asparagus", false)).body(SDP, text);
     let until = Instant::now() + Duration::from_secs(4);
     let began = Instant::now();
-    let response = pool.call(to, &request, until)?;
+    let response = pool.call(to, &request, until).map_err(io::Error::other)?;
     let took = began.elapsed();
     match response.field("location") {
         Some(path) if response.status == 201 => {
-            pool.call(to, &Request::new(Method::DELETE, path), until)?;
+            pool.call(to, &Request::new(Method::DELETE, path), until).map_err(io::Error::other)?;
             Ok(took)
         }
-        _ => Err(CallError::TimedOut),
+        _ => Err(io::ErrorKind::TimedOut.into()),
     }
 }
 
@@ -182,7 +201,7 @@
     &to[..to.len().min(3)]
 }
 
-fn steady(to: &[SocketAddr], rate: f64, time: Duration) -> io::Result<Part> {
+fn steady(one: One, to: &[SocketAddr], rate: f64, time: Duration) -> io::Result<Part> {
     let pool = Arc::new(Pool::default());
     let mut dice = Dice::new(7);
     let began = Instant::now();
@@ -209,7 +228,7 @@
     Ok(Part { times, done, failed, took: began.elapsed() })
 }
 
-fn flood(to: &[SocketAddr], clients: usize, time: Duration) -> io::Result<Part> {
+fn flood(one: One, to: &[SocketAddr], clients: usize, time: Duration) -> io::Result<Part> {
     let pool = Arc::new(Pool::new(clients * 2, Duration::from_secs(10)));
     let (stop, failed) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
     let began = Instant::now();
--- a/crates/day/src/fronts.rs
+++ b/crates/day/src/fronts.rs
@@ -52,7 +52,7 @@
             "service": service,
             "front": {
                 "listen": address.to_string(), "sip": sip.to_string(), "number": number, "of": day.fronts.len(), "zone": zone,
-                "seed": seed.wrapping_add(u64::from(number)) >> 1,
+                "seed": seed.wrapping_mul(1 << 16).wrapping_add(u64::from(number)) & (u64::MAX >> 1),
             },
             "list": {"url": list, "cache": folder.join(format!("list-{number}.json"))},
             "log": {"format": "json"},
--- a/crates/front/src/clock.rs
+++ b/crates/front/src/clock.rs
@@ -20,6 +20,11 @@
         Clock { start: Instant::now(), at: Micros(since.as_micros() as u64) }
     }
 
+    /// When it was started.
+    pub fn started(&self) -> Micros {
+        self.at
+    }
+
     /// Now.
     pub fn now(&self) -> Micros {
         self.at + Micros(self.start.elapsed().as_micros() as u64)
--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -320,6 +320,7 @@
         }
         for output in std::mem::take(&mut self.out) {
             debug!(target: "core", ?output, "output");
+            log(&output);
             if !self.for_sip(&output) {
                 self.carry_out(output);
             }
@@ -328,11 +329,7 @@
 
     fn carry_out(&mut self, output: Output) {
         match output {
-            Output::SetUp { attempt, request, server, url, rung, rate_kb, until } => {
-                info!(
-                    target: "core", session = format_args!("{:016x}", attempt.session.0), attempt = attempt.number,
-                    server = server.0, rung = rung.0, "set-up"
-                );
+            Output::SetUp { attempt, request, server, url, rate_kb, until, .. } => {
                 if let Some(waiting) = self.waiting.get(&request) {
                     let set_up = SetUp { attempt, server, address: url.parse().ok(), rate_kb, until };
                     let _ = waiting.send(Told::SetUp(set_up));
@@ -346,10 +343,6 @@
             // The viewer's own thread dropped the attempt when it saw the hang-up.
             Output::Cancel(_) => {}
             Output::SetRung { server, session, layers, rung, .. } => {
-                debug!(
-                    target: "core", session = format_args!("{:016x}", session.0), server = server.0, rung = rung.0,
-                    "rung"
-                );
                 self.calls.push(server, Job::SetRung { path: layers, rung });
                 self.tell(session, PlayerEvent::Layer(rung));
             }
@@ -378,3 +371,17 @@
         }
     }
 }
+
+/// What is done for sessions, whatever they speak.
+fn log(output: &Output) {
+    match output {
+        Output::SetUp { attempt, server, rung, .. } => info!(
+            target: "core", session = format_args!("{:016x}", attempt.session.0), attempt = attempt.number,
+            server = server.0, rung = rung.0, "set-up"
+        ),
+        Output::SetRung { server, session, rung, .. } => debug!(
+            target: "core", session = format_args!("{:016x}", session.0), server = server.0, rung = rung.0, "rung"
+        ),
+        _ => {}
+    }
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -10,9 +10,11 @@
 mod calls;
 mod clock;
 mod engine;
+mod lanes;
 mod list;
 mod player;
 mod sip;
+mod streams;
 mod watch;
 
 use std::io;
@@ -39,6 +41,14 @@
     settings: Arc<FrontSettings>,
 }
 
+impl Shared {
+    /// A seed for names that must not come again: two starts with one seed in their settings must not give a new call
+    /// or session the name of one that still stands somewhere.
+    fn of_this_start(&self, seed: u64) -> u64 {
+        seed ^ self.clock.started().0.rotate_left(16)
+    }
+}
+
 /// A front that serves.
 pub struct Front {
     shared: Shared,
--- a/crates/front/src/player.rs
+++ b/crates/front/src/player.rs
@@ -37,9 +37,10 @@
 }
 
 impl Player {
-    /// Session names follow from the seed.
+    /// Session names follow from the seed and the time of the start.
     pub fn new(shared: Shared, seed: u64) -> Self {
-        Player { shared, names: Mutex::new(ChaCha20Rng::seed_from_u64(seed ^ 0x6e61_6d65)) }
+        let seed = shared.of_this_start(seed) ^ 0x6e61_6d65;
+        Player { shared, names: Mutex::new(ChaCha20Rng::seed_from_u64(seed)) }
     }
 
     fn name(&self) -> (SessionId, Secret) {
--- a/crates/front/tests/sip.rs
+++ b/crates/front/tests/sip.rs
@@ -158,6 +158,34 @@
     s.finish();
 }
 
+#[test]
+fn fronts_of_one_seed_and_starts_of_one_front_name_no_two_calls_alike() {
+    let recorder = Recorder::default();
+    let fleet = Fleet::start(&fleet_spec(1), &recorder).expect("a fleet");
+    let start = || {
+        let mut settings = settings(&format!("url: {}", fleet.list.url()), "");
+        settings.sip = Some("127.0.0.1:0".parse().expect("an address"));
+        settings.seed = Some(1);
+        let front = Front::start(settings, None).expect("a front");
+        until("the list is known", || front.status().boxes == 1);
+        front
+    };
+    let fronts = [start(), start()];
+    let mut calls = Vec::new();
+    for (n, front) in [0, 1, 0, 1].into_iter().enumerate() {
+        let to = fronts[front].sip_address().expect("SIP is up");
+        let mut caller = Caller::new(to, front as u32, n as u64 + 1).expect("a caller");
+        let call = caller.call("one", None, &recorder).standing.expect("a call");
+        caller.acknowledge(&call);
+        calls.push((caller, call));
+    }
+    assert_eq!(fleet.sessions(), 4);
+    for (caller, call) in &mut calls {
+        assert!(caller.hang_up(call, &recorder));
+    }
+    until("all are over at the box", || fleet.sessions() == 0);
+}
+
 #[test]
 fn a_cancelled_call_gets_its_487_and_leaves_nothing_at_the_box() {
     let mut s = Sip::new(1);
--- a/crates/sip/src/agent/boxes.rs
+++ b/crates/sip/src/agent/boxes.rs
@@ -29,7 +29,7 @@
         let invite = self.calls.get(&session).map(|c| (c.title.clone(), c.offer.limited(rate_kb)));
         let address = url.parse::<SocketAddr>().ok();
         let built = invite.zip(address).and_then(|((title, body), address)| {
-            let (call, tag, branch) = (self.mint.name(), self.mint.name(), self.mint.branch());
+            let (call, tag, branch) = (self.mint.call(&self.sent_by), self.mint.name(), self.mint.branch());
             let text = format!(
                 "INVITE sip:{title}@{address} SIP/2.0\r\nVia: SIP/2.0/TCP {at};branch={branch}\r\nMax-Forwards: 69\r\n\
                  From: <sip:front@{at}>;tag={tag}\r\nTo: <sip:{title}@{address}>\r\nCall-ID: {call}\r\nCSeq: 1 INVITE\r\n\
--- a/crates/sip/src/dialog.rs
+++ b/crates/sip/src/dialog.rs
@@ -32,7 +32,12 @@
         self.next()
     }
 
-    /// A tag or a call id.
+    /// A `Call-ID`: no other host makes one with this in it (section 8.1.1.4).
+    pub fn call(&mut self, host: &str) -> String {
+        format!("{}@{host}", self.name())
+    }
+
+    /// A tag.
     pub fn name(&mut self) -> String {
         format!("{:016x}", self.next())
     }
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -26,8 +26,8 @@
     pub swaps: f64,
     /// Datagrams that are held back on their way to the front, and until when.
     held: Vec<(Instant, Vec<u8>)>,
-    /// The same on their way to the caller.
-    late: Vec<(Instant, Message)>,
+    /// The same on their way to the caller, and when each was on the wire.
+    late: Vec<(Instant, Instant, Message)>,
     /// How long it waits for its answer.
     pub patience: Duration,
     /// It cancels after so long, if it has no answer by then.
@@ -84,15 +84,17 @@
         format!("{COOKIE}{:016x}", self.dice.number())
     }
 
-    fn send(&mut self, request: &Request) {
+    /// Sends a request; whether it gets through.
+    fn send(&mut self, request: &Request) -> bool {
         if self.dice.chance(self.loses) {
-            return;
+            return false;
         }
         if self.dice.chance(self.swaps) {
             let until = self.held_until();
-            return self.held.push((until, request.encode()));
+            self.held.push((until, request.encode()));
+            return true;
         }
-        let _ = self.socket.send_to(&request.encode(), self.front);
+        self.socket.send_to(&request.encode(), self.front).is_ok()
     }
 
     /// What is held back is overtaken by anything that follows within some tens of milliseconds.
@@ -110,25 +112,26 @@
 
     /// The next message, unless it is lost: then it was on the wire, but the caller never had it.
     fn receive(&mut self) -> Option<Message> {
-        let message = self.wire()?;
+        let (_, message) = self.wire()?;
         if self.dice.chance(self.loses) { None } else { Some(message) }
     }
 
-    /// The next message on the wire, or one that was overtaken.
-    fn wire(&mut self) -> Option<Message> {
+    /// The next message, or one that was overtaken, and when it was on the wire.
+    fn wire(&mut self) -> Option<(Instant, Message)> {
         self.let_go();
         if let Some(n) = self.late.iter().position(|l| l.0 <= Instant::now()) {
-            return Some(self.late.swap_remove(n).1);
+            let (_, at, message) = self.late.swap_remove(n);
+            return Some((at, message));
         }
         let mut buf = [0; 4096];
         let (n, _) = self.socket.recv_from(&mut buf).ok()?;
         let message = Message::parse(&buf[..n]).ok()?;
         if self.dice.chance(self.swaps) {
             let until = self.held_until();
-            self.late.push((until, message));
+            self.late.push((until, Instant::now(), message));
             return None;
         }
-        Some(message)
+        Some((Instant::now(), message))
     }
 
     fn invite(&mut self, title: &str, id: &str, max_rate_kb: Option<f64>) -> Option<Request> {
@@ -156,8 +159,8 @@
         let offer = offer::origin(&invite.raw.body).unwrap_or_default();
         let patience_us = self.patience.as_micros() as u64;
         let (front, title) = (self.number, title.to_owned());
-        recorder.note(What::Asked { offer: offer.clone(), front, title, patience_us, speaks: Speaks::Sip });
-        let (finals, response, first) = self.exchange(&invite, recorder);
+        let asked = What::Asked { offer: offer.clone(), front, title, patience_us, speaks: Speaks::Sip };
+        let (finals, response, first) = self.exchange(&invite, asked, recorder);
         let kinds = finals.iter().collect::<std::collections::BTreeSet<_>>().len() as u32;
         // What counts is what came over the wire, and when: a network that loses an answer is not the front's doing.
         let ending = match first.map(|f| f.1) {
@@ -176,18 +179,25 @@
     }
 
     /// Sends an INVITE until something comes, and reads on until a final answer, cancelling when told.
-    /// What the caller had of final answers, and the first one on the wire.
+    /// What the caller had of final answers, and the first one on the wire. It has asked, and its patience begins, with
+    /// the first copy that gets through: of earlier ones no front can know.
     fn exchange(
         &mut self,
         invite: &Request,
+        asked: What,
         recorder: &Recorder,
     ) -> (Vec<u16>, Option<Response>, Option<(u64, u16)>) {
-        let began = Instant::now();
+        let (mut asked, mut began) = (Some(asked), Instant::now());
         let (mut next, mut pause, mut heard) = (began, Duration::from_millis(500), false);
         let (mut finals, mut last, mut cancelled, mut first) = (Vec::new(), None, None::<Instant>, None);
         while began.elapsed() < self.patience {
             if !heard && Instant::now() >= next {
-                self.send(invite);
+                if self.send(invite)
+                    && let Some(asked) = asked.take()
+                {
+                    recorder.note(asked);
+                    began = Instant::now();
+                }
                 next += pause;
                 pause *= 2;
             }
@@ -197,12 +207,13 @@
                 self.send(&cancel);
                 cancelled = Some(Instant::now());
             }
-            let Some(Message::Response(response)) = self.wire() else { continue };
+            let Some((at, Message::Response(response))) = self.wire() else { continue };
             if response.method != Method::Invite || response.names.call != invite.names.call {
                 continue;
             }
             if response.status >= 200 {
-                first.get_or_insert((recorder.now(), response.status));
+                let ago = at.elapsed().as_micros() as u64;
+                first.get_or_insert((recorder.now().saturating_sub(ago), response.status));
             }
             if self.dice.chance(self.loses) {
                 continue;
