A transaction drops its request with its answer, and a lost stream finds its own at once

Transactions outlive their answers by half a minute and kept whole requests meanwhile: at 1,500 calls a second some hundred thousand. A lost stream looked through all of them, once for each call of a box that died. Requests go with the final answer now, and client transactions are found by their stream.

--- a/crates/cli/src/bench/mod.rs
+++ b/crates/cli/src/bench/mod.rs
@@ -3,6 +3,7 @@
 //! The boxes are stand-ins in this process, large enough not to be the limit; the front is a process of its own.
 
 mod calls;
+mod memory;
 pub mod overload;
 
 use std::io;
@@ -27,7 +28,7 @@
 
 /// Measures and prints.
 pub fn bench(rate: f64, seconds: u64, clients: usize, playing: usize) -> ExitCode {
-    match run(rate, Duration::from_secs(seconds), clients).and_then(|()| memory(playing)) {
+    match run(rate, Duration::from_secs(seconds), clients).and_then(|()| memory::measure(playing)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => fail(1, e),
     }
@@ -87,81 +88,6 @@
     Ok(())
 }
 
-/// Memory of a front's process with many sessions that play, over one with none.
-fn memory(playing: usize) -> io::Result<()> {
-    let (link, streams) = (1e9, 1_000_000);
-    let fleet = Fleet::start(&demo::fleet(4, link, streams, 1024, Duration::ZERO), &Recorder::default())?;
-    let folder = std::env::temp_dir().join(format!("beechloft-bench-{}", std::process::id()));
-    std::fs::create_dir_all(&folder)?;
-    let listen = std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?;
-    let mut text = demo::settings_text(&fleet.list.url(), link, streams, "error");
-    text["front"]["listen"] = listen.to_string().into();
-    let file = folder.join("front.yaml");
-    std::fs::write(&file, text.to_string())?;
-    let child = std::process::Command::new(std::env::current_exe()?).arg("serve").arg(&file).spawn()?;
-    let child = Child(child);
-    let pool = Pool::default();
-    let ready = |pool: &Pool| {
-        let call =
-            pool.call(listen, &Request::new(Method::GET, "/ready"), Instant::now() + Duration::from_secs(1));
-        call.is_ok_and(|r| r.status == 200)
-    };
-    let until = Instant::now() + Duration::from_secs(10);
-    while !ready(&pool) && Instant::now() < until {
-        thread::sleep(Duration::from_millis(10));
-    }
-    let mut dice = Dice::new(11);
-    let mut one = || {
-        let offer = offer::offer(&Credentials::draw(&mut dice), false, None);
-        let request = Request::new(Method::POST, route::endpoint_path("asparagus", false)).body(SDP, offer);
-        let response = pool.call(listen, &request, Instant::now() + Duration::from_secs(4));
-        response.is_ok_and(|r| r.status == 201)
-    };
-    let playing_now = || {
-        let call =
-            pool.call(listen, &Request::new(Method::GET, "/ready"), Instant::now() + Duration::from_secs(1));
-        let body: serde_json::Value =
-            call.ok().and_then(|r| serde_json::from_slice(&r.body).ok()).unwrap_or_default();
-        body["playing"].as_u64().unwrap_or(0)
-    };
-    for _ in 0..200 {
-        one();
-    }
-    let (before, playing_before) = (resident_kb(child.0.id())?, playing_now());
-    // The stand-ins free what nobody keeps alive: what counts is the moment with the most sessions.
-    let mut most = (playing_before, before);
-    for n in 0..playing {
-        one();
-        if n % 500 == 499 {
-            most = most.max((playing_now(), resident_kb(child.0.id())?));
-        }
-    }
-    let _ = std::fs::remove_dir_all(&folder);
-    let each = most.1.saturating_sub(before) as f64 / (most.0 - playing_before).max(1) as f64;
-    println!(
-        "memory: {before} kB with {playing_before} sessions, {} kB with {}: {each:.2} kB each",
-        most.1, most.0
-    );
-    Ok(())
-}
-
-/// A process that ends with its owner.
-struct Child(std::process::Child);
-
-impl Drop for Child {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-/// Resident memory of a process, as the system tells it.
-fn resident_kb(pid: u32) -> io::Result<u64> {
-    let text = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
-    let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:")).unwrap_or_default();
-    line.trim().trim_end_matches(" kB").trim().parse().map_err(io::Error::other)
-}
-
 fn print(name: &str, p: &Part) {
     let ms = |q| p.times.value_at_quantile(q) as f64 / 1000.0;
     println!(
--- a/crates/sip/src/transaction/client.rs
+++ b/crates/sip/src/transaction/client.rs
@@ -3,7 +3,7 @@
 use beechloft_core::api::Micros;
 
 use super::Transport;
-use crate::message::{Method, Request, Response};
+use crate::message::{Method, Names, Request, Response};
 use crate::timer::{ABSORB, Backoff, T4, TRIES};
 
 /// Where a client transaction is.
@@ -37,7 +37,10 @@
 /// One client transaction.
 #[derive(Debug)]
 pub struct Client {
-    request: Request,
+    names: Names,
+    method: Method,
+    /// What it sent, until a final response has come: the transaction outlives that by half a minute.
+    request: Option<Box<Request>>,
     transport: Transport,
     state: State,
 }
@@ -49,21 +52,29 @@
             if request.method() == Method::Invite { Backoff::invite() } else { Backoff::bounded() };
         let repeat = (transport == Transport::Udp).then(|| (now + backoff.take(), backoff));
         out.push(Step::Send(Box::new(request.clone())));
-        Client { request, transport, state: State::Calling { repeat, until: now + TRIES } }
+        let (names, method) = (request.names.clone(), request.method());
+        Client {
+            names,
+            method,
+            request: Some(Box::new(request)),
+            transport,
+            state: State::Calling { repeat, until: now + TRIES },
+        }
     }
 
-    /// The request that it sent.
-    pub fn request(&self) -> &Request {
-        &self.request
+    /// What names the request that it sent.
+    pub fn names(&self) -> &Names {
+        &self.names
     }
 
     fn is_invite(&self) -> bool {
-        self.request.method() == Method::Invite
+        self.method == Method::Invite
     }
 
     /// A response to it came.
     pub fn received(&mut self, now: Micros, response: Response, out: &mut Vec<Step>) {
         let (response, invite) = (Box::new(response), self.is_invite());
+        let request = if response.is_final() { self.request.take() } else { None };
         match (&mut self.state, response.status) {
             (State::Calling { until, .. }, 100..=199) => {
                 let until = *until;
@@ -81,7 +92,7 @@
             }
             (State::Accepted { .. }, 200..=299) => out.push(Step::Tell(response)),
             (State::Calling { .. } | State::Proceeding { .. }, _) if invite => {
-                let ack = Box::new(self.request.ack_for(&response));
+                let Some(ack) = request.map(|r| Box::new(r.ack_for(&response))) else { return };
                 out.push(Step::Send(ack.clone()));
                 let wait = self.transport.wait(ABSORB);
                 self.state = State::Completed { ack, until: now + wait };
@@ -119,7 +130,7 @@
             | State::Proceeding { repeat: Some((at, backoff)), .. }
                 if *at <= now =>
             {
-                out.push(Step::Send(Box::new(self.request.clone())));
+                out.extend(self.request.clone().map(Step::Send));
                 *at = now + backoff.take();
             }
             State::Completed { until, .. } | State::Answered { until } | State::Accepted { until }
--- a/crates/sip/src/transaction/layer.rs
+++ b/crates/sip/src/transaction/layer.rs
@@ -124,6 +124,8 @@
 pub struct Layer {
     servers: BTreeMap<Key, (Peer, Server)>,
     clients: BTreeMap<Key, (Peer, Client)>,
+    /// Those of them that go over a stream, by it.
+    by_stream: BTreeMap<Peer, BTreeSet<Key>>,
     due: BTreeSet<(Micros, Key)>,
     now: Micros,
 }
@@ -240,13 +242,16 @@
         let client = Client::new(self.now, request, peer.transport, &mut steps);
         self.due.extend(client.next_due().map(|at| (at, key.clone())));
         self.clients.insert(key.clone(), (peer, client));
+        if peer.transport == Transport::Tcp {
+            self.by_stream.entry(peer).or_default().insert(key.clone());
+        }
         carry_out(&key, peer, steps, out);
     }
 
     fn response(&mut self, peer: Peer, response: Response, out: &mut Vec<Output>) {
         let key = Key::client(&response.names.branch, response.method);
         let ours = |c: &(Peer, Client)| {
-            let (own, got) = (&c.1.request().names, &response.names);
+            let (own, got) = (c.1.names(), &response.names);
             // A forged response that does not know the call and its tag is nobody's.
             own.call == got.call && own.from_tag == got.from_tag && own.seq == got.seq
         };
@@ -259,9 +264,7 @@
 
     /// A stream is gone: requests that wait on it will have no answer.
     fn lost(&mut self, peer: Peer, out: &mut Vec<Output>) {
-        let on = |p: &Peer| *p == peer && peer.transport == Transport::Tcp;
-        let gone: Vec<Key> = self.clients.iter().filter(|(_, c)| on(&c.0)).map(|(k, _)| k.clone()).collect();
-        for key in gone {
+        for key in self.by_stream.remove(&peer).unwrap_or_default() {
             if let Some((_, client)) = self.clients.remove(&key) {
                 if let Some(at) = client.next_due() {
                     self.due.remove(&(at, key.clone()));
@@ -326,6 +329,12 @@
         carry_out(key, peer, steps, out);
         if over {
             self.clients.remove(key);
+            if let Some(keys) = self.by_stream.get_mut(&peer) {
+                keys.remove(key);
+                if keys.is_empty() {
+                    self.by_stream.remove(&peer);
+                }
+            }
         } else if let Some(at) = next {
             self.due.insert((at, key.clone()));
         }
--- a/crates/sip/src/transaction/server.rs
+++ b/crates/sip/src/transaction/server.rs
@@ -41,7 +41,9 @@
 /// One server transaction.
 #[derive(Debug)]
 pub struct Server {
-    request: Request,
+    method: Method,
+    /// What was asked, until something was answered: the transaction outlives that by half a minute.
+    request: Option<Box<Request>>,
     transport: Transport,
     state: State,
 }
@@ -49,17 +51,13 @@
 impl Server {
     /// Begins with a request that was not seen before.
     pub fn new(now: Micros, request: Request, transport: Transport) -> Self {
-        let invite = request.method() == Method::Invite;
-        Server { request, transport, state: State::Trying(invite.then_some(now + TRYING)) }
-    }
-
-    /// The request that it began with.
-    pub fn request(&self) -> &Request {
-        &self.request
+        let method = request.method();
+        let trying = (method == Method::Invite).then_some(now + TRYING);
+        Server { method, request: Some(Box::new(request)), transport, state: State::Trying(trying) }
     }
 
     fn is_invite(&self) -> bool {
-        self.request.method() == Method::Invite
+        self.method == Method::Invite
     }
 
     /// The same request came again, or the ACK of its failure.
@@ -105,6 +103,7 @@
             }
             _ => return false,
         }
+        self.request = None;
         out.push(Step::Send(response));
         true
     }
@@ -119,7 +118,7 @@
     pub fn due(&mut self, now: Micros, out: &mut Vec<Step>) {
         match &mut self.state {
             State::Trying(Some(at)) if *at <= now => {
-                let trying = Box::new(self.request.answer(100, ""));
+                let Some(trying) = self.request.take().map(|r| Box::new(r.answer(100, ""))) else { return };
                 out.push(Step::Send(trying.clone()));
                 self.state = State::Proceeding(trying);
             }
