Typed tables with versions, and commands that look at a store's folder

`beechloft store check|stat|dump|compact` say what is torn or damaged, where, and exit with 0, 1 or 2; the first three change nothing.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod log;
 mod serve;
+mod store;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -70,6 +71,11 @@
         #[arg(long, default_value_t = 10_000)]
         playing: usize,
     },
+    /// Look at a store's folder, or tidy it
+    Store {
+        #[command(subcommand)]
+        command: store::Command,
+    },
     /// Drive a front past its own rate of calls, with overload control and without
     Overload {
         /// The front's own rate, calls a second; it is looked for if not given
@@ -92,6 +98,7 @@
         Command::Demo { boxes } => demo::demo(boxes),
         Command::Day { file, seed, json, keep } => day::day(&file, seed, json, keep.as_deref()),
         Command::Bench { rate, seconds, clients, playing } => bench::bench(rate, seconds, clients, playing),
+        Command::Store { command } => store::store(&command),
         Command::Overload { rate, times, seconds } => bench::overload::overload(rate, times, seconds),
     }
 }
--- /dev/null
+++ b/crates/cli/tests/store.rs
@@ -0,0 +1,50 @@
+//! The store's commands: what they say and how they exit, for a sound, a torn and a damaged folder.
+
+use std::path::Path;
+use std::process::{Command, Output};
+
+use beechloft_store::fs::Disk;
+use beechloft_store::{Batch, Options, Store, Table};
+
+fn store(args: &[&str], folder: &Path) -> (Option<i32>, String) {
+    let program = env!("CARGO_BIN_EXE_beechloft");
+    let Output { status, stdout, stderr } =
+        Command::new(program).arg("store").args(args).arg(folder).output().expect("it runs");
+    (status.code(), String::from_utf8_lossy(&stdout).into_owned() + &String::from_utf8_lossy(&stderr))
+}
+
+#[test]
+fn a_folder_is_checked_dumped_told_of_and_compacted() {
+    let temporary = tempfile::tempdir().expect("a folder");
+    let folder = temporary.path().join("store");
+    assert_eq!(store(&["check"], &folder).0, Some(2), "no folder is made by looking");
+    assert!(!folder.exists());
+    let (mut open, _) = Store::open(Disk::open(&folder).expect("it"), Options::default()).expect("a store");
+    for n in 0..20u8 {
+        open.write(Batch::default().put(Table(n % 2), vec![n % 4], vec![n; 50]).clone()).expect("written");
+    }
+    open.sync().expect("synced");
+    assert_eq!(store(&["compact"], &folder).0, Some(2), "it is in use");
+    drop(open);
+    let (code, text) = store(&["check"], &folder);
+    assert!(code == Some(0) && text.contains("sound, 4 keys, up to batch 20"), "{text}");
+    let (code, text) = store(&["stat"], &folder);
+    assert!(code == Some(0) && text.contains("table 1: 2 keys, 102 bytes"), "{text}");
+    let (code, text) = store(&["dump", "--table", "0"], &folder);
+    assert!(code == Some(0) && text.lines().count() == 2 && text.contains(r#""key":"00""#), "{text}");
+    let (code, text) = store(&["compact"], &folder);
+    assert!(code == Some(0) && text.contains("generation 2 with 4 keys"), "{text}");
+
+    let newest = folder.join("0000000000000002.log");
+    let bytes = std::fs::read(&newest).expect("it");
+    std::fs::write(&newest, [&bytes[..], b"half a batch"].concat()).expect("written");
+    let (code, text) = store(&["check"], &folder);
+    assert!(code == Some(0) && text.contains("12 bytes of no whole batch"), "{text}");
+    let mut flipped = bytes.clone();
+    flipped[60] ^= 4;
+    std::fs::write(&newest, flipped).expect("written");
+    let (code, text) = store(&["check"], &folder);
+    assert!(code == Some(1) && text.contains("DAMAGED, offset 22: "), "{text}");
+    assert_eq!(store(&["stat"], &folder).0, Some(1));
+    assert_eq!(store(&["compact"], &folder).0, Some(1), "what is damaged is not tidied away");
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -13,7 +13,10 @@
 pub mod fs;
 pub mod recovery;
 mod store;
+pub mod typed;
 
 pub use frame::{Op, Table};
 pub use recovery::Note;
-pub use store::{Batch, Compaction, Options, Store, StoreError, View};
+pub use typed::{Key, Record, TypedError};
+
+pub use store::{Batch, Compaction, Options, Store, StoreError, View, generation_of};
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -167,7 +167,8 @@
     format!("{generation:016}-{ticket}.new")
 }
 
-fn number(name: &str) -> Option<u64> {
+/// The generation that a file's name says, if it is one's.
+pub fn generation_of(name: &str) -> Option<u64> {
     name.strip_suffix(".log").filter(|n| n.len() == 16)?.parse().ok()
 }
 
@@ -345,7 +346,7 @@
         // The last generation stays for the case that this one is cut short; those before it go. One that can't be
         // removed takes room and does no harm.
         let names = self.fs.list().map_err(failed("list the folder"))?;
-        let spent = |n: &&String| n.ends_with(".new") || number(n).is_some_and(|n| n < before);
+        let spent = |n: &&String| n.ends_with(".new") || generation_of(n).is_some_and(|n| n < before);
         for old in names.iter().filter(spent) {
             let _ = self.fs.remove(old);
         }
@@ -361,7 +362,7 @@
 
 /// The newest generation that can be gone on with.
 fn find<F: Fs>(fs: &F, names: &[String], notes: &mut Vec<Note>) -> Result<Option<Recovered>, StoreError> {
-    let mut generations: Vec<u64> = names.iter().filter_map(|n| number(n)).collect();
+    let mut generations: Vec<u64> = names.iter().filter_map(|n| generation_of(n)).collect();
     generations.sort_unstable();
     while let Some(generation) = generations.pop() {
         let file = name(generation);
--- a/crates/store/tests/model/main.rs
+++ b/crates/store/tests/model/main.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 
+use beechloft_store::frame::{self, HEAD};
 use beechloft_store::{Batch, Options, Store, StoreError, Table, View};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -189,6 +190,14 @@
     let files = folders.last().expect("some");
     let last = *states.keys().max().expect("some");
     let newest = files.keys().filter(|n| n.ends_with(".log")).max().expect("one").clone();
+    // Where the batches of the newest generation begin, and the last of them.
+    let bytes = &files[&newest];
+    let (mut ends, generation) = (vec![HEAD], frame::read_head(bytes).expect("a head"));
+    while let Ok((_, length)) = frame::read(generation, &bytes[*ends.last().expect("one")..]) {
+        ends.push(ends.last().expect("one") + length);
+    }
+    let synced_before = ends[1]..ends[ends.len() - 2];
+    assert!(!synced_before.is_empty());
     let (mut errors, mut spoken) = (0, 0);
     for (name, bytes) in files {
         for at in 0..bytes.len() {
@@ -199,6 +208,8 @@
                 files.insert(name.clone(), flipped);
                 match Store::open(Sim::of(&files), Options::default()) {
                     Ok((store, notes)) => {
+                        let in_middle = *name == newest && synced_before.contains(&at);
+                        assert!(!in_middle, "{name} {at}: what was synced is passed over");
                         let seq = store.view().seq();
                         assert_eq!(map(&store.view()), states[&seq], "{name} {at}");
                         assert!(seq == last || !notes.is_empty(), "{name} {at}: silence");
