--- a/crates/cli/src/bench/memory.rs
+++ b/crates/cli/src/bench/memory.rs
@@ -17,6 +17,12 @@
 
 use crate::demo;
 
+/// Two ports that nobody has; the front binds them a moment later.
+fn free_ports() -> io::Result<(SocketAddr, SocketAddr)> {
+    let (one, other) = (TcpListener::bind("127.0.0.1:0")?, TcpListener::bind("127.0.0.1:0")?);
+    Ok((one.local_addr()?, other.local_addr()?))
+}
+
 /// Measures both kinds and prints.
 pub fn measure(playing: usize) -> io::Result<()> {
     sessions(playing)?;
@@ -52,8 +58,7 @@
         let fleet = Fleet::start(&demo::fleet(4, link, streams, 1024, Duration::ZERO), &Recorder::default())?;
         let folder = std::env::temp_dir().join(format!("beechloft-bench-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
-        let (http, sip) = (TcpListener::bind("127.0.0.1:0")?, TcpListener::bind("127.0.0.1:0")?);
-        let (http, sip) = (http.local_addr()?, sip.local_addr()?);
+        let (http, sip) = free_ports()?;
         let mut text = demo::settings_text(&fleet.list.url(), link, streams, "error");
         text["front"]["listen"] = http.to_string().into();
         text["front"]["sip"] = sip.to_string().into();
