A box whose address makes no request can't hold up the agent

An accepted call whose Contact makes no valid request left a refresh due for ever: the agent's thread would have spun on it, and every call with it. Nothing is asked of such a box now; tested, and broken once on purpose.

--- a/crates/sip/src/standing.rs
+++ b/crates/sip/src/standing.rs
@@ -108,7 +108,12 @@
             return None;
         }
         let offer = self.wanted.take_if(|w| w.1 <= now).map(|w| w.0);
-        let mut update = self.dialog.request(Method::Update, at, &mint.branch(), offer.as_deref())?;
+        let update = self.dialog.request(Method::Update, at, &mint.branch(), offer.as_deref());
+        let Some(mut update) = update else {
+            // What the box gave as its address makes no request: nothing can be asked of it, now or later.
+            (self.every, self.wanted) = (None, None);
+            return None;
+        };
         // Content-Length stays last: what reads a stream looks for the empty line anyway, people look for the order.
         let length = update.raw.headers.iter().position(|h| matches!(h, Header::ContentLength(_)));
         let mut headers: Vec<Header> = update.raw.headers.iter().cloned().collect();
--- a/crates/sip/tests/standing.rs
+++ b/crates/sip/tests/standing.rs
@@ -22,11 +22,15 @@
 
 impl Call {
     fn new(expires: &str) -> Call {
+        Call::at("<sip:box@127.0.0.1:9000>", expires)
+    }
+
+    fn at(contact: &str, expires: &str) -> Call {
         let invite = "INVITE sip:a@b SIP/2.0\r\nVia: SIP/2.0/TCP a:1;branch=z9hG4bK1\r\nFrom: <sip:c@d>;tag=1\r\nTo: <sip:a@b>\r\n\
                       Call-ID: 1\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n";
         let Ok(Message::Request(invite)) = Message::parse(invite.as_bytes()) else { panic!("an INVITE") };
         let mut ok = invite.answer(200, "tb");
-        ok.raw.headers.push(rsip::Header::Contact("<sip:box@127.0.0.1:9000>".into()));
+        ok.raw.headers.push(rsip::Header::Contact(contact.into()));
         if !expires.is_empty() {
             ok.raw.headers.push(rsip::Header::Other("Session-Expires".into(), expires.into()));
         }
@@ -91,6 +95,15 @@
     assert_eq!(c.change("v=2\r\n").map(|u| body(&u)), Some("v=2\r\n".into()), "a newer one does not wait");
 }
 
+#[test]
+fn a_box_whose_address_makes_no_request_is_asked_nothing_and_never_again() {
+    let mut c = Call::at("<box.example.org>", "");
+    assert!(c.change("v=1\r\n").is_none());
+    assert_eq!(c.wait_s(), None, "a time that is always due would never be over");
+    c.now += 100 * S;
+    assert!(c.due().is_none());
+}
+
 #[test]
 fn refreshes_come_at_half_of_what_the_box_allows() {
     for (expires, seconds) in [("", 90.0), ("120;refresher=uac", 60.0), ("20", 45.0), ("4000000000", 90.0)] {
