Calls that fail get 504, calls that a box declines its own status: tested

The two answers of a front to a call that were reached by no test of the agent: 504 where a set-up must not be repeated and its box stayed silent, stuck or failed, and a box's 415 passed on. Broken once: the test fails.

--- a/crates/sip/tests/agent.rs
+++ b/crates/sip/tests/agent.rs
@@ -101,9 +101,13 @@
 
 impl World {
     fn new(manners: &[Manner]) -> World {
+        World::with(settings(), manners)
+    }
+
+    fn with(settings: Settings, manners: &[Manner]) -> World {
         let listen = "127.0.0.1:5060".parse().expect("an address");
         let mut world = World {
-            core: Core::new(settings(), 1),
+            core: Core::new(settings, 1),
             agent: Agent::new(listen, 0, 2),
             now: 100 * S,
             manners: manners.to_vec(),
@@ -500,6 +504,25 @@
     assert!(text.is_some_and(|t| t.contains("Retry-After: 1")));
 }
 
+#[test]
+fn a_call_that_no_box_answers_fails_in_time_and_one_that_a_box_declines_hears_why() {
+    for (manner, status) in [
+        (Manner::Silent, 504),
+        (Manner::Stuck, 504),
+        (Manner::Refuses(500), 504),
+        (Manner::Refuses(415), 415),
+    ] {
+        // A set-up that must not be repeated: what is silent may have run.
+        let mut once = settings();
+        once.classes[0].effect = Effect::Once;
+        let mut w = World::with(once, &[manner; 2]);
+        w.caller_sends(&invite("c1"));
+        w.wait(4 * S);
+        let kinds: BTreeSet<u16> = w.finals("c1").into_iter().collect();
+        assert_eq!(kinds, [status].into(), "{manner:?}");
+    }
+}
+
 #[test]
 fn a_box_that_hangs_up_and_a_lost_box_end_the_callers_side() {
     let mut w = World::new(&[Manner::Sound]);
