One piece of code for hanging up, for a head's end, for breaks by rule and for a caller's INVITE

Hanging up on an unwanted 2xx had a copy of its own, which left the leg in the table for ever where the box's address makes no request; both ways use one now, and a test wants the leg gone (it fails with that case dropped). The heads of requests and responses shared their end word for word; rules were listed in three places; two callers wrote the same INVITE. A torn generation was read twice for its length. A counter, a bound and a look-up of the overload control that nothing used are gone. Behaviour is otherwise as it was.

--- a/crates/checker/src/report.rs
+++ b/crates/checker/src/report.rs
@@ -85,20 +85,24 @@
 const DESCRIBED: usize = 5;
 
 impl Report {
+    /// Breaks by rule, each with its name.
+    pub fn broken(&self) -> [(&'static str, u64); 9] {
+        [
+            ("unanswered", self.unanswered),
+            ("answered twice", self.duplicate_answers),
+            ("overlapping", self.overlapping_attempts),
+            ("drains", self.drain_breaks),
+            ("cold", self.cold_breaks),
+            ("floors", self.floor_breaks),
+            ("seats", self.seat_breaks),
+            ("budget", self.budget_breaks),
+            ("left at boxes", self.phantom_sessions),
+        ]
+    }
+
     /// Whether all rules were kept.
     pub fn kept(&self) -> bool {
-        let broken = [
-            self.unanswered,
-            self.duplicate_answers,
-            self.overlapping_attempts,
-            self.drain_breaks,
-            self.cold_breaks,
-            self.floor_breaks,
-            self.seat_breaks,
-            self.budget_breaks,
-            self.phantom_sessions,
-        ];
-        broken.iter().all(|n| *n == 0)
+        self.broken().iter().all(|(_, n)| *n == 0)
     }
 
     /// Describes a break.
--- a/crates/cli/src/bench/calls.rs
+++ b/crates/cli/src/bench/calls.rs
@@ -9,7 +9,7 @@
 use beechloft_sip::framing::{Framed, Framer};
 use beechloft_sip::message::{Message, Method, Request, Response};
 use beechloft_standin::dice::Dice;
-use beechloft_standin::offer;
+use beechloft_standin::{caller, offer};
 
 /// Calls, acknowledges and hangs up; the time to the answer. A connection of its own, as a front's attempt has.
 pub fn one(_: &Pool, to: SocketAddr, dice: &mut Dice) -> io::Result<Duration> {
@@ -17,13 +17,8 @@
     let mut stream = Stream::open(to)?;
     let (own, mut mint) = (stream.socket.local_addr()?.to_string(), Mint::new(dice.number()));
     let (body, id, branch) = (offer::plain(&mint.name(), None), mint.name(), mint.branch());
-    let text = format!(
-        "INVITE sip:asparagus@{to} SIP/2.0\r\nVia: SIP/2.0/TCP {own};branch={branch}\r\nMax-Forwards: 70\r\n\
-         From: <sip:caller@{own}>;tag={id}\r\nTo: <sip:asparagus@{to}>\r\nCall-ID: {id}@{own}\r\nCSeq: 1 INVITE\r\n\
-         Contact: <sip:caller@{own}>\r\nContent-Type: application/sdp\r\nContent-Length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    let Ok(Message::Request(invite)) = Message::parse(text.as_bytes()) else {
+    let at = Local { transport: "TCP", sent_by: own };
+    let Some(invite) = caller::invite(&at, to, "asparagus", &id, &branch, &body) else {
         return Err(io::Error::other("an INVITE that makes no sense"));
     };
     stream.send(&invite)?;
@@ -34,7 +29,6 @@
         return Err(io::ErrorKind::ConnectionRefused.into());
     }
     let mut dialog = Dialog::as_client(&invite, &answer).map_err(io::Error::other)?;
-    let at = Local { transport: "TCP", sent_by: own };
     let nothing = || io::Error::other("a box whose address makes no sense");
     stream.send(&dialog.ack(1, &at, &mint.branch()).ok_or_else(nothing)?)?;
     stream.send(&dialog.request(Method::Bye, &at, &mint.branch(), None).ok_or_else(nothing)?)?;
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -73,18 +73,7 @@
         "further attempts {}; sessions that boxes freed by themselves {}",
         r.further_attempts, r.expired_sessions
     );
-    println!(
-        "breaks: unanswered {}, answered twice {}, overlapping {}, drains {}, cold {}, floors {}, seats {}, budget {}, left at boxes {}",
-        r.unanswered,
-        r.duplicate_answers,
-        r.overlapping_attempts,
-        r.drain_breaks,
-        r.cold_breaks,
-        r.floor_breaks,
-        r.seat_breaks,
-        r.budget_breaks,
-        r.phantom_sessions
-    );
+    println!("breaks: {}", r.broken().map(|(rule, n)| format!("{rule} {n}")).join(", "));
     for (rule, list) in &r.breaks {
         list.iter().for_each(|text| println!("  {rule}: {text}"));
     }
--- a/crates/cli/src/store.rs
+++ b/crates/cli/src/store.rs
@@ -96,12 +96,12 @@
     for (generation, file) in all {
         let bytes = disk.read(&file)?;
         match recovery::recover(generation, &bytes) {
-            Ok(r) if r.torn => println!(
+            Ok(r) if r.torn > 0 => println!(
                 "{file}: sound up to batch {} with {} keys; offset {}: {} bytes of no whole batch",
                 r.seq,
                 r.state.len(),
                 r.sound,
-                bytes.len() - r.sound
+                r.torn
             ),
             Ok(r) => println!("{file}: sound, {} keys, up to batch {}", r.state.len(), r.seq),
             Err(why) => {
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -207,18 +207,27 @@
     if version == Some(1) { !says("close") } else { says("keep-alive") }
 }
 
+/// The length of a head that is there whole; none: more of it is to come, of the bytes that may.
+fn complete(
+    parsed: httparse::Result<usize>,
+    waiting: usize,
+    limits: &Limits,
+) -> Result<Option<usize>, HeadError> {
+    match parsed.map_err(|e| head_error(e, limits))? {
+        httparse::Status::Complete(used) => Ok(Some(used)),
+        httparse::Status::Partial if waiting >= limits.head_bytes => {
+            Err(HeadError::TooLong(limits.head_bytes))
+        }
+        httparse::Status::Partial => Ok(None),
+    }
+}
+
 /// A request's head, and how its body is framed.
 pub fn request_head(buf: &mut Vec<u8>, limits: &Limits) -> Result<Option<(Request, Framing)>, HeadError> {
     let mut slots = vec![httparse::EMPTY_HEADER; limits.fields];
     let mut parsed = httparse::Request::new(&mut slots);
     let window = &buf[..buf.len().min(limits.head_bytes)];
-    let used = match parsed.parse(window).map_err(|e| head_error(e, limits))? {
-        httparse::Status::Complete(used) => used,
-        httparse::Status::Partial if buf.len() >= limits.head_bytes => {
-            return Err(HeadError::TooLong(limits.head_bytes));
-        }
-        httparse::Status::Partial => return Ok(None),
-    };
+    let Some(used) = complete(parsed.parse(window), buf.len(), limits)? else { return Ok(None) };
     let method = Method::from_bytes(parsed.method.unwrap_or_default().as_bytes());
     let method = method.map_err(|_| HeadError::Malformed("its method"))?;
     let target = origin_form(parsed.path.unwrap_or_default()).ok_or(HeadError::Malformed("its target"))?;
@@ -252,13 +261,7 @@
         let mut slots = vec![httparse::EMPTY_HEADER; limits.fields];
         let mut parsed = httparse::Response::new(&mut slots);
         let window = &buf[..buf.len().min(limits.head_bytes)];
-        let used = match parsed.parse(window).map_err(|e| head_error(e, limits))? {
-            httparse::Status::Complete(used) => used,
-            httparse::Status::Partial if buf.len() >= limits.head_bytes => {
-                return Err(HeadError::TooLong(limits.head_bytes));
-            }
-            httparse::Status::Partial => return Ok(None),
-        };
+        let Some(used) = complete(parsed.parse(window), buf.len(), limits)? else { return Ok(None) };
         let status = StatusCode::from_u16(parsed.code.unwrap_or_default());
         let status = status.map_err(|_| HeadError::Malformed("its status"))?;
         let headers = fields(parsed.headers)?;
--- a/crates/sip/src/callee.rs
+++ b/crates/sip/src/callee.rs
@@ -66,7 +66,7 @@
     /// The call stands.
     Up(Box<Standing>),
     /// A BYE is out, under this key.
-    Ending(Box<Dialog>, Option<Key>),
+    Ending(Box<Dialog>, Key),
     /// Given up without a final response; a late 2xx is still ended until this time.
     Abandoned { until: Micros },
     /// Nothing is left.
@@ -99,7 +99,7 @@
 
     /// The key of its BYE, while one is out.
     pub fn bye_key(&self) -> Option<Key> {
-        if let State::Ending(_, bye) = &self.state { bye.clone() } else { None }
+        if let State::Ending(_, bye) = &self.state { Some(bye.clone()) } else { None }
     }
 
     /// The key of its UPDATE, while one is out.
@@ -183,7 +183,7 @@
         }
         let wanted = matches!(self.state, State::Calling { given_up: None, .. });
         let counts = matches!(self.state, State::Calling { .. });
-        let Ok(mut dialog) = Dialog::as_client(&self.invite, response) else {
+        let Ok(dialog) = Dialog::as_client(&self.invite, response) else {
             // No address to end it at: the connection's end is all that is left to say.
             out.push(Out::Close);
             if counts {
@@ -197,10 +197,7 @@
             out.push(Out::Up(response.raw.body.clone()));
             return;
         }
-        let bye = dialog.request(Method::Bye, &self.at, &mint.branch(), None);
-        let key = bye.as_ref().map(Layer::key_of);
-        out.extend(bye.map(|b| Out::Send(Box::new(b))));
-        self.state = State::Ending(Box::new(dialog), key);
+        self.hang_up(dialog, mint, out);
         if counts {
             out.push(Out::Over(None));
         }
@@ -244,11 +241,16 @@
 
     /// Ends a call that stands.
     fn bye(&mut self, mint: &mut Mint, out: &mut Vec<Out>) {
-        let State::Up(standing) = std::mem::replace(&mut self.state, State::Gone) else { return };
-        let mut dialog = standing.into_dialog();
+        if let State::Up(standing) = std::mem::replace(&mut self.state, State::Gone) {
+            self.hang_up(standing.into_dialog(), mint, out);
+        }
+    }
+
+    /// Sends a BYE in a dialog; one that makes no request has nothing left to be ended by.
+    fn hang_up(&mut self, mut dialog: Dialog, mint: &mut Mint, out: &mut Vec<Out>) {
         match dialog.request(Method::Bye, &self.at, &mint.branch(), None) {
             Some(bye) => {
-                self.state = State::Ending(Box::new(dialog), Some(Layer::key_of(&bye)));
+                self.state = State::Ending(Box::new(dialog), Layer::key_of(&bye));
                 out.push(Out::Send(Box::new(bye)));
             }
             None => self.gone(out),
--- a/crates/sip/src/overload/control.rs
+++ b/crates/sip/src/overload/control.rs
@@ -109,8 +109,6 @@
     state: State,
     neighbours: Neighbours,
     chance: ChaCha8Rng,
-    /// The number of the last interval, for `oc-seq`.
-    seq: u64,
 }
 
 impl Control {
@@ -124,7 +122,6 @@
             state: State::Free,
             neighbours: Neighbours::default(),
             chance: ChaCha8Rng::seed_from_u64(seed),
-            seq: 0,
         }
     }
 
@@ -206,7 +203,6 @@
             return;
         }
         self.began = Some(now);
-        self.seq += 1;
         let i = std::mem::take(&mut self.now);
         let seconds = length.secs();
         // A queue shows its calls more slowly than they came: their rate is taken over the span of their arrivals.
@@ -224,14 +220,14 @@
                 State::Shedding(Shedding { rate, tokens: 0.0, filled: now, share, worked, calm: 0 })
             }
             State::Free => State::Free,
-            State::Shedding(s) => s.next(now, wait, taken, worked, plain, spared),
+            State::Shedding(s) => s.next(wait, taken, worked, plain, spared),
         };
         self.neighbours.interval(now, span, self.share());
     }
 }
 
 impl Shedding {
-    fn next(mut self, now: Micros, wait: Micros, taken: f64, worked: f64, plain: f64, spared: f64) -> State {
+    fn next(mut self, wait: Micros, taken: f64, worked: f64, plain: f64, spared: f64) -> State {
         if wait > BORNE {
             self.worked += (worked - self.worked) * WEIGHT;
             self.rate = (self.worked * cut(wait)).max(1.0);
@@ -246,7 +242,6 @@
         if self.share > 0.99 {
             self.share = 1.0;
         }
-        self.filled = self.filled.max(now - LOOK);
         self.calm = if wait <= BORNE && share >= 1.0 { self.calm + 1 } else { 0 };
         if self.calm >= CALM { State::Free } else { State::Shedding(self) }
     }
--- a/crates/sip/src/overload/neighbours.rs
+++ b/crates/sip/src/overload/neighbours.rs
@@ -101,9 +101,4 @@
             }
         }
     }
-
-    /// Neighbours that are not believed.
-    pub fn cheats(&self) -> usize {
-        self.all.values().filter(|n| n.strikes >= STRIKES).count()
-    }
 }
--- a/crates/sip/tests/legs.rs
+++ b/crates/sip/tests/legs.rs
@@ -117,6 +117,18 @@
     assert_eq!(methods(&l.response(200)), [Method::Ack], "even then, so that the box stops repeating it");
 }
 
+#[test]
+fn an_unwanted_2xx_whose_address_makes_no_request_leaves_no_leg_behind() {
+    let mut l = Leg::new();
+    l.input(callee::In::End);
+    let mut ok = from_box(200);
+    ok.raw.headers.retain(|h| !matches!(h, rsip::Header::Contact(_)));
+    ok.raw.headers.push(rsip::Header::Contact("<box.example.org>".into()));
+    let out = l.input(callee::In::Response(&ok));
+    assert!(out.contains(&callee::Out::Gone) && out.contains(&callee::Out::Over(None)), "{out:?}");
+    assert!(l.leg.is_gone() && l.leg.next_due().is_none());
+}
+
 #[test]
 fn a_box_that_stands_still_costs_the_grace_and_what_it_does_later_is_undone() {
     let mut l = Leg::new();
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -54,6 +54,28 @@
     pub standing: Option<Standing>,
 }
 
+/// An INVITE of a caller at an address to a title, on whatever transport.
+pub fn invite(
+    at: &Local,
+    to: SocketAddr,
+    title: &str,
+    id: &str,
+    branch: &str,
+    body: &str,
+) -> Option<Request> {
+    let Local { transport, sent_by: own } = at;
+    let text = format!(
+        "INVITE sip:{title}@{to} SIP/2.0\r\nVia: SIP/2.0/{transport} {own};branch={branch}\r\nMax-Forwards: 70\r\n\
+         From: <sip:caller@{own}>;tag={id}\r\nTo: <sip:{title}@{to}>\r\nCall-ID: {id}@{own}\r\nCSeq: 1 INVITE\r\n\
+         Contact: <sip:caller@{own}>\r\nContent-Type: application/sdp\r\nContent-Length: {length}\r\n\r\n{body}",
+        length = body.len(),
+    );
+    match Message::parse(text.as_bytes()) {
+        Ok(Message::Request(request)) => Some(request),
+        _ => None,
+    }
+}
+
 impl Caller {
     /// A caller of this front.
     pub fn new(front: SocketAddr, number: u32, seed: u64) -> io::Result<Caller> {
@@ -135,19 +157,8 @@
     }
 
     fn invite(&mut self, title: &str, id: &str, max_rate_kb: Option<f64>) -> Option<Request> {
-        let body = offer::plain(id, max_rate_kb);
-        let (at, branch) = (self.local().sent_by, self.branch());
-        let text = format!(
-            "INVITE sip:{title}@{front} SIP/2.0\r\nVia: SIP/2.0/UDP {at};branch={branch}\r\nMax-Forwards: 70\r\n\
-             From: <sip:caller@{at}>;tag={id}\r\nTo: <sip:{title}@{front}>\r\nCall-ID: {id}@{at}\r\nCSeq: 1 INVITE\r\n\
-             Contact: <sip:caller@{at}>\r\nContent-Type: application/sdp\r\nContent-Length: {length}\r\n\r\n{body}",
-            front = self.front,
-            length = body.len(),
-        );
-        match Message::parse(text.as_bytes()) {
-            Ok(Message::Request(request)) => Some(request),
-            _ => None,
-        }
+        let branch = self.branch();
+        invite(&self.local(), self.front, title, id, &branch, &offer::plain(id, max_rate_kb))
     }
 
     /// Calls a title. What is seen is noted; the first final answer counts, and others are noted as further ones.
--- a/crates/store/src/recovery.rs
+++ b/crates/store/src/recovery.rs
@@ -24,8 +24,8 @@
     pub seq: u64,
     /// Bytes that are sound; what follows is to be cut off.
     pub sound: usize,
-    /// Whether anything follows.
-    pub torn: bool,
+    /// How many bytes follow.
+    pub torn: usize,
 }
 
 /// Why a generation can't be gone on with.
@@ -146,11 +146,11 @@
             Err(fault @ Fault::Payload) => return Err(Damage::Middle { at: sound, seq, fault, next: sound }),
             Err(fault) => match later(generation, bytes, sound + 1, seq) {
                 Some(next) => return Err(Damage::Middle { at: sound, seq, fault, next }),
-                None => return Ok(Recovered { generation, state, seq, sound, torn: true }),
+                None => break,
             },
         }
     }
-    Ok(Recovered { generation, state, seq, sound, torn: false })
+    Ok(Recovered { generation, state, seq, sound, torn: bytes.len() - sound })
 }
 
 /// Where a sound batch is before which more than this one had been synced. Most places fail at the kind or the number,
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -386,11 +386,10 @@
 
 /// Goes on with a generation: what follows its last whole batch is cut off, before anything is written behind it.
 fn take_up<F: Fs>(fs: &F, recovered: &Recovered, notes: &mut Vec<Note>) -> Result<F::File, StoreError> {
-    let Recovered { generation, sound, .. } = *recovered;
+    let Recovered { generation, sound, torn, .. } = *recovered;
     let file = name(generation);
-    if recovered.torn {
-        let length = fs.read(&file).map_err(failed("read a generation"))?.len();
-        notes.push(Note::Torn { generation, at: sound, bytes: length - sound });
+    if torn > 0 {
+        notes.push(Note::Torn { generation, at: sound, bytes: torn });
     }
     let mut file = fs.resume(&file, sound as u64).map_err(failed("go on with a generation"))?;
     // What was read may never have been synced by the process that wrote it.
@@ -405,5 +404,5 @@
     let (file, length) = write_whole(fs, 1, 0, &view)?;
     fs.rename(&new_name(1, 0), &name(1)).map_err(failed("name a generation"))?;
     fs.sync_folder().map_err(failed("sync the folder"))?;
-    Ok((file, Recovered { generation: 1, state: view.state, seq: 0, sound: length as usize, torn: false }))
+    Ok((file, Recovered { generation: 1, state: view.state, seq: 0, sound: length as usize, torn: 0 }))
 }
