The order of the lanes to the SIP agent has a test of its own

With new calls put into the lane of all else the tests on sockets still passed. Now one sees that they wait behind what is within calls, and that a full lane of theirs keeps nobody else out; it fails with the lane taken out.

--- a/crates/front/src/lanes.rs
+++ b/crates/front/src/lanes.rs
@@ -91,3 +91,33 @@
         self.certain.clone()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use beechloft_sip::transaction::Transport;
+
+    fn said(method: &str, to_tag: &str) -> Input {
+        let text = format!(
+            "{method} sip:a@b SIP/2.0\r\nVia: SIP/2.0/TCP a:1;branch=z9hG4bK1\r\nFrom: <sip:c@d>;tag=1\r\n\
+             To: <sip:a@b>{to_tag}\r\nCall-ID: 1\r\nCSeq: 1 {method}\r\nContent-Length: 0\r\n\r\n"
+        );
+        let address = ([127, 0, 0, 1], 1).into();
+        let peer = Peer { address, transport: Transport::Tcp, conn: 1 };
+        Input::Received(peer, Box::new(Message::parse(text.as_bytes()).expect("a message")), Micros(0))
+    }
+
+    #[test]
+    fn new_calls_wait_behind_all_else_and_when_full_keep_nobody_else_out() {
+        let (sender, lanes) = lanes();
+        let (new, again, bye) = (said("INVITE", ""), said("INVITE", ";tag=2"), said("BYE", ";tag=2"));
+        for _ in 0..NEW {
+            assert_eq!(sender.streamed(new.clone()), Ok(()));
+        }
+        assert_eq!(sender.streamed(new.clone()), Err(new.clone()), "it comes back to be kept by its stream");
+        assert_eq!((sender.streamed(again.clone()), sender.streamed(bye.clone())), (Ok(()), Ok(())));
+        sender.certain(Input::Tick);
+        let order: Vec<Input> = (0..4).filter_map(|_| lanes.next(Duration::ZERO)).collect();
+        assert_eq!(order, [Input::Tick, again, bye, new]);
+    }
+}
