--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use beechloft_config::front::LogSettings;
+use beechloft_proto::config::Stated;
 use beechloft_shell::Shell;
 
 use crate::{fail, log};
@@ -17,7 +18,10 @@
         return fail(2, format_args!("{CONFIG} is not set"));
     };
     log::start(&LogSettings { filter: "info".into(), json: false });
-    let mut shell = match Shell::start(&path) {
+    // What is no text agrees with nothing.
+    let stated = |name| std::env::var_os(name).map(|v| v.to_string_lossy().into_owned());
+    let stated = Stated { name: stated("ROUTER_NAME"), listen: stated("ROUTER_LISTEN") };
+    let mut shell = match Shell::start(&path, &stated) {
         Ok(shell) => shell,
         Err(e) => return fail(2, e),
     };
--- /dev/null
+++ b/crates/cli/tests/node.rs
@@ -0,0 +1,147 @@
+//! The front node as a process: what it says of a start that can't be, and real signals.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn config(listen: &str, bus: SocketAddr) -> serde_json::Value {
+    serde_json::json!({
+        "name": "n3", "listen": listen, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256}, "bus": bus.to_string(),
+        "known": {"offset": 0, "batch": []},
+        "settings": {
+            "classes": [{"name": "stall-video", "aim_us": 800_000, "deadline_us": 1_000_000, "effect": "repeatable"}],
+            "family_info": {"places": 4, "shelves": 2, "rates_kb": [200.0, 400.0], "worth_by_rung": [0.4, 1.0]}
+        }
+    })
+}
+
+fn command(path: &Path, stated: &[(&str, &str)]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_beechloft"));
+    command.arg("node").env("ROUTER_CONFIG", path).env_remove("ROUTER_NAME").env_remove("ROUTER_LISTEN");
+    command.envs(stated.iter().copied()).stdin(Stdio::null());
+    command
+}
+
+fn folder() -> (tempfile::TempDir, PathBuf) {
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join("config.json");
+    (dir, path)
+}
+
+/// One line on standard error, and a code that is not 0.
+fn one_line(out: &Output) -> String {
+    let text = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert_eq!(text.lines().count(), 1, "{text}");
+    assert!(out.status.code().is_some_and(|c| c != 0), "{out:?}");
+    text
+}
+
+#[test]
+fn a_start_that_can_not_be_says_why_in_one_line() {
+    let (_dir, path) = folder();
+    let nowhere: SocketAddr = "127.0.0.1:9".parse().expect("an address");
+    let good = config("127.0.0.1:0", nowhere).to_string();
+    assert!(one_line(&command(&path, &[]).output().expect("it runs")).contains("config.json"));
+    let no_classes = good.replace("\"classes\"", "\"klasses\"");
+    for bad in ["", "{", "[]", "\u{0}\u{1}", "{\"name\":3}", &good[..good.len() / 2], &no_classes] {
+        std::fs::write(&path, bad).expect("written");
+        one_line(&command(&path, &[]).output().expect("it runs"));
+    }
+    std::fs::write(&path, &good).expect("written");
+    let wrong = |stated: &[(&str, &str)]| one_line(&command(&path, stated).output().expect("it runs"));
+    let text = wrong(&[("ROUTER_NAME", "n4")]);
+    assert!(text.contains("ROUTER_NAME says \"n4\", the configuration says \"n3\""), "{text}");
+    let text = wrong(&[("ROUTER_NAME", "n3"), ("ROUTER_LISTEN", "127.0.0.1:2905")]);
+    assert!(text.contains("ROUTER_LISTEN says \"127.0.0.1:2905\""), "{text}");
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = taken.local_addr().expect("an address").to_string();
+    std::fs::write(&path, config(&addr, nowhere).to_string()).expect("written");
+    assert!(wrong(&[]).contains("can't be listened on"));
+}
+
+/// A node that runs; it is ended whatever becomes of the test.
+struct Running(Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// An event bus that answers each call; the connections that came.
+fn bus() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a port")
+}
+
+/// The next call for events: what it names as the last it heard.
+fn called(bus: &TcpListener) -> (TcpStream, String) {
+    bus.set_nonblocking(true).expect("set");
+    let until = Instant::now() + PATIENCE;
+    let mut stream = loop {
+        match bus.accept() {
+            Ok((stream, _)) => break stream,
+            Err(_) => assert!(Instant::now() < until, "nobody calls"),
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    };
+    stream.set_nonblocking(false).expect("set");
+    stream.set_read_timeout(Some(PATIENCE)).expect("set");
+    let (mut lines, mut line, mut last) =
+        (BufReader::new(stream.try_clone().expect("a clone")), String::new(), String::new());
+    while lines.read_line(&mut line).unwrap_or(0) > 2 {
+        if let Some((_, value)) = line.to_ascii_lowercase().split_once("last-event-id:") {
+            last = value.trim().to_owned();
+        }
+        line.clear();
+    }
+    stream
+        .write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+        .expect("written");
+    (stream, last)
+}
+
+fn signal(child: &Child, signal: rustix::process::Signal) {
+    let pid = rustix::process::Pid::from_child(child);
+    rustix::process::kill_process(pid, signal).expect("it runs");
+}
+
+#[test]
+fn real_signals_move_it_to_another_bus_and_end_it_well() {
+    let (_dir, path) = folder();
+    let (first, second) = (bus(), bus());
+    let addr = |b: &TcpListener| b.local_addr().expect("an address");
+    std::fs::write(&path, config("127.0.0.1:0", addr(&first)).to_string()).expect("written");
+    let child = command(&path, &[("ROUTER_NAME", "n3"), ("ROUTER_LISTEN", "127.0.0.1:0")])
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("it starts");
+    let mut node = Running(child);
+    let (_heard, last) = called(&first);
+    assert_eq!(last, "0");
+    // Half a file first: the old configuration stays, and the file is read again until it is whole.
+    let text = config("127.0.0.1:0", addr(&second)).to_string();
+    std::fs::write(&path, &text[..text.len() / 2]).expect("written");
+    signal(&node.0, rustix::process::Signal::HUP);
+    std::thread::sleep(Duration::from_millis(200));
+    assert!(node.0.try_wait().expect("known").is_none(), "it ended on SIGHUP");
+    std::fs::write(&path, &text).expect("written");
+    let (_moved, last) = called(&second);
+    assert_eq!(last, "0", "the numbering goes on");
+    signal(&node.0, rustix::process::Signal::TERM);
+    let until = Instant::now() + PATIENCE;
+    let status = loop {
+        if let Some(status) = node.0.try_wait().expect("known") {
+            break status;
+        }
+        assert!(Instant::now() < until, "it goes on after SIGTERM");
+        std::thread::sleep(Duration::from_millis(10));
+    };
+    assert_eq!(status.code(), Some(0));
+}
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -38,6 +38,8 @@
     Viewer(ViewerConn, FromViewer),
     /// A viewers' connection has closed.
     ViewerClosed(ViewerConn),
+    /// An answer that says that a session stands never left whole: its viewer can't have it.
+    Unsaid(CallId),
     /// A line of a media server.
     Server(Lane, Line),
     /// An attempt broke.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -50,6 +50,8 @@
     pub over: usize,
     /// Lanes to media servers.
     pub lanes: usize,
+    /// Media servers that the module has in mind.
+    pub servers: usize,
     /// Releases that wait for a connection.
     pub releases: usize,
     /// Timers.
@@ -119,6 +121,7 @@
             Input::Bus(topology) => self.topology(&topology),
             Input::Viewer(conn, message) => self.viewer(conn, message),
             Input::ViewerClosed(conn) => self.viewer_closed(conn),
+            Input::Unsaid(id) => self.unsaid(id),
             Input::Server(lane, line) => self.server(lane, line),
             Input::Broken(lane, id, how) => self.broken(lane, id, how),
             Input::Lost(lane) => self.lane_dead(lane),
@@ -162,6 +165,7 @@
     pub fn counts(&self) -> Counts {
         let mut counts = Counts {
             lanes: self.directory.lanes.len(),
+            servers: self.choice.known(),
             releases: self.releases.owed(),
             timers: self.timers.len(),
             ..Counts::default()
--- a/crates/node/src/viewers.rs
+++ b/crates/node/src/viewers.rs
@@ -145,6 +145,20 @@
         }
     }
 
+    /// The answer of a session never left whole, so nobody watches: it ends at its media server at once. Guards against
+    /// a viewer that vanishes while it is being answered, whose session would stand there until it ends by itself.
+    pub(crate) fn unsaid(&mut self, id: CallId) {
+        if !matches!(self.sessions.get(&id), Some(s) if matches!(s.phase, Phase::Standing(_))) {
+            return;
+        }
+        let Some(session) = self.end_standing(id, Outcome::Cancelled, LoadReport::default()) else { return };
+        if let Some(attempt) = session.attempt() {
+            self.end_at(attempt.lane, id, Cause::Normal);
+        }
+        // It has stood, so its client is owed the end of it, on whatever connection there is.
+        self.release(&session, ToViewer::Release(id, Cause::TemporaryFailure));
+    }
+
     /// An answer is owed by now. Guards against an attempt whose end got lost, or a module that forgot it.
     pub(crate) fn answer_due(&mut self, id: CallId) {
         let Some(session) = self.sessions.get(&id) else { return };
--- a/crates/node/tests/cases.rs
+++ b/crates/node/tests/cases.rs
@@ -138,6 +138,24 @@
     assert_eq!(out, [Output::ToViewer(ViewerConn(44), ToViewer::Heard(CallId(99)))]);
 }
 
+#[test]
+fn a_session_whose_answer_never_left_ends_at_its_server_at_once() {
+    let mut rig = Rig::new(3, 4);
+    rig.ask(1, 7, 3_000);
+    rig.accept(7);
+    rig.ask(2, 8, 3_000);
+    rig.accept(8);
+    let lane = rig.standing[&CallId(7)];
+    rig.hear(Input::ViewerClosed(ViewerConn(1)));
+    let out = rig.hear(Input::Unsaid(CallId(7)));
+    assert!(sent(&out)[0].contains(r#""op":"end","call":"0000000000000007""#), "{out:?}");
+    assert_eq!(told(&out), [(2, ToViewer::Release(CallId(7), Cause::TemporaryFailure))]);
+    // The media server's own word of it comes too late to count, and so does a second one of the shell's.
+    assert_eq!(told(&rig.end(lane, 7, Cause::Normal)), []);
+    assert_eq!(rig.hear(Input::Unsaid(CallId(7))), []);
+    assert_eq!(rig.node.counts().standing, 1);
+}
+
 #[test]
 fn an_open_id_named_again_neither_disturbs_the_first_nor_gets_a_second_answer() {
     let mut rig = Rig::new(3, 4);
--- a/crates/node/tests/orders.rs
+++ b/crates/node/tests/orders.rs
@@ -17,6 +17,7 @@
     Rubbish { conn: u64, which: usize },
     Leave { conn: u64, which: usize },
     Close { conn: u64 },
+    Unsaid { which: usize },
     Accept { which: usize },
     AcceptAnywhere { which: usize, lane: u32 },
     End { which: usize, cause: u8, load: bool },
@@ -38,6 +39,7 @@
         1 => (conn(), which()).prop_map(|(conn, which)| Step::Rubbish { conn, which }),
         1 => (conn(), which()).prop_map(|(conn, which)| Step::Leave { conn, which }),
         1 => conn().prop_map(|conn| Step::Close { conn }),
+        1 => which().prop_map(|which| Step::Unsaid { which }),
         6 => which().prop_map(|which| Step::Accept { which }),
         1 => (which(), 0..8u32).prop_map(|(which, lane)| Step::AcceptAnywhere { which, lane }),
         3 => (which(), any::<u8>(), any::<bool>()).prop_map(|(which, cause, load)| Step::End { which, cause, load }),
@@ -80,6 +82,9 @@
         Step::Close { conn } => {
             rig.hear(Input::ViewerClosed(ViewerConn(conn)));
         }
+        Step::Unsaid { which } => {
+            rig.hear(Input::Unsaid(any(1 + which as u64)));
+        }
         Step::Accept { which } => {
             if let Some((id, _)) = pick(&rig.out, which) {
                 rig.accept(id.0);
--- a/crates/proto/src/config.rs
+++ b/crates/proto/src/config.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 use serde_json::Value;
+use thiserror::Error;
 
 use crate::bus::Known;
 use crate::id::hex64;
@@ -48,7 +49,43 @@
     pub settings: Value,
 }
 
+/// What the environment states beside the configuration, where it states it.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Stated {
+    /// `ROUTER_NAME`.
+    pub name: Option<String>,
+    /// `ROUTER_LISTEN`.
+    pub listen: Option<String>,
+}
+
+/// The environment and the configuration speak of two front nodes. Guards against one that takes another's name or
+/// address, which would answer for sessions that are not its own.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("{variable} says {stated:?}, the configuration says {configured:?}")]
+pub struct Disagreement {
+    /// The variable.
+    pub variable: &'static str,
+    /// What it says.
+    pub stated: String,
+    /// What the configuration says.
+    pub configured: String,
+}
+
 impl Config {
+    /// Whether what is stated beside it is the same.
+    pub fn agrees(&self, stated: &Stated) -> Result<(), Disagreement> {
+        let differs = |variable, stated: &String, configured: String| {
+            Err(Disagreement { variable, stated: stated.clone(), configured })
+        };
+        if let Some(name) = stated.name.as_ref().filter(|n| **n != self.name) {
+            return differs("ROUTER_NAME", name, self.name.clone());
+        }
+        if let Some(text) = stated.listen.as_ref().filter(|l| l.parse() != Ok(self.listen)) {
+            return differs("ROUTER_LISTEN", text, self.listen.to_string());
+        }
+        Ok(())
+    }
+
     /// Reads the text of the file.
     pub fn read(text: &[u8]) -> Result<Config, serde_json::Error> {
         serde_json::from_slice(text)
@@ -74,6 +111,17 @@
             (config.seed(), config.limits.sockets, config.known.offset),
             (0x8c1f_30d2_7a5b_e964, 4096, 3)
         );
+        let stated =
+            |name: &str, listen: &str| Stated { name: Some(name.into()), listen: Some(listen.into()) };
+        assert_eq!(config.agrees(&Stated::default()), Ok(()));
+        assert_eq!(config.agrees(&stated("n3", "10.0.0.4:2905")), Ok(()));
+        let wrong = |s: Stated| config.agrees(&s).expect_err("they differ").to_string();
+        assert_eq!(
+            wrong(stated("n4", "10.0.0.4:2905")),
+            r#"ROUTER_NAME says "n4", the configuration says "n3""#
+        );
+        assert!(wrong(stated("n3", "10.0.0.4:2906")).starts_with("ROUTER_LISTEN says"));
+        assert!(wrong(stated("n3", "nowhere")).starts_with("ROUTER_LISTEN says"));
         assert!(Config::read(&text.as_bytes()[..100]).is_err());
         assert!(Config::read(b"{}").is_err());
     }
--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -9,7 +9,7 @@
 use beechloft::interface::Micros;
 use beechloft_clock::Clock;
 use beechloft_node::{Input, Node, Output};
-use beechloft_proto::config::Config;
+use beechloft_proto::config::{Config, Disagreement, Stated};
 use mio::net::{TcpListener, UnixStream};
 use mio::{Events, Interest, Poll, Token};
 use signal_hook::consts::{SIGHUP, SIGTERM};
@@ -55,6 +55,9 @@
         /// What the parser says.
         source: serde_json::Error,
     },
+    /// The environment states another front node than the configuration.
+    #[error(transparent)]
+    Disagreement(#[from] Disagreement),
     /// Its settings are not the stated ones.
     #[error("the settings can't be read: {0}")]
     Settings(serde_json::Error),
@@ -125,11 +128,12 @@
 
 impl Shell {
     /// Reads the configuration and starts to listen.
-    pub fn start(path: &Path) -> Result<Shell, StartError> {
+    pub fn start(path: &Path, stated: &Stated) -> Result<Shell, StartError> {
         // First of all, as a signal may come at any time.
         let (mut hup, tell_hup) = signal(SIGHUP).map_err(|e| StartError::Io("no signals", e))?;
         let (mut term, tell_term) = signal(SIGTERM).map_err(|e| StartError::Io("no signals", e))?;
         let config = read_config(path)?;
+        config.agrees(stated)?;
         let text = serde_json::to_vec(&config.settings).map_err(StartError::Settings)?;
         let parsed = beechloft_settings::parse(&text).map_err(StartError::Settings)?;
         let clock = Clock::start();
--- a/crates/shell/src/viewers.rs
+++ b/crates/shell/src/viewers.rs
@@ -5,6 +5,7 @@
 
 use beechloft::interface::Micros;
 use beechloft_node::{Input, Use, ViewerConn};
+use beechloft_proto::CallId;
 use beechloft_proto::binary::Decoder;
 use beechloft_proto::viewer::{FromViewer, ToViewer};
 use mio::net::TcpListener;
@@ -22,6 +23,19 @@
     since: Micros,
     /// Since when a part of a message waits for its rest.
     part_since: Option<Micros>,
+    /// Bytes said so far, and where each answer that has not wholly left ends among them.
+    said: u64,
+    unsaid: VecDeque<(u64, CallId)>,
+}
+
+impl Conn {
+    /// Forgets answers that have left.
+    fn left(&mut self) {
+        let gone = self.said - self.stream.waiting() as u64;
+        while self.unsaid.front().is_some_and(|(end, _)| *end <= gone) {
+            self.unsaid.pop_front();
+        }
+    }
 }
 
 /// Says of a connection what it is of use for.
@@ -90,8 +104,9 @@
                 continue;
             }
             let stream = Stream::new(socket, self.bounds.viewer_out);
-            let conn =
-                Conn { stream, decoder: Decoder::default(), proved: false, since: now, part_since: None };
+            let decoder = Decoder::default();
+            let (said, unsaid) = (0, VecDeque::new());
+            let conn = Conn { stream, decoder, proved: false, since: now, part_since: None, said, unsaid };
             self.conns.insert(token, conn);
         }
         Ok(())
@@ -113,6 +128,7 @@
         if let Some(mut conn) = self.conns.remove(&token) {
             let _ = registry.deregister(&mut conn.stream.socket);
             inputs.push_back(Input::ViewerClosed(ViewerConn(token as u64)));
+            inputs.extend(conn.unsaid.into_iter().map(|(_, id)| Input::Unsaid(id)));
         }
     }
 
@@ -182,16 +198,32 @@
         registry: &Registry,
         inputs: &mut VecDeque<Input>,
     ) {
-        let Some(conn) = self.conns.get_mut(&token) else { return };
-        let sent = message.encode().map(|bytes| conn.stream.send(&bytes));
-        if sent != Some(Ok(())) {
+        let answer = match message {
+            ToViewer::Answer(id, _) => Some(*id),
+            _ => None,
+        };
+        let Some(conn) = self.conns.get_mut(&token) else {
+            inputs.extend(answer.map(Input::Unsaid));
+            return;
+        };
+        let bytes = message.encode();
+        conn.said += bytes.as_ref().map_or(0, Vec::len) as u64;
+        conn.unsaid.extend(answer.map(|id| (conn.said, id)));
+        if bytes.map(|b| conn.stream.send(&b)) == Some(Ok(())) {
+            conn.left();
+        } else {
             self.close(token, registry, inputs);
         }
     }
 
     pub fn flush(&mut self, token: usize, registry: &Registry, inputs: &mut VecDeque<Input>) {
-        if self.conns.get_mut(&token).is_some_and(|c| c.stream.flush().is_err()) {
-            self.close(token, registry, inputs);
+        let Some(conn) = self.conns.get_mut(&token) else { return };
+        match conn.stream.flush() {
+            Ok(()) => conn.left(),
+            Err(_) => {
+                conn.left();
+                self.close(token, registry, inputs);
+            }
         }
     }
 
@@ -227,3 +259,51 @@
         self.conns.values().map(|c| c.stream.waiting()).sum()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::net::TcpStream;
+    use std::time::Duration;
+
+    use mio::Poll;
+
+    use super::*;
+
+    /// A viewers' connection, and the viewer's end of it.
+    fn connected(poll: &Poll) -> (Viewers, usize, TcpStream) {
+        let listener = TcpListener::bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        let peer = TcpStream::connect(listener.local_addr().expect("an address")).expect("a connection");
+        let mut viewers = Viewers::new(Bounds::fit(64, Micros(0), Micros(0), Micros(0)));
+        let (mut next, mut inputs) = (16, VecDeque::new());
+        while viewers.len() == 0 {
+            let use_of = |_| Use::None;
+            viewers
+                .accept(&listener, poll.registry(), Micros(1), &mut next, &use_of, &mut inputs)
+                .expect("accepted");
+        }
+        (viewers, 16, peer)
+    }
+
+    #[test]
+    fn an_answer_that_can_not_leave_is_told_and_one_that_left_is_not() {
+        let poll = Poll::new().expect("a poll");
+        let (mut viewers, token, peer) = connected(&poll);
+        let mut inputs = VecDeque::new();
+        let answer = |id| ToViewer::Answer(CallId(id), "text".into());
+        viewers.say(token, &answer(1), poll.registry(), &mut inputs);
+        assert!(inputs.is_empty(), "{inputs:?}");
+        // The viewer's machine resets the connection.
+        socket2::SockRef::from(&peer).set_linger(Some(Duration::ZERO)).expect("set");
+        drop(peer);
+        let mut id = 2;
+        while viewers.has(token) {
+            viewers.say(token, &answer(id), poll.registry(), &mut inputs);
+            id += 1;
+        }
+        let closed = Input::ViewerClosed(ViewerConn(token as u64));
+        assert_eq!(inputs, [closed, Input::Unsaid(CallId(id - 1))]);
+        // Nor does one whose connection has closed in the same turn.
+        viewers.say(token, &answer(99), poll.registry(), &mut inputs);
+        assert_eq!(inputs.pop_back(), Some(Input::Unsaid(CallId(99))));
+    }
+}
--- a/crates/shell/tests/support/mod.rs
+++ b/crates/shell/tests/support/mod.rs
@@ -11,6 +11,7 @@
 
 use beechloft_proto::CallId;
 use beechloft_proto::binary::{Decoder, Frame};
+use beechloft_proto::config::Stated;
 use beechloft_shell::{Control, Shell};
 use serde_json::{Value, json};
 
@@ -301,7 +302,7 @@
         let config = dir.path().join("config.json");
         let known: Vec<Value> = media.iter().enumerate().map(|(n, m)| m.endpoint(n % 4, "Ready")).collect();
         write_config(&config, bus.addr, sockets, &known);
-        let mut shell = Shell::start(&config).expect("it starts");
+        let mut shell = Shell::start(&config, &Stated::default()).expect("it starts");
         let (addr, control) = (shell.address().expect("an address"), shell.control().expect("a control"));
         let thread = Some(std::thread::spawn(move || shell.run()));
         wait("the bus is asked", || !bus.asked().is_empty());
--- a/src/audit.rs
+++ b/src/audit.rs
@@ -21,6 +21,11 @@
         servers.chain(self.racks.values().map(|g| g.own)).collect()
     }
 
+    /// How many servers it has in mind, listed or not.
+    pub fn known(&self) -> usize {
+        self.servers.len()
+    }
+
     /// What it believes of servers, uplinks and its sessions, a line each, at most so many: to be held against what
     /// crossed the wire. Of a resource: its size and what own sessions ask of it in kB a second, and the use heard last
     /// with its age.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -149,11 +149,24 @@
             known.rack = u32::from(entry.cell.0) % self.set.racks.max(1);
             known.entry = entry;
         }
+        self.forget();
         self.announced();
         self.books.anew(&self.set, &mut self.servers, &mut self.racks, &self.sessions);
         self.stale = true;
     }
 
+    /// Lets go of servers that are off the list, with nothing of this front's there, for longer than any rest
+    /// lasts. Guards against memory that grows by each server that is replaced; a list that flaps keeps what is
+    /// known of its servers.
+    fn forget(&mut self) {
+        let (now, rest) = (self.now, Micros(SHUT.0 << MAX_STRIKES));
+        self.servers.retain(|_, s| {
+            let gone = s.entry.state == ServerState::Gone;
+            s.gone_at = gone.then(|| s.gone_at.unwrap_or(now));
+            s.out > 0 || s.streams.own > 0.0 || s.gone_at.is_none_or(|t| now - t <= rest)
+        });
+    }
+
     /// Announced sizes. Where the list tells none, links are shared out by the kinds' streams. The settings
     /// tell the mean uplink; each is thought to follow its rack's links, as first listed.
     fn announced(&mut self) {
@@ -210,7 +223,19 @@
         let owed = |s: &&mut Session| s.at == Some(server) && s.phase == Phase::Owed;
         if let Some(s) = self.sessions.get_mut(&id).filter(owed) {
             (s.phase, s.changed) = (Phase::Playing, self.now);
+            // What plays here was sound: the errors before were the servers'.
+            let erred = std::mem::take(&mut s.erred);
             self.servers.entry(server).and_modify(|s| s.out = s.out.saturating_sub(1));
+            erred.into_iter().for_each(|(at, sent)| self.strike(at, sent, Outcome::Error));
+        }
+    }
+
+    /// A session is over that never played. An error that followed it from server to server is its own: a
+    /// client's rubbish that reads well must not cost sound servers their trust. An error of one server alone
+    /// counts against it. It hurts where all holders of a title err: none of them rests.
+    fn blame(&mut self, s: &Session) {
+        if let [(server, sent)] = s.erred[..] {
+            self.strike(server, sent, Outcome::Error);
         }
     }
 
@@ -219,6 +244,8 @@
         match outcome {
             Outcome::Ok => self.alive(server),
             Outcome::Cancelled | Outcome::Moot => {}
+            // Whose fault it was shows in what becomes of the session.
+            Outcome::Error if self.sessions.get(&id).is_some_and(|s| s.phase != Phase::Playing) => {}
             failure => self.strike(server, sent, failure),
         }
         self.book(id, false);
@@ -230,16 +257,22 @@
         if outcome.never_ran() {
             s.ran.pop();
         }
-        let owed = !closed && s.phase == Phase::Owed;
-        self.sessions.extend(owed.then_some((id, s)));
-        self.place(id);
+        if outcome == Outcome::Error && s.phase != Phase::Playing {
+            s.erred.push((server, sent));
+        }
+        if !closed && s.phase == Phase::Owed {
+            self.sessions.insert(id, s);
+            self.place(id);
+        } else {
+            self.blame(&s);
+        }
     }
 
     fn withdrawn(&mut self, id: SessionId) {
         let Some(s) = self.sessions.get_mut(&id).filter(|s| s.phase == Phase::Owed) else { return };
         s.phase = Phase::Over;
         if s.at.is_none() {
-            self.sessions.remove(&id);
+            self.sessions.remove(&id).into_iter().for_each(|s| self.blame(&s));
         } else if self.set.limits.cancel {
             self.out.push(Action::Cancel(id, Attempt(s.tried.len().saturating_sub(1) as u16)));
         }
@@ -364,6 +397,7 @@
     /// One prompt final answer, the mildest that the class's effect allows.
     fn give_up(&mut self, id: SessionId) {
         let Some(s) = self.sessions.remove(&id) else { return };
+        self.blame(&s);
         let lasting = match self.set.class(s.req.class).effect {
             Effect::Repeatable => false,
             Effect::Keyed { group, .. } => group != Group::All,
--- a/src/state.rs
+++ b/src/state.rs
@@ -76,6 +76,8 @@
     pub doubt_until: Micros,
     pub short: Option<(Micros, f64)>,
     pub probed_at: Option<Micros>,
+    /// Since when the list has it no more.
+    pub gone_at: Option<Micros>,
 }
 
 impl Server {
@@ -110,6 +112,8 @@
     pub tried: Vec<ServerId>,
     /// Attempts that may have run.
     pub ran: Vec<(ServerId, Micros)>,
+    /// Servers that answered with an error and were not struck for it yet, and when they were asked.
+    pub erred: Vec<(ServerId, Micros)>,
 }
 
 /// Times of something that happened lately.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -426,3 +426,36 @@
     let nowhere = Request { on: Some(Default::default()), ..request(1, front.now) };
     assert!(refused(&front.send(Event::Request(nowhere))), "a title that no server holds is refused");
 }
+
+fn distrusted(actions: &[Action]) -> usize {
+    actions.iter().filter(|a| matches!(a, Action::Log(text) if text.contains("distrusted"))).count()
+}
+
+#[test]
+fn an_error_that_follows_a_session_from_server_to_server_costs_none_its_trust() {
+    let mut f = Front::new(settings());
+    let mut out = f.ask(1);
+    let (mut asked, mut lost) = (0, 0);
+    while let Some((server, _)) = set_up(&out) {
+        asked += 1;
+        out = f.ended(1, server, Outcome::Error, false);
+        lost += distrusted(&out);
+    }
+    assert!(asked > 1 && refused(&out), "{asked} attempts, {out:?}");
+    assert_eq!(lost, 0, "the session's own errors count against servers");
+}
+
+#[test]
+fn an_error_of_one_server_counts_once_the_session_plays_elsewhere_or_is_over() {
+    let mut f = Front::new(settings());
+    let first = set_up(&f.ask(1)).expect("a holder").0;
+    let second = set_up(&f.ended(1, first, Outcome::Error, false)).expect("another").0;
+    let out = f.started(1, second);
+    assert_eq!(distrusted(&out), 1, "{out:?}");
+    // A viewer that leaves before another server is asked leaves the one error standing.
+    let third = set_up(&f.ask(2)).expect("a holder").0;
+    assert_ne!(third, first, "it rests");
+    f.send(Event::Withdrawn(SessionId(2)));
+    let out = f.ended(2, third, Outcome::Error, true);
+    assert_eq!(distrusted(&out), 1, "{out:?}");
+}
