--- /dev/null
+++ b/crates/consensus/src/follower.rs
@@ -0,0 +1,156 @@
+//! What a follower does with a leader's entries and snapshots.
+
+use std::time::Duration;
+
+use crate::membership::Membership;
+use crate::message::{Body, Verdict};
+use crate::outputs::Outputs;
+use crate::planted::Fault;
+use crate::raft::{Incoming, Raft, Role};
+use crate::types::{Entry, Index, LogPos, MemberId, Snapshot};
+
+impl Raft {
+    /// A leader of this term speaks; false: it can't be one.
+    fn hears(&mut self, from: MemberId, out: &mut Outputs) -> bool {
+        if self.leads() {
+            return false;
+        }
+        match &mut self.role {
+            Role::Follower { leader, .. } => *leader = Some(from),
+            _ => self.follow(self.hard.term, Some(from), out),
+        }
+        self.heard_leader = Some(self.now);
+        self.wait_anew();
+        true
+    }
+
+    pub(crate) fn appended(
+        &mut self,
+        from: MemberId,
+        prev: LogPos,
+        entries: Vec<Entry>,
+        commit: Index,
+        round: u64,
+        out: &mut Outputs,
+    ) {
+        if !self.hears(from, out) {
+            return;
+        }
+        // A sender that skips places is none of ours; nothing of it is taken.
+        let in_order = entries.iter().zip(prev.index.0 + 1..).all(|(e, i)| e.at.index.0 == i);
+        if !in_order {
+            return;
+        }
+        let verdict = match self.differs_before(prev) {
+            Some(hint) => Verdict::Differs(hint),
+            None => {
+                let through = Index(prev.index.0 + entries.len() as u64);
+                self.take(entries, out);
+                // Not past what this message has shown to be the leader's: what lies behind may be another's.
+                self.commit_to(commit.min(through), out);
+                Verdict::Matches(through)
+            }
+        };
+        self.say(from, Body::Appended { verdict, round }, out);
+    }
+
+    /// Where the leader may try next, if the entry before its own is not here.
+    fn differs_before(&self, prev: LogPos) -> Option<Index> {
+        // All up to the commit is the same everywhere.
+        if prev.index <= self.commit || self.planted(Fault::TakesAnyPrevious) {
+            return None;
+        }
+        match self.log.term_at(prev.index) {
+            Some(term) if term == prev.term => None,
+            // The term differs: none of it here can be the leader's, so all of it is skipped (section 5.3).
+            Some(term) => {
+                let mut at = prev.index.before();
+                while at > self.commit && self.log.term_at(at) == Some(term) {
+                    at = at.before();
+                }
+                Some(at)
+            }
+            None => Some(self.log.last().index.min(prev.index.before())),
+        }
+    }
+
+    /// Takes what is not here yet; what contradicts it goes. An old message must not cut what came after it.
+    fn take(&mut self, entries: Vec<Entry>, out: &mut Outputs) {
+        for entry in entries {
+            if entry.at.index <= self.commit {
+                continue;
+            }
+            match self.log.term_at(entry.at.index) {
+                Some(term) if term == entry.at.term => continue,
+                Some(_) => {
+                    self.log.cut(entry.at.index);
+                    out.save.cut(entry.at.index);
+                }
+                None => {}
+            }
+            if entry.at.index == self.log.last().index.next() {
+                out.save.entries.push(entry.clone());
+                self.log.push(entry);
+            }
+        }
+    }
+
+    pub(crate) fn installed(
+        &mut self,
+        from: MemberId,
+        at: LogPos,
+        members: Membership,
+        (offset, part, last): (u64, &[u8], bool),
+        round: u64,
+        out: &mut Outputs,
+    ) {
+        if !self.hears(from, out) {
+            return;
+        }
+        if at.index <= self.commit {
+            let verdict = Verdict::Matches(self.commit);
+            return self.say(from, Body::Appended { verdict, round }, out);
+        }
+        let bound = self.set.snapshot_bytes;
+        let Role::Follower { incoming, .. } = &mut self.role else { return };
+        if incoming.as_ref().is_none_or(|i| i.at != at) {
+            *incoming = Some(Incoming { at, state: Vec::new() });
+        }
+        let Some(coming) = incoming else { return };
+        let have = coming.state.len() as u64;
+        if offset == have && coming.state.len() + part.len() <= bound {
+            coming.state.extend_from_slice(part);
+            if last {
+                let state = std::mem::take(&mut coming.state).into();
+                *incoming = None;
+                self.replace(Snapshot { at, members, state }, out);
+                let verdict = Verdict::Matches(self.commit);
+                return self.say(from, Body::Appended { verdict, round }, out);
+            }
+        }
+        // Said again for a part that came twice or too early, so that the leader goes on from here.
+        let offset = coming.state.len() as u64;
+        self.say(from, Body::Installing { at, offset, round }, out);
+    }
+
+    fn replace(&mut self, snapshot: Snapshot, out: &mut Outputs) {
+        out.save.snapshot = Some(snapshot.clone());
+        out.save.drop_through = Some(snapshot.at.index);
+        out.save.entries.retain(|e| e.at.index > snapshot.at.index);
+        self.commit = snapshot.at.index;
+        out.released.committed.clear();
+        out.released.restored = Some(snapshot.clone());
+        if !self.log.install(snapshot) {
+            let from = self.commit.next();
+            out.save.cut(from);
+        }
+    }
+
+    /// How long a leader has not been heard.
+    pub fn unheard(&self) -> Option<Duration> {
+        match self.role {
+            Role::Leader(_) => None,
+            _ => self.heard_leader.map(|t| self.now.saturating_sub(t)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/lib.rs
@@ -0,0 +1,35 @@
+//! A replicated log as a state machine without I/O: [`Raft::handle`] takes the time and an input and adds to
+//! [`Outputs`]. No sockets, no clock, no threads, no files.
+//!
+//! From Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm" (USENIX ATC 2014), and Ongaro's
+//! dissertation "Consensus: Bridging Theory and Practice" (Stanford 2014), in our own words: elections with a pre-vote (9.6)
+//! and leaders that step down without a quorum (6.2), leadership transfer (3.10), learners before voters (4.2.1),
+//! changes of one member at a time (4.1, with the amendment that a leader first commits an entry of its own term), snapshots
+//! (5), linearizable reads without a log write (6.4).
+//!
+//! What must last before anything that depends on it goes out is so by type: messages, committed entries and answers lie in
+//! [`Outputs`] and come out of [`Outputs::commit`] alone, which has the [`Disk`] take the [`Save`] first.
+//!
+//! A member is a disk, not an address: its id is drawn with its folder, and one whose disk is lost never comes back under
+//! its old id. It joins as a new member, and the lost one is removed.
+#![forbid(unsafe_code)]
+
+mod election;
+mod follower;
+mod leader;
+mod log;
+mod membership;
+mod message;
+mod outputs;
+mod planted;
+mod progress;
+mod raft;
+mod types;
+
+pub use log::Stored;
+pub use membership::{Change, ChangeError, Member, Membership};
+pub use message::{Body, Message, Verdict};
+pub use outputs::{Disk, Hard, Outputs, Reads, Released, Save};
+pub use planted::Fault;
+pub use raft::{Input, Raft, RoleName, Status};
+pub use types::{Entry, Index, LogPos, MemberId, Payload, Refused, Settings, Snapshot, Term, Ticket};
--- /dev/null
+++ b/crates/consensus/src/log.rs
@@ -0,0 +1,181 @@
+//! The log in memory: entries behind a base, and the newest snapshot.
+
+use std::collections::VecDeque;
+
+use crate::membership::Membership;
+use crate::outputs::{Hard, Save};
+use crate::types::{Entry, Index, LogPos, Payload, Snapshot, Term};
+
+/// What a member's disk holds.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Stored {
+    /// Term and vote.
+    pub hard: Hard,
+    /// The snapshot. A member begins with one at place 0 that names the first members, or without any and learns them.
+    pub snapshot: Option<Snapshot>,
+    /// Entries, in order.
+    pub entries: Vec<Entry>,
+}
+
+impl Stored {
+    /// The start of one of the first members.
+    pub fn first(members: Membership) -> Stored {
+        let snapshot = Snapshot { at: LogPos::default(), members, state: std::sync::Arc::from([]) };
+        Stored { snapshot: Some(snapshot), ..Stored::default() }
+    }
+
+    /// Takes a save, as a disk that keeps it all in memory would.
+    pub fn apply(&mut self, save: &Save) {
+        if let Some(hard) = save.hard {
+            self.hard = hard;
+        }
+        if let Some(snapshot) = &save.snapshot {
+            self.snapshot = Some(snapshot.clone());
+        }
+        if let Some(through) = save.drop_through {
+            self.entries.retain(|e| e.at.index > through);
+        }
+        if let Some(from) = save.cut_from {
+            self.entries.retain(|e| e.at.index < from);
+        }
+        self.entries.extend(save.entries.iter().cloned());
+    }
+}
+
+#[derive(Debug, Clone, Hash)]
+pub(crate) struct Log {
+    /// The last entry that is not here any more.
+    base: LogPos,
+    entries: VecDeque<Entry>,
+    pub snapshot: Option<Snapshot>,
+    /// Members as entries name them, by place, behind those of the snapshot.
+    members: VecDeque<(Index, Membership)>,
+}
+
+impl Log {
+    pub fn restore(stored: Stored) -> Log {
+        let at = stored.snapshot.as_ref().map(|s| s.at).unwrap_or_default();
+        let mut log =
+            Log { base: at, entries: VecDeque::new(), snapshot: stored.snapshot, members: VecDeque::new() };
+        // What the snapshot has may lie behind it too, for members that are late.
+        if let Some(first) = stored.entries.first()
+            && first.at.index <= at.index
+        {
+            // The term of what came before is not known any more; nobody is sent entries from there.
+            log.base = LogPos { term: Term(0), index: first.at.index.before() };
+        }
+        for entry in stored.entries {
+            if entry.at.index == log.last().index.next() {
+                log.push(entry);
+            }
+        }
+        log
+    }
+
+    pub fn push(&mut self, entry: Entry) {
+        if let Payload::Members(m) = &entry.payload {
+            self.members.push_back((entry.at.index, m.clone()));
+        }
+        self.entries.push_back(entry);
+    }
+
+    pub fn last(&self) -> LogPos {
+        self.entries.back().map_or(self.base, |e| e.at)
+    }
+
+    /// The first entry that is here, or the place for it.
+    pub fn first(&self) -> Index {
+        self.base.index.next()
+    }
+
+    /// The term of the entry at a place; none: it is not here, or not any more.
+    pub fn term_at(&self, index: Index) -> Option<Term> {
+        if index == self.base.index && (index == Index(0) || self.base.term != Term(0)) {
+            return Some(self.base.term);
+        }
+        if let Some(s) = self.snapshot.as_ref().filter(|s| s.at.index == index) {
+            return Some(s.at.term);
+        }
+        self.get(index).map(|e| e.at.term)
+    }
+
+    pub fn get(&self, index: Index) -> Option<&Entry> {
+        let at = index.0.checked_sub(self.first().0)?;
+        self.entries.get(usize::try_from(at).ok()?)
+    }
+
+    /// Entries from a place on, up to so many bytes; one at least, if there is one.
+    pub fn from(&self, index: Index, bytes: usize) -> Vec<Entry> {
+        let mut left = bytes;
+        let mut all = Vec::new();
+        let mut at = index;
+        while let Some(entry) = self.get(at) {
+            if !all.is_empty() && entry.size() > left {
+                break;
+            }
+            left = left.saturating_sub(entry.size());
+            all.push(entry.clone());
+            at = at.next();
+        }
+        all
+    }
+
+    /// Entries past one place up to another.
+    pub fn between(&self, after: Index, through: Index) -> impl Iterator<Item = &Entry> {
+        (after.0 + 1..=through.0).filter_map(|i| self.get(Index(i)))
+    }
+
+    /// Bytes of entries past a place.
+    pub fn bytes_after(&self, index: Index) -> usize {
+        self.entries.iter().rev().take_while(|e| e.at.index > index).map(Entry::size).sum()
+    }
+
+    /// Lets go of entries from a place on.
+    pub fn cut(&mut self, from: Index) {
+        while self.entries.back().is_some_and(|e| e.at.index >= from) {
+            self.entries.pop_back();
+        }
+        while self.members.back().is_some_and(|m| m.0 >= from) {
+            self.members.pop_back();
+        }
+    }
+
+    /// The newest members in the log, committed or not; and the place that names them.
+    pub fn members(&self) -> (Index, Membership) {
+        let snapshot = || self.snapshot.as_ref().map(|s| (s.at.index, s.members.clone()));
+        self.members.back().cloned().or_else(snapshot).unwrap_or_default()
+    }
+
+    /// The members as of a place.
+    pub fn members_at(&self, index: Index) -> Membership {
+        let of_entry = self.members.iter().rev().find(|m| m.0 <= index).map(|m| m.1.clone());
+        of_entry.or_else(|| self.snapshot.as_ref().map(|s| s.members.clone())).unwrap_or_default()
+    }
+
+    /// Takes a snapshot of what is here, and keeps so many entries behind it; through which entries were let go.
+    pub fn compact(&mut self, snapshot: Snapshot, kept: u64) -> Index {
+        let through = Index(snapshot.at.index.0.saturating_sub(kept)).max(self.base.index);
+        let term = self.term_at(through).unwrap_or_default();
+        while self.entries.front().is_some_and(|e| e.at.index <= through) {
+            self.entries.pop_front();
+        }
+        self.base = LogPos { term, index: through };
+        self.members.retain(|m| m.0 > snapshot.at.index);
+        self.snapshot = Some(snapshot);
+        through
+    }
+
+    /// Takes a snapshot of another member's. Entries that go on from it are kept; whether there are any.
+    pub fn install(&mut self, snapshot: Snapshot) -> bool {
+        let goes_on = self.term_at(snapshot.at.index) == Some(snapshot.at.term);
+        if goes_on {
+            self.compact(snapshot, 0);
+        } else {
+            self.entries.clear();
+            self.members.clear();
+            self.base = snapshot.at;
+            self.snapshot = Some(snapshot);
+        }
+        goes_on
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/raft.rs
@@ -0,0 +1,374 @@
+//! A member: its state, its inputs, and what it does with time and messages.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::log::{Log, Stored};
+use crate::membership::{Change, Membership};
+use crate::message::{Body, Message};
+use crate::outputs::{Hard, Outputs};
+use crate::planted::Fault;
+use crate::progress::Progress;
+use crate::types::{Entry, Index, LogPos, MemberId, Payload, Refused, Settings, Snapshot, Term, Ticket};
+
+/// What a member hears.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Input {
+    /// Only time has passed.
+    Tick,
+    /// A word of another member.
+    Message(Message),
+    /// A command for the log.
+    Propose(Ticket, std::sync::Arc<[u8]>),
+    /// A change of members.
+    Change(Ticket, Change),
+    /// A read of the replicated state that must see all that was committed before it.
+    Read(Ticket),
+    /// The lead is to go to this member.
+    HandOver(MemberId),
+    /// The replicated state up to a place that was applied.
+    Compact(Index, std::sync::Arc<[u8]>),
+}
+
+/// A read that waits for a quorum to hear of a round.
+#[derive(Debug, Clone, Hash)]
+pub(crate) struct WaitingRead {
+    pub ticket: Ticket,
+    pub round: u64,
+    /// What must be applied before it is answered; none: the leader has committed nothing in its term yet.
+    pub index: Option<Index>,
+}
+
+/// What a leader holds.
+#[derive(Debug, Clone, Hash)]
+pub(crate) struct Leading {
+    pub others: BTreeMap<MemberId, Progress>,
+    pub round: u64,
+    pub beat_at: Duration,
+    pub since: Duration,
+    pub reads: VecDeque<WaitingRead>,
+    /// To whom the lead goes, and until when that is tried.
+    pub heir: Option<(MemberId, Duration)>,
+}
+
+/// A snapshot that comes in parts.
+#[derive(Debug, Clone, Hash)]
+pub(crate) struct Incoming {
+    pub at: LogPos,
+    pub state: Vec<u8>,
+}
+
+/// What a member is to its term.
+#[derive(Debug, Clone, Hash)]
+pub(crate) enum Role {
+    /// It follows, and knows whom or not.
+    Follower { leader: Option<MemberId>, incoming: Option<Incoming> },
+    /// It asks who would vote for it.
+    PreCandidate { yes: BTreeSet<MemberId> },
+    /// It asks for votes.
+    Candidate { yes: BTreeSet<MemberId> },
+    /// It leads.
+    Leader(Leading),
+}
+
+/// A role's name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RoleName {
+    /// Follows.
+    Follower,
+    /// Asks who would vote for it.
+    PreCandidate,
+    /// Asks for votes.
+    Candidate,
+    /// Leads.
+    Leader,
+}
+
+/// How a member stands.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Status {
+    /// Its id.
+    pub id: MemberId,
+    /// Its role.
+    pub role: RoleName,
+    /// Its term.
+    pub term: Term,
+    /// Whom it follows.
+    pub leader: Option<MemberId>,
+    /// Its last entry.
+    pub last: LogPos,
+    /// Committed, as far as it knows.
+    pub commit: Index,
+    /// The members, the newest in its log.
+    pub members: Membership,
+    /// For a leader: how far each other member's log matches, and when it was last heard.
+    pub others: Vec<(MemberId, Index, Duration)>,
+}
+
+/// A member.
+#[derive(Debug, Clone)]
+pub struct Raft {
+    pub(crate) id: MemberId,
+    pub(crate) set: Settings,
+    pub(crate) hard: Hard,
+    pub(crate) log: Log,
+    pub(crate) commit: Index,
+    pub(crate) role: Role,
+    /// When it asks for votes, if it hears no leader before.
+    pub(crate) asks_at: Duration,
+    /// When it last heard a leader.
+    pub(crate) heard_leader: Option<Duration>,
+    pub(crate) now: Duration,
+    rng: ChaCha8Rng,
+    fault: Option<Fault>,
+}
+
+impl Raft {
+    /// A member as its disk has it. `now` is any clock that never goes back; it may begin anywhere.
+    pub fn new(id: MemberId, set: Settings, stored: Stored, seed: u64, now: Duration) -> Raft {
+        let hard = stored.hard;
+        let log = Log::restore(stored);
+        let commit = log.snapshot.as_ref().map(|s| s.at.index).unwrap_or_default();
+        let mut raft = Raft {
+            id,
+            set,
+            hard,
+            log,
+            commit,
+            role: Role::Follower { leader: None, incoming: None },
+            asks_at: now,
+            // A vote it cannot remember refusing would be given twice to leaders that live: it waits as if it had heard one.
+            heard_leader: Some(now),
+            now,
+            rng: ChaCha8Rng::seed_from_u64(seed ^ id.0),
+            fault: None,
+        };
+        raft.wait_anew();
+        raft
+    }
+
+    /// Plants a fault.
+    #[cfg(feature = "planted")]
+    pub fn plant(&mut self, fault: Fault) {
+        self.fault = Some(fault);
+    }
+
+    pub(crate) fn planted(&self, fault: Fault) -> bool {
+        cfg!(feature = "planted") && self.fault == Some(fault)
+    }
+
+    /// The state that a new process has to begin with: its snapshot, if there is one.
+    pub fn snapshot(&self) -> Option<&Snapshot> {
+        self.log.snapshot.as_ref()
+    }
+
+    /// How it stands.
+    pub fn status(&self) -> Status {
+        let (role, leader) = match &self.role {
+            Role::Follower { leader, .. } => (RoleName::Follower, *leader),
+            Role::PreCandidate { .. } => (RoleName::PreCandidate, None),
+            Role::Candidate { .. } => (RoleName::Candidate, None),
+            Role::Leader(_) => (RoleName::Leader, Some(self.id)),
+        };
+        let others = match &self.role {
+            Role::Leader(l) => l.others.iter().map(|(id, p)| (*id, p.matched, p.heard)).collect(),
+            _ => Vec::new(),
+        };
+        Status {
+            id: self.id,
+            role,
+            term: self.hard.term,
+            leader,
+            last: self.log.last(),
+            commit: self.commit,
+            members: self.log.members().1,
+            others,
+        }
+    }
+
+    /// Whether it leads, as far as it knows.
+    pub fn leads(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// An entry of its log, for checks.
+    pub fn entry(&self, index: Index) -> Option<&Entry> {
+        self.log.get(index)
+    }
+
+    /// The first place of its log that it still has.
+    pub fn first(&self) -> Index {
+        self.log.first()
+    }
+
+    /// When it wants to hear of the time next.
+    pub fn next_due(&self) -> Duration {
+        match &self.role {
+            Role::Leader(l) => l.beat_at,
+            _ => self.asks_at,
+        }
+    }
+
+    /// Takes an input. `now` may stand still but never go back; one that does counts as standing still.
+    pub fn handle(&mut self, now: Duration, input: Input, out: &mut Outputs) {
+        self.now = self.now.max(now);
+        let members = self.log.members().0;
+        match input {
+            Input::Tick => self.tick(out),
+            Input::Message(message) => self.message(message, out),
+            Input::Propose(ticket, command) => {
+                let taken = self.propose(command, out);
+                out.released.taken.push((ticket, taken));
+            }
+            Input::Change(ticket, change) => {
+                let taken = self.change(&change, out);
+                out.released.taken.push((ticket, taken));
+            }
+            Input::Read(ticket) => self.read(ticket, out),
+            Input::HandOver(to) => self.hand_over(to, out),
+            Input::Compact(index, state) => self.compact(index, state, out),
+        }
+        let (place, now_members) = self.log.members();
+        if place != members {
+            out.released.members = Some(now_members);
+        }
+    }
+
+    fn tick(&mut self, out: &mut Outputs) {
+        if self.leads() {
+            self.lead_on(out);
+        } else if self.now >= self.asks_at {
+            self.wait_anew();
+            // One that is no voter waits to be told.
+            if self.log.members().1.votes(self.id) {
+                self.pre_vote(out);
+            }
+        }
+    }
+
+    /// Draws when it asks for votes next. By chance, so that few ask together.
+    pub(crate) fn wait_anew(&mut self) {
+        let least = self.set.election.as_micros() as u64;
+        let by_chance = self.rng.random_range(0..least.max(1));
+        self.asks_at = self.now + Duration::from_micros(least + by_chance);
+    }
+
+    fn message(&mut self, message: Message, out: &mut Outputs) {
+        if message.to != self.id || message.from == self.id {
+            return;
+        }
+        let Message { from, term, body, .. } = message;
+        if term > self.hard.term && !self.newer(from, term, &body, out) {
+            return;
+        }
+        if term < self.hard.term {
+            return self.older(from, &body, out);
+        }
+        match body {
+            Body::PreVote { last } => self.pre_voted_for(from, term, last, out),
+            Body::PreVoted(yes) => self.pre_vote_came(from, term, yes, out),
+            Body::Vote { last, .. } => self.voted_for(from, last, out),
+            Body::Voted(yes) => self.vote_came(from, yes, out),
+            Body::Append { prev, entries, commit, round } => {
+                self.appended(from, prev, entries, commit, round, out);
+            }
+            Body::Install { at, members, offset, part, last, round } => {
+                self.installed(from, at, members, (offset, &part, last), round, out);
+            }
+            Body::Appended { verdict, round } => self.appended_there(from, verdict, round, out),
+            Body::Installing { at, offset, round } => self.installing_there(from, at, offset, round, out),
+            Body::TakeOver => self.take_over(from, out),
+        }
+    }
+
+    /// A later term: whether the message is still to be looked at.
+    fn newer(&mut self, from: MemberId, term: Term, body: &Body, out: &mut Outputs) -> bool {
+        match body {
+            // These speak of a term that has not begun.
+            Body::PreVote { .. } | Body::PreVoted(true) => true,
+            // A leader is heard: who asks is cut off from it or was removed, and must not unseat it (section 4.2.3).
+            Body::Vote { handed_over: false, .. } if self.hears_a_leader() => false,
+            _ => {
+                let leads = matches!(body, Body::Append { .. } | Body::Install { .. });
+                self.follow(term, leads.then_some(from), out);
+                true
+            }
+        }
+    }
+
+    /// An earlier term. Who speaks in it is told the term, lest it go on for ever.
+    fn older(&mut self, from: MemberId, body: &Body, out: &mut Outputs) {
+        match body {
+            Body::Append { round, .. } | Body::Install { round, .. } => {
+                let verdict = crate::message::Verdict::Differs(self.log.last().index);
+                self.say(from, Body::Appended { verdict, round: *round }, out);
+            }
+            Body::PreVote { .. } => self.say(from, Body::PreVoted(false), out),
+            Body::Vote { .. } => self.say(from, Body::Voted(false), out),
+            _ => {}
+        }
+    }
+
+    /// Whether a leader was heard so lately that another can't be wanted. A leader hears itself.
+    pub(crate) fn hears_a_leader(&self) -> bool {
+        self.leads() || self.heard_leader.is_some_and(|t| self.now < t + self.set.election)
+    }
+
+    /// Follows from now on.
+    pub(crate) fn follow(&mut self, term: Term, leader: Option<MemberId>, out: &mut Outputs) {
+        if term > self.hard.term {
+            self.hard = Hard { term, vote: None };
+            out.save.hard = Some(self.hard);
+        }
+        let before = std::mem::replace(&mut self.role, Role::Follower { leader, incoming: None });
+        if let Role::Leader(l) = before {
+            // Nobody may answer reads in its name any more.
+            out.released.reads.extend(l.reads.into_iter().map(|r| (r.ticket, Err(Refused::Lost))));
+        }
+        self.wait_anew();
+    }
+
+    pub(crate) fn say(&self, to: MemberId, body: Body, out: &mut Outputs) {
+        let message = Message { from: self.id, to, term: self.hard.term, body };
+        let early = match &message.body {
+            Body::Voted(true) => self.planted(Fault::VoteUnsaved),
+            Body::Appended { .. } => self.planted(Fault::EntriesUnsaved),
+            _ => false,
+        };
+        if early {
+            out.early.push(message);
+        } else {
+            out.released.messages.push(message);
+        }
+    }
+
+    pub(crate) fn append(&mut self, payload: Payload, out: &mut Outputs) -> LogPos {
+        let at = LogPos { term: self.hard.term, index: self.log.last().index.next() };
+        let entry = Entry { at, payload };
+        out.save.entries.push(entry.clone());
+        self.log.push(entry);
+        at
+    }
+
+    /// Commits up to a place, as far as the log goes.
+    pub(crate) fn commit_to(&mut self, index: Index, out: &mut Outputs) {
+        let to = index.min(self.log.last().index);
+        if to <= self.commit {
+            return;
+        }
+        out.released.committed.extend(self.log.between(self.commit, to).cloned());
+        self.commit = to;
+    }
+
+    fn compact(&mut self, index: Index, state: std::sync::Arc<[u8]>, out: &mut Outputs) {
+        let newer = self.log.snapshot.as_ref().is_none_or(|s| s.at.index < index);
+        let (true, true, Some(term)) = (newer, index <= self.commit, self.log.term_at(index)) else { return };
+        let at = LogPos { term, index };
+        let snapshot = Snapshot { at, members: self.log.members_at(index), state };
+        out.save.snapshot = Some(snapshot.clone());
+        out.save.drop_through = Some(self.log.compact(snapshot, self.set.kept_entries));
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/types.rs
@@ -0,0 +1,161 @@
+//! Names and figures that all parts share.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::membership::Membership;
+
+macro_rules! number {
+    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
+        pub struct $name(pub u64);
+    )*};
+}
+
+number! {
+    /// A member, by the id that was drawn with its folder.
+    MemberId,
+    /// A term: at most one leader each.
+    Term,
+    /// A place in the log; the first entry is at 1.
+    Index,
+    /// Names a proposal, a read or a change to whoever made it.
+    Ticket,
+}
+
+impl fmt::Display for MemberId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl Index {
+    /// The place after it.
+    pub fn next(self) -> Index {
+        Index(self.0 + 1)
+    }
+
+    /// The place before it; none before the first.
+    pub fn before(self) -> Index {
+        Index(self.0.saturating_sub(1))
+    }
+}
+
+/// An entry's place and term. Of two logs the one whose last is greater is the more up to date (section 5.4.1).
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
+pub struct LogPos {
+    /// The term in which it was made.
+    pub term: Term,
+    /// Its place.
+    pub index: Index,
+}
+
+/// What an entry says.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Payload {
+    /// Nothing: the first entry of a leader's term, which lets it commit what came before.
+    Nothing,
+    /// A command for the replicated state, not read here.
+    Command(Arc<[u8]>),
+    /// The members from here on.
+    Members(Membership),
+}
+
+/// An entry of the log.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Entry {
+    /// Its place and term.
+    pub at: LogPos,
+    /// What it says.
+    pub payload: Payload,
+}
+
+impl Entry {
+    /// Bytes that it takes in a message, about.
+    pub fn size(&self) -> usize {
+        24 + match &self.payload {
+            Payload::Nothing => 0,
+            Payload::Command(bytes) => bytes.len(),
+            Payload::Members(m) => m.size(),
+        }
+    }
+}
+
+/// The replicated state up to an entry.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// The last entry that is in it.
+    pub at: LogPos,
+    /// The members as of that entry.
+    pub members: Membership,
+    /// The state, not read here.
+    pub state: Arc<[u8]>,
+}
+
+/// Times and bounds of a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Settings {
+    /// A follower that hears no leader for this, and up to as long again by chance, asks for votes. A leader that hears no
+    /// quorum for this steps down.
+    pub election: Duration,
+    /// From one word of a leader to the next.
+    pub heartbeat: Duration,
+    /// Bytes of entries in one message.
+    pub message_bytes: usize,
+    /// Bytes of a snapshot in one message.
+    pub chunk_bytes: usize,
+    /// Messages with entries on their way to one member.
+    pub window: usize,
+    /// Bytes of entries that are not committed; past this a leader refuses proposals.
+    pub uncommitted_bytes: usize,
+    /// Bytes of one proposal.
+    pub proposal_bytes: usize,
+    /// Bytes of a snapshot that a member takes.
+    pub snapshot_bytes: usize,
+    /// Entries kept behind a snapshot, for members that are a little late.
+    pub kept_entries: u64,
+    /// Reads that wait for their round.
+    pub reads: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            election: Duration::from_millis(500),
+            heartbeat: Duration::from_millis(100),
+            message_bytes: 64 << 10,
+            chunk_bytes: 64 << 10,
+            window: 16,
+            uncommitted_bytes: 1 << 20,
+            proposal_bytes: 32 << 10,
+            snapshot_bytes: 16 << 20,
+            kept_entries: 256,
+            reads: 1024,
+        }
+    }
+}
+
+/// Why a member did not take what was asked of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum Refused {
+    /// It does not lead; who does, as far as it knows.
+    #[error("not the leader")]
+    NotLeader(Option<MemberId>),
+    /// It leads and hands the lead over, or has too much on its way. Asking again later is harmless.
+    #[error("busy")]
+    Busy,
+    /// Longer than one proposal may be.
+    #[error("too long")]
+    TooLong,
+    /// It lost the lead before it was known what became of it: it may come yet, or never.
+    #[error("the lead was lost")]
+    Lost,
+    /// A change of members that can't be.
+    #[error(transparent)]
+    Change(#[from] crate::membership::ChangeError),
+}
