--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -126,6 +126,14 @@
     fault: Option<Fault>,
 }
 
+/// All that decides what it does next, but for what is drawn by chance: two members that are alike here do the same.
+impl std::hash::Hash for Raft {
+    fn hash<H: std::hash::Hasher>(&self, into: &mut H) {
+        (self.id, self.hard, &self.log, self.commit, &self.role).hash(into);
+        (self.asks_at, self.heard_leader, self.now).hash(into);
+    }
+}
+
 impl Raft {
     /// A member as its disk has it. `now` is any clock that never goes back; it may begin anywhere.
     pub fn new(id: MemberId, set: Settings, stored: Stored, seed: u64, now: Duration) -> Raft {
--- a/crates/consensus/tests/support/mod.rs
+++ b/crates/consensus/tests/support/mod.rs
@@ -30,6 +30,8 @@
 #[derive(Debug, Clone, Default, Hash)]
 pub struct Laws {
     leaders: BTreeMap<Term, MemberId>,
+    /// In which term each place was first committed.
+    committed_in: BTreeMap<Index, Term>,
     /// What was committed, by place.
     pub committed: BTreeMap<Index, Entry>,
     pub breach: Option<String>,
@@ -40,16 +42,28 @@
         self.breach.get_or_insert(why);
     }
 
-    /// Election safety: at most one leader in a term.
-    pub fn leads(&mut self, id: MemberId, term: Term) {
+    /// Election safety: at most one leader in a term. Leader completeness: it has all that was committed before its term.
+    pub fn leads(&mut self, raft: &Raft) {
+        let (id, term) = (raft.status().id, raft.status().term);
+        let known = self.leaders.contains_key(&term);
         let first = *self.leaders.entry(term).or_insert(id);
         if first != id {
             self.breaks(format!("two leaders in {term:?}: {first} and {id}"));
         }
+        if known {
+            return;
+        }
+        for (index, entry) in &self.committed {
+            let before = self.committed_in.get(index).is_some_and(|t| *t < term);
+            if before && *index >= raft.first() && raft.entry(*index) != Some(entry) {
+                let why = format!("{id} leads in {term:?} without {:?}, which was committed", entry.at);
+                return self.breaks(why);
+            }
+        }
     }
 
     /// State-machine safety: one entry at a place, for ever.
-    pub fn commits(&mut self, id: MemberId, entry: &Entry) {
+    pub fn commits(&mut self, id: MemberId, term: Term, entry: &Entry) {
         match self.committed.get(&entry.at.index) {
             Some(other) if other != entry => {
                 let (a, b) = (other.at, entry.at);
@@ -58,6 +72,7 @@
             Some(_) => {}
             None => {
                 self.committed.insert(entry.at.index, entry.clone());
+                self.committed_in.insert(entry.at.index, term);
             }
         }
     }
@@ -265,9 +280,8 @@
             return self.put(after, Ahead::Restart(id));
         }
         let Ok(released) = out.commit(&mut host.disk);
-        let status = host.raft.status();
         if host.raft.leads() {
-            self.laws.leads(id, status.term);
+            self.laws.leads(&host.raft);
         }
         self.take(id, released);
     }
@@ -275,6 +289,7 @@
     fn take(&mut self, id: MemberId, released: Released) {
         let Released { messages, restored, committed, taken: _, reads, members: _ } = released;
         let host = self.hosts.get_mut(&id).expect("it spoke");
+        let term = host.raft.status().term;
         if let Some(snapshot) = restored {
             host.applied = snapshot.at.index;
             host.state = state_of(&snapshot.state);
@@ -288,7 +303,7 @@
             }
             host.applied = entry.at.index;
             host.state = fold(host.state, entry);
-            self.laws.commits(id, entry);
+            self.laws.commits(id, term, entry);
         }
         let (applied, state) = (host.applied, host.state);
         let expected = self.laws.committed.range(..=applied).fold(0, |s, (_, e)| fold(s, e));
