Keepers and lease holders as programs, tested as real processes with faults between them

Need: the leases' issue: keepers on sockets and disk, `lease hold`, and processes that fail. Change: crates/keeper. One thread has the machine and the disk and takes what has come into one save (group commit); each connection has bounded queues, so that a slow peer costs itself alone; reconnects back off with jitter; words of another fleet or version, too long or with a wrong checksum cost their connection and are counted. The folder's identity is drawn with it: an emptied one is another member. One keeper founds the group, once, when all others say that they are new. `beechloft keeper`, `keeper replace`, `lease hold`, `lease list`, `fleet status`; `lease hold` ends its command before the lease can run out, exits with 75 when not obtained and 76 when lost. Five keepers and eight candidates as processes, clocks 1% apart, acts each 20 ms: holder killed, leader killed, holder stopped beyond its time and let go on, leader the same, all keepers killed and started, a disk emptied, its keeper replaced. Acts go on after each, no token comes under one before it but for the acts of the stopped command itself, of which docs/fleet.md speaks.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod bench;
 mod day;
 mod demo;
+mod fleet;
 mod log;
 mod node;
 mod serve;
@@ -79,6 +80,18 @@
         #[command(subcommand)]
         command: store::Command,
     },
+    /// Keep the fleet's leases until SIGTERM
+    Keeper(fleet::Keeper),
+    /// Hold a lease of the fleet, or list them
+    Lease {
+        #[command(subcommand)]
+        command: fleet::Lease,
+    },
+    /// How the fleet's keepers stand
+    Fleet {
+        #[command(subcommand)]
+        command: fleet::Fleet,
+    },
     /// Drive a front past its own rate of calls, with overload control and without
     Overload {
         /// The front's own rate, calls a second; it is looked for if not given
@@ -103,6 +116,9 @@
         Command::Day { file, seed, json, keep } => day::day(&file, seed, json, keep.as_deref()),
         Command::Bench { rate, seconds, clients, playing } => bench::bench(rate, seconds, clients, playing),
         Command::Store { command } => store::store(&command),
+        Command::Keeper(args) => fleet::keeper(&args),
+        Command::Lease { command } => fleet::lease(&command),
+        Command::Fleet { command } => fleet::fleet(&command),
         Command::Overload { rate, times, seconds } => bench::overload::overload(rate, times, seconds),
     }
 }
--- /dev/null
+++ b/crates/cli/tests/fleet.rs
@@ -0,0 +1,386 @@
+//! Keepers and candidates as real processes, with faults between them: killed, stopped beyond the lease's time and let go on,
+//! all stopped and started, a disk emptied, clocks apart. Acts go on all the time; a record of every act shows its token, and a
+//! token under one that came before it is a stale act.
+
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process, kill_process_group};
+use serde_json::Value;
+
+/// Long enough for anything that is to happen.
+const PATIENCE: Duration = Duration::from_secs(30);
+const TTL_MS: u64 = 1_500;
+
+/// A process in a group of its own, which is ended whatever becomes of the test.
+struct Process(Child);
+
+impl Process {
+    fn start(command: &mut Command) -> Process {
+        command.stdin(Stdio::null()).stdout(Stdio::null()).process_group(0);
+        Process(command.spawn().expect("it starts"))
+    }
+
+    /// To it and to what it runs.
+    fn signal(&self, signal: Signal) {
+        let _ = kill_process_group(Pid::from_child(&self.0), signal);
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.signal(Signal::KILL);
+        let _ = self.0.wait();
+    }
+}
+
+struct Fleet {
+    dir: tempfile::TempDir,
+    addresses: Vec<SocketAddr>,
+    keepers: Vec<Option<Process>>,
+    candidates: Vec<Process>,
+}
+
+fn beechloft() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_beechloft"))
+}
+
+impl Fleet {
+    fn new(keepers: usize) -> Fleet {
+        // Ports that were free a moment ago.
+        let taken: Vec<TcpListener> =
+            (0..keepers).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
+        let addresses = taken.iter().map(|l| l.local_addr().expect("an address")).collect();
+        drop(taken);
+        let dir = tempfile::tempdir().expect("a folder");
+        let mut fleet = Fleet { dir, addresses, keepers: Vec::new(), candidates: Vec::new() };
+        for n in 0..keepers {
+            fleet.keepers.push(None);
+            fleet.start(n);
+        }
+        fleet
+    }
+
+    /// A file of settings; each keeper's clock runs at a rate of its own, 1% apart.
+    fn settings(&self, keeper: Option<usize>) -> PathBuf {
+        let list: Vec<String> = self.addresses.iter().map(|a| format!("'{a}'")).collect();
+        let mut text =
+            format!("fleet:\n  name: test\n  keepers: [{}]\n  drift_ppm: 20000\n", list.join(", "));
+        let rate = keeper.map_or(1.005, |n| 0.995 + 0.005 * (n % 3) as f64);
+        text += &format!("  test_clock_rate: {rate}\n");
+        if let Some(n) = keeper {
+            text += &format!("  listen: {}\n  store: {}\n", self.addresses[n], self.folder(n).display());
+        }
+        let path = self.dir.path().join(keeper.map_or("asks.yaml".into(), |n| format!("k{n}.yaml")));
+        std::fs::write(&path, text).expect("written");
+        path
+    }
+
+    fn folder(&self, n: usize) -> PathBuf {
+        self.dir.path().join(format!("store{n}"))
+    }
+
+    fn start(&mut self, n: usize) {
+        let file = self.settings(Some(n));
+        self.keepers[n] = Some(Process::start(beechloft().arg("keeper").arg(file).stderr(Stdio::null())));
+    }
+
+    fn kill(&mut self, n: usize) {
+        self.keepers[n] = None;
+    }
+
+    fn acts(&self) -> PathBuf {
+        self.dir.path().join("acts")
+    }
+
+    /// A candidate whose command acts every 20 ms for as long as it holds the lease, and which begins again when it ends.
+    fn candidate(&mut self) {
+        let act = format!("while :; do echo $BEECHLOFT_FENCE >> {}; sleep 0.02; done", self.acts().display());
+        let program = env!("CARGO_BIN_EXE_beechloft");
+        let (file, ttl) = (self.settings(None).display().to_string(), TTL_MS.to_string());
+        let again = "while :; do \"$@\"; sleep 0.05; done";
+        let mut command = Command::new("sh");
+        command.args(["-c", again, "sh", program, "lease", "hold", &file, "task", "--ttl-ms", &ttl, "--"]);
+        command.args(["sh", "-c", &act]).stderr(Stdio::null());
+        self.candidates.push(Process::start(&mut command));
+    }
+
+    fn status(&self) -> Vec<Value> {
+        let file = self.settings(None);
+        let out = beechloft().args(["fleet", "status", "--json"]).arg(file).output().expect("it runs");
+        String::from_utf8_lossy(&out.stdout).lines().filter_map(|l| serde_json::from_str(l).ok()).collect()
+    }
+
+    /// The place of the keeper that leads in the newest term, with so many voters.
+    fn leader(&self, voters: usize) -> usize {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let all = self.status();
+            let leads = |v: &(usize, &Value)| {
+                let s = &v.1["status"];
+                let count =
+                    s["members"].as_array().map_or(0, |m| m.iter().filter(|m| m["voter"] == true).count());
+                s["role"] == "leader" && count == voters
+            };
+            let found = all.iter().enumerate().filter(leads).max_by_key(|v| v.1["status"]["term"].as_u64());
+            if let Some((n, _)) = found {
+                return n;
+            }
+            assert!(Instant::now() < until, "nobody leads {voters} voters: {all:?}");
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    fn tokens(&self) -> Vec<u64> {
+        let text = std::fs::read_to_string(self.acts()).unwrap_or_default();
+        // The last line may be half written.
+        let whole = text.rfind('\n').map_or("", |at| &text[..at]);
+        whole.lines().map(|l| l.parse().unwrap_or_else(|_| panic!("'{l}' is no token"))).collect()
+    }
+
+    /// Waits for acts past so many; how long it took.
+    fn goes_on(&self, what: &str) -> Duration {
+        let (before, began) = (self.tokens().len(), Instant::now());
+        while self.tokens().len() < before + 3 {
+            assert!(began.elapsed() < PATIENCE, "no acts after {what}");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        began.elapsed()
+    }
+
+    /// Waits for acts by a grant above this one.
+    fn another_holds(&self, than: u64, what: &str) {
+        let began = Instant::now();
+        while self.tokens().last().is_none_or(|t| *t <= than) {
+            assert!(began.elapsed() < PATIENCE, "nobody else after {what}");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// The candidate that holds it now: the one whose group has the process that acts.
+    fn holder(&self) -> usize {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            for (n, c) in self.candidates.iter().enumerate() {
+                if group_acts(c.0.id()) {
+                    return n;
+                }
+            }
+            assert!(Instant::now() < until, "nobody acts");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+/// Whether a process of this group has the fence in its environment.
+fn group_acts(group: u32) -> bool {
+    let Ok(all) = std::fs::read_dir("/proc") else { return false };
+    all.flatten().any(|entry| {
+        let path = entry.path();
+        let of_group = || {
+            let stat = std::fs::read_to_string(path.join("stat")).ok()?;
+            let after = stat.rsplit_once(')')?.1.split_whitespace().nth(2)?.parse::<u32>().ok()?;
+            Some(after == group)
+        };
+        let acts = || std::fs::read(path.join("environ")).is_ok_and(|e| has(&e, b"BEECHLOFT_FENCE="));
+        path.file_name().is_some_and(|n| n.as_encoded_bytes()[0].is_ascii_digit())
+            && of_group() == Some(true)
+            && acts()
+    })
+}
+
+fn has(bytes: &[u8], part: &[u8]) -> bool {
+    bytes.windows(part.len()).any(|w| w == part)
+}
+
+fn no_stale_act(tokens: &[u64]) {
+    let stale = tokens.windows(2).position(|w| w[1] < w[0]);
+    assert_eq!(stale, None, "a token under the one before it: {:?}", stale.map(|at| &tokens[at..at + 2]));
+}
+
+#[test]
+fn acts_go_on_and_none_is_stale_whatever_fails() {
+    let mut fleet = Fleet::new(5);
+    fleet.leader(5);
+    (0..8).for_each(|_| fleet.candidate());
+    fleet.goes_on("the start");
+
+    // The holder is killed outright, with all that it runs.
+    let (token, holder) = (*fleet.tokens().last().expect("an act"), fleet.holder());
+    drop(fleet.candidates.remove(holder));
+    fleet.another_holds(token, "the holder's death");
+
+    // The leader is killed.
+    let leader = fleet.leader(5);
+    fleet.kill(leader);
+    fleet.goes_on("the leader's death");
+    fleet.start(leader);
+
+    // The holder is stopped beyond its time and goes on.
+    let (token, holder) = (*fleet.tokens().last().expect("an act"), fleet.holder());
+    fleet.candidates[holder].signal(Signal::STOP);
+    fleet.another_holds(token, "the holder's stop");
+    let before = fleet.tokens().len();
+    fleet.candidates[holder].signal(Signal::CONT);
+    fleet.goes_on("the holder's going on");
+    // What the command does between its look and its act when it is let go on can't be prevented where nothing checks tokens
+    // (docs/fleet.md), and it goes on until whoever watches over it runs again and ends it. Something that checks tokens refuses
+    // all of these; there are few, and none but these.
+    let tokens = fleet.tokens();
+    let late = |at: &usize| tokens[*at] == token;
+    let count = (before..tokens.len()).filter(late).count();
+    assert!(count <= 5, "the stopped holder acted {count} times after it went on");
+    let others = (0..tokens.len()).filter(|at| *at < before || !late(at)).map(|at| tokens[at]);
+    no_stale_act(&others.collect::<Vec<_>>());
+
+    // The leader is stopped beyond the time of the lease and goes on.
+    let leader = fleet.leader(5);
+    fleet.keepers[leader].as_ref().expect("it runs").signal(Signal::STOP);
+    std::thread::sleep(Duration::from_millis(2 * TTL_MS));
+    fleet.goes_on("the leader's stop");
+    fleet.keepers[leader].as_ref().expect("it runs").signal(Signal::CONT);
+    fleet.goes_on("the leader's going on");
+
+    // All keepers are killed at once and start again on their disks.
+    let token = *fleet.tokens().last().expect("an act");
+    (0..5).for_each(|n| fleet.kill(n));
+    std::thread::sleep(Duration::from_millis(2 * TTL_MS));
+    (0..5).for_each(|n| fleet.start(n));
+    fleet.leader(5);
+    fleet.another_holds(token, "the end of all keepers");
+
+    // A keeper's disk is emptied: it is another one, stays out, and the rest go on without it.
+    let leader = fleet.leader(5);
+    let lost = (leader + 1) % 5;
+    fleet.kill(lost);
+    std::fs::remove_dir_all(fleet.folder(lost)).expect("removed");
+    fleet.start(lost);
+    fleet.goes_on("a disk that was emptied");
+    std::thread::sleep(Duration::from_millis(1_000));
+    let all = fleet.status();
+    assert_eq!(all[lost]["status"]["members"].as_array().map(Vec::len), Some(0), "it is no member: {all:?}");
+
+    // It takes its old self's place once an operator says so.
+    let id = |v: &Value| v["status"]["id"].as_str().expect("an id").to_owned();
+    let new = id(&all[lost]);
+    let address = fleet.addresses[lost].to_string();
+    let members = all[leader]["status"]["members"].as_array().expect("members").clone();
+    let old = members.iter().find(|m| m["address"] == address.as_str()).expect("its old self")["id"].clone();
+    let old = old.as_str().expect("an id");
+    let replace = |old: &str, new: &str| {
+        let mut c = beechloft();
+        c.args(["keeper", "replace"]).arg(fleet.settings(None)).args([old, new]).output().expect("it runs")
+    };
+    let wrong = replace(old, "00000000000000aa");
+    assert_eq!(wrong.status.code(), Some(1), "{}", text_of(&wrong));
+    let out = replace(old, &new);
+    assert_eq!(out.status.code(), Some(0), "{}", text_of(&out));
+    fleet.leader(5);
+    fleet.goes_on("a keeper that was replaced");
+
+    let all = fleet.tokens();
+    let from = all.iter().position(|t| *t > token).unwrap_or(0);
+    no_stale_act(&all[from..]);
+    assert!(all.len() > 100, "{} acts", all.len());
+}
+
+fn text_of(out: &std::process::Output) -> String {
+    String::from_utf8_lossy(&out.stderr).into_owned()
+}
+
+#[test]
+fn holding_tells_by_its_exit_code_what_became_of_it() {
+    let fleet = Fleet::new(3);
+    fleet.leader(3);
+    let file = fleet.settings(None);
+    let hold = |name: &str, more: &[&str], command: &[&str]| {
+        let mut c = beechloft();
+        c.args(["lease", "hold"])
+            .arg(&file)
+            .args([name, "--ttl-ms", "1000"])
+            .args(more)
+            .arg("--")
+            .args(command);
+        c
+    };
+    let out =
+        hold("a", &[], &["sh", "-c", "test $BEECHLOFT_LEASE = a && test $BEECHLOFT_FENCE -gt 0 && exit 7"]);
+    let out = { out }.output().expect("it runs");
+    assert_eq!(out.status.code(), Some(7), "{}", text_of(&out));
+    // Another holds it: not obtained in time, and its name is on the list.
+    let long = Process::start(hold("b", &[], &["sleep", "60"]).stderr(Stdio::null()));
+    let until = Instant::now() + PATIENCE;
+    loop {
+        let out = beechloft().args(["lease", "list", "--json"]).arg(&file).output().expect("it runs");
+        if String::from_utf8_lossy(&out.stdout).lines().any(|l| l.contains("\"name\":\"b\"")) {
+            break;
+        }
+        assert!(Instant::now() < until, "not on the list: {out:?}");
+    }
+    let out = hold("b", &["--wait-ms", "700"], &["true"]).output().expect("it runs");
+    assert_eq!(out.status.code(), Some(75), "{}", text_of(&out));
+    // Two places: a second holder gets in, under terms that agree.
+    let out = hold("b", &["--holders", "2"], &["true"]).output().expect("it runs");
+    assert_eq!(out.status.code(), Some(2), "{}", text_of(&out));
+    // Its command goes on past SIGTERM; with no keeper left it is ended before the lease can run out.
+    let mut lost = hold("c", &[], &["sh", "-c", "trap '' TERM; while :; do sleep 0.05; done"]);
+    let mut lost = Process::start(lost.stderr(Stdio::null()));
+    std::thread::sleep(Duration::from_millis(1_500));
+    drop(fleet);
+    let began = Instant::now();
+    let status = lost.0.wait().expect("it ends");
+    assert_eq!(status.code(), Some(76));
+    assert!(began.elapsed() < Duration::from_secs(5));
+    drop(long);
+}
+
+#[test]
+fn what_is_wrong_with_settings_or_folders_is_said_and_nothing_is_touched() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join("f.yaml");
+    let run = |text: &str| {
+        std::fs::write(&path, text).expect("written");
+        let out = beechloft().arg("keeper").arg(&path).output().expect("it runs");
+        assert_eq!(out.status.code(), Some(2), "{}", text_of(&out));
+        text_of(&out)
+    };
+    let even = run("fleet:\n  name: a\n  keepers: ['127.0.0.1:1', '127.0.0.1:2']\n");
+    assert!(even.contains("odd number"), "{even}");
+    let twice = run("fleet:\n  name: a\n  keepers: ['127.0.0.1:1', '127.0.0.1:1', '127.0.0.1:2']\n");
+    assert!(twice.contains("twice"), "{twice}");
+    let stranger = run("fleet:\n  name: a\n  listen: 127.0.0.1:3\n  store: x\n  keepers: ['127.0.0.1:1']\n");
+    assert!(stranger.contains("none of fleet.keepers"), "{stranger}");
+    // A folder of another fleet.
+    let mut fleet = Fleet::new(1);
+    fleet.leader(1);
+    fleet.kill(0);
+    let names = |p: &Path| {
+        let mut all: Vec<_> =
+            std::fs::read_dir(p).expect("a folder").flatten().map(|e| e.file_name()).collect();
+        all.sort();
+        all
+    };
+    let before = names(&fleet.folder(0));
+    let file = fleet.settings(Some(0));
+    let text = std::fs::read_to_string(&file).expect("read").replace("name: test", "name: other");
+    let said = run(&text);
+    assert!(said.contains("belongs to the fleet 'test'"), "{said}");
+    assert_eq!(names(&fleet.folder(0)), before);
+    // Rubbish on the wire costs its connection and nothing else.
+    fleet.start(0);
+    fleet.leader(1);
+    let mut rubbish = TcpStream::connect(fleet.addresses[0]).expect("a connection");
+    std::io::Write::write_all(&mut rubbish, &[0x55; 4096]).expect("written");
+    assert_eq!(fleet.leader(1), 0);
+    let until = Instant::now() + PATIENCE;
+    while fleet.status()[0]["status"]["refused_words"].as_u64() == Some(0) {
+        assert!(Instant::now() < until, "rubbish is not counted");
+    }
+    let keeper = fleet.keepers[0].take().expect("it runs");
+    kill_process(Pid::from_child(&keeper.0), Signal::TERM).expect("told");
+    let mut keeper = keeper;
+    assert_eq!(keeper.0.wait().expect("it ends").code(), Some(0));
+}
--- /dev/null
+++ b/crates/keeper/src/client.rs
@@ -0,0 +1,144 @@
+//! The way to keepers for those who ask.
+
+use std::io::Write;
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use beechloft_consensus::MemberId;
+use beechloft_fleet::{Heard, HolderInput, Request, Route};
+use crossbeam_channel::{Receiver, Sender, bounded};
+
+use crate::settings::FleetSettings;
+use crate::wire::{self, StatusLine, Word};
+
+const CONNECT: Duration = Duration::from_millis(200);
+const WRITE: Duration = Duration::from_millis(200);
+
+/// Asks one keeper how it stands.
+pub fn status(set: &FleetSettings, keeper: SocketAddr, within: Duration) -> Option<StatusLine> {
+    match call(set, keeper, &Word::Status, within)? {
+        Word::StatusIs(status) => Some(status),
+        _ => None,
+    }
+}
+
+/// Asks a keeper, and hears what it says first.
+pub fn call(set: &FleetSettings, keeper: SocketAddr, word: &Word, within: Duration) -> Option<Word> {
+    let mut stream = TcpStream::connect_timeout(&keeper, within).ok()?;
+    stream.set_read_timeout(Some(within)).ok()?;
+    stream.set_write_timeout(Some(within)).ok()?;
+    stream.write_all(&wire::encode(set.number(), word)?).ok()?;
+    wire::read(set.number(), &mut stream).ok()
+}
+
+/// All grants, from the keeper that leads.
+pub fn list(set: &FleetSettings, within: Duration) -> Option<Vec<wire::LeaseLine>> {
+    match ask_leader(set, &Word::List, within)? {
+        Word::Listed(lines) => Some(lines),
+        _ => None,
+    }
+}
+
+/// Has a keeper that was lost with its disk let go, for the one that came up in its place.
+pub fn replace(
+    set: &FleetSettings,
+    old: MemberId,
+    new: MemberId,
+    within: Duration,
+) -> Option<Result<(), String>> {
+    match ask_leader(set, &Word::Replace { old, new }, within)? {
+        Word::Replacing(taken) => Some(taken),
+        _ => None,
+    }
+}
+
+/// Asks whichever keeper leads, until one answers.
+fn ask_leader(set: &FleetSettings, word: &Word, within: Duration) -> Option<Word> {
+    let until = Instant::now() + within;
+    let mut route = Route::new(set.keepers.len(), 0);
+    while Instant::now() < until {
+        let keeper = set.keepers[route.take()];
+        match call(set, keeper, word, Duration::from_millis(500)) {
+            Some(Word::NotLeader(leader)) => route.not_leader(place(set, leader.as_deref())),
+            None | Some(Word::Heard(_)) => {}
+            Some(answer) => return Some(answer),
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    None
+}
+
+fn place(set: &FleetSettings, leader: Option<&str>) -> Option<usize> {
+    let address: SocketAddr = leader?.parse().ok()?;
+    set.keepers.iter().position(|k| *k == address)
+}
+
+/// A holder's connection to whichever keeper leads.
+pub struct Way {
+    set: FleetSettings,
+    route: Route,
+    conn: Option<(usize, TcpStream)>,
+    hears: Sender<Word>,
+    heard: Receiver<Word>,
+}
+
+impl Way {
+    /// A way that begins at any keeper.
+    pub fn new(set: FleetSettings) -> Way {
+        let route = Route::new(set.keepers.len(), rand::random_range(0..set.keepers.len().max(1)));
+        let (hears, heard) = bounded(64);
+        Way { set, route, conn: None, hears, heard }
+    }
+
+    /// Sends a request; what can't be sent is lost, as on any network.
+    pub fn send(&mut self, request: Request) {
+        let at = self.route.take();
+        if self.conn.as_ref().is_none_or(|c| c.0 != at) {
+            self.conn = self.open(at);
+        }
+        let bytes = wire::encode(self.set.number(), &Word::Ask(request));
+        if let (Some((_, stream)), Some(bytes)) = (&mut self.conn, bytes)
+            && stream.write_all(&bytes).is_err()
+        {
+            self.conn = None;
+        }
+    }
+
+    fn open(&mut self, at: usize) -> Option<(usize, TcpStream)> {
+        if let Some((_, old)) = self.conn.take() {
+            let _ = old.shutdown(Shutdown::Both);
+        }
+        let stream = TcpStream::connect_timeout(&self.set.keepers[at], CONNECT).ok()?;
+        let _ = stream.set_nodelay(true);
+        stream.set_write_timeout(Some(WRITE)).ok()?;
+        let (mut reads, number, heard) = (stream.try_clone().ok()?, self.set.number(), self.hears.clone());
+        thread::Builder::new()
+            .name("hears".into())
+            .stack_size(128 << 10)
+            .spawn(move || {
+                while let Ok(word) = wire::read(number, &mut reads) {
+                    if heard.send(word).is_err() {
+                        return;
+                    }
+                }
+            })
+            .ok()?;
+        Some((at, stream))
+    }
+
+    /// What a keeper has said, if one says something by then.
+    pub fn hear(&mut self, within: Duration) -> Option<HolderInput> {
+        match self.heard.recv_timeout(within).ok()? {
+            Word::Heard(heard) => {
+                self.route.answered();
+                Some(HolderInput::Heard(heard))
+            }
+            Word::NotLeader(leader) => {
+                self.route.not_leader(place(&self.set, leader.as_deref()));
+                Some(HolderInput::Heard(Heard::NotLeader(None)))
+            }
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/lib.rs
@@ -0,0 +1,21 @@
+//! A keeper on sockets and disk around `beechloft_fleet::Keeper`, and the way to keepers for those who ask for leases.
+//!
+//! One thread has the machine and the disk: it takes what has come, up to a bound, handles all of it into one set of outputs,
+//! has the disk save once (group commit), and sends. Each connection has a thread that reads and one that writes, with a bounded
+//! queue between: a peer that does not read costs its own messages and nobody else's time. What can't be queued is dropped;
+//! the machine sends it again.
+//!
+//! Peers listen on an address of their own, meant for a private network: there is no sign-in. A word for another fleet, of
+//! another version, too long or with a wrong checksum costs its connection, and is counted.
+#![forbid(unsafe_code)]
+
+pub mod client;
+mod engine;
+mod links;
+mod settings;
+mod store;
+pub mod wire;
+
+pub use engine::{Keeping, StartError};
+pub use settings::FleetSettings;
+pub use store::{LogStore, OpenError};
--- /dev/null
+++ b/crates/keeper/src/settings.rs
@@ -0,0 +1,102 @@
+//! The `fleet:` section.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use beechloft_config::{Faults, Section, reader};
+use beechloft_fleet::Drift;
+
+/// Keepers at most.
+const MOST_KEEPERS: usize = 9;
+
+/// What the section says.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FleetSettings {
+    /// The fleet's name: words of another fleet are refused.
+    pub name: String,
+    /// Where this process listens for peers; none: it only asks.
+    pub listen: Option<SocketAddr>,
+    /// All keepers.
+    pub keepers: Vec<SocketAddr>,
+    /// The folder of this keeper's log.
+    pub store: Option<PathBuf>,
+    /// How far clocks' rates may differ.
+    pub drift: Drift,
+    /// For tests: this process's clock runs at this rate.
+    pub test_clock_rate: f64,
+}
+
+impl FleetSettings {
+    /// Reads a file; all faults together, each with its line and key.
+    pub fn read(text: &str) -> Result<FleetSettings, Faults> {
+        reader::read(text, |top| fleet(&top.section("fleet")))
+    }
+
+    /// The fleet as a number, which goes with each word.
+    pub fn number(&self) -> u64 {
+        let hash = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
+        self.name.bytes().fold(0xcbf2_9ce4_8422_2325, hash)
+    }
+
+    /// A clock that goes by these settings: time since some moment before now.
+    pub fn clock(&self) -> impl Fn() -> Duration + Clone + Send + 'static {
+        let (start, rate) = (std::time::Instant::now(), self.test_clock_rate);
+        move || Duration::from_secs(1) + start.elapsed().mul_f64(rate)
+    }
+}
+
+fn fleet(s: &Section<'_>) -> FleetSettings {
+    let name = s.needed_text("name");
+    if name.is_empty() || name.len() > 64 {
+        s.fault("name", "1 to 64 bytes are needed");
+    }
+    let texts = s.texts("keepers");
+    let mut keepers: Vec<SocketAddr> = Vec::new();
+    for text in &texts {
+        match text.parse() {
+            Ok(address) if keepers.contains(&address) => {
+                s.fault("keepers", format!("{address} is there twice"));
+            }
+            Ok(address) => keepers.push(address),
+            Err(_) => s.fault("keepers", format!("'{text}' is no address with a port")),
+        }
+    }
+    if texts.is_empty() {
+        s.fault("keepers", "one at least is needed");
+    } else if texts.len().is_multiple_of(2) {
+        s.fault(
+            "keepers",
+            format!("{} are as good as {}: an odd number is needed", texts.len(), texts.len() - 1),
+        );
+    } else if texts.len() > MOST_KEEPERS {
+        s.fault("keepers", format!("{MOST_KEEPERS} at most"));
+    }
+    let ppm = s.whole("drift_ppm", 0..=99_999).unwrap_or(10_000) as u32;
+    FleetSettings {
+        name,
+        listen: s.address("listen"),
+        keepers,
+        store: s.text("store").map(PathBuf::from),
+        // Within bounds by the range above; a file with a fault there is not used.
+        drift: Drift::ppm(ppm).unwrap_or_default(),
+        test_clock_rate: s.number("test_clock_rate", 0.5..=2.0).unwrap_or(1.0),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_sound_section_is_read_and_all_faults_are_named() {
+        let text = "fleet:\n  name: market\n  listen: 127.0.0.1:7000\n  keepers: ['127.0.0.1:7000', '127.0.0.1:7001', '127.0.0.1:7002']\n  store: /tmp/x\n  drift_ppm: 200\n";
+        let read = FleetSettings::read(text).expect("sound");
+        assert_eq!((read.keepers.len(), read.name.as_str(), read.test_clock_rate), (3, "market", 1.0));
+        let bad = "fleet:\n  keepers: ['127.0.0.1:7000', '127.0.0.1:7000', 'x', '127.0.0.1:7002']\n  drift_ppm: 100000\n  seed: 3\n";
+        let faults = FleetSettings::read(bad).expect_err("faulty").to_string();
+        for said in ["name", "twice", "'x' is no address", "odd number", "drift_ppm", "seed: unknown key"] {
+            assert!(faults.contains(said), "{said} is not in {faults}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/keeper/src/wire.rs
@@ -0,0 +1,194 @@
+//! Words between processes of a fleet, behind bounds: a head, a checksum, a body.
+
+use std::io::{self, Read};
+
+use beechloft_consensus::{MemberId, Message};
+use beechloft_fleet::{Heard, Request};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Bytes of a body.
+pub const MOST: usize = 1 << 20;
+const MAGIC: [u8; 4] = *b"blft";
+const VERSION: u16 = 1;
+const HEAD: usize = 22;
+
+/// A grant, for people.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseLine {
+    /// The task.
+    pub name: String,
+    /// Holders at once at most.
+    pub places: u16,
+    /// The grant's token.
+    pub token: u64,
+    /// Whose.
+    pub holder: u64,
+    /// For how long each time, milliseconds.
+    pub ttl_ms: u32,
+    /// How often it was renewed.
+    pub renewals: u64,
+}
+
+/// A member, for people.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberLine {
+    /// Its id.
+    pub id: String,
+    /// Where it is reached.
+    pub address: String,
+    /// It votes.
+    pub voter: bool,
+}
+
+/// How a keeper stands.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StatusLine {
+    /// Its id.
+    pub id: String,
+    /// Its role.
+    pub role: String,
+    /// Its term.
+    pub term: u64,
+    /// The leader's id, as far as it knows.
+    pub leader: Option<String>,
+    /// Committed, as far as it knows.
+    pub commit: u64,
+    /// The last entry of its log.
+    pub last: u64,
+    /// The members, as it knows them.
+    pub members: Vec<MemberLine>,
+    /// Connections dropped for words that could not be read.
+    pub refused_words: u64,
+}
+
+/// A word.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Word {
+    /// A keeper says who it is.
+    Hello {
+        /// The id drawn with its folder.
+        id: MemberId,
+        /// Where it listens.
+        listen: String,
+        /// It has been a member of a group.
+        formed: bool,
+    },
+    /// For the log's machine.
+    Peer(Message),
+    /// A holder's request.
+    Ask(Request),
+    /// What became of it.
+    Heard(Heard),
+    /// This keeper does not lead; where the one is that does, if it knows.
+    NotLeader(Option<String>),
+    /// All grants, please.
+    List,
+    /// All grants.
+    Listed(Vec<LeaseLine>),
+    /// How do you stand?
+    Status,
+    /// So.
+    StatusIs(StatusLine),
+    /// A keeper that lost its disk is let go, and the one that came up in its place is let in.
+    Replace {
+        /// The one that was lost.
+        old: MemberId,
+        /// The one in its place.
+        new: MemberId,
+    },
+    /// The lost one's removal is in the log, or why not.
+    Replacing(Result<(), String>),
+}
+
+/// Why a word could not be read.
+#[derive(Debug, Error)]
+pub enum WireError {
+    /// The connection.
+    #[error("the connection: {0}")]
+    Io(#[from] io::Error),
+    /// No word of this protocol, or another version of it.
+    #[error("not a word of this version")]
+    Version,
+    /// Of another fleet.
+    #[error("a word of another fleet")]
+    Fleet,
+    /// Past the bound.
+    #[error("a word of {0} bytes")]
+    Long(usize),
+    /// A wrong checksum, or nothing that makes sense.
+    #[error("a word that makes no sense")]
+    Nonsense,
+}
+
+impl WireError {
+    /// Whether it was read in full and refused.
+    pub fn refused(&self) -> bool {
+        !matches!(self, WireError::Io(_))
+    }
+}
+
+/// The bytes of a word; none: past the bound.
+pub fn encode(fleet: u64, word: &Word) -> Option<Vec<u8>> {
+    let body = postcard::to_allocvec(word).ok().filter(|b| b.len() <= MOST)?;
+    let mut out = Vec::with_capacity(HEAD + body.len());
+    out.extend_from_slice(&MAGIC);
+    out.extend_from_slice(&VERSION.to_be_bytes());
+    out.extend_from_slice(&fleet.to_be_bytes());
+    out.extend_from_slice(&(body.len() as u32).to_be_bytes());
+    out.extend_from_slice(&crc32fast::hash(&body).to_be_bytes());
+    out.extend_from_slice(&body);
+    Some(out)
+}
+
+/// Reads a word.
+///
+/// # Errors
+/// Whatever is said in [`WireError`]; the connection is of no more use then.
+pub fn read(fleet: u64, from: &mut impl Read) -> Result<Word, WireError> {
+    let mut head = [0; HEAD];
+    from.read_exact(&mut head)?;
+    let part = |at: usize, n: usize| head[at..at + n].iter().fold(0u64, |v, b| (v << 8) | u64::from(*b));
+    if head[..4] != MAGIC || part(4, 2) != u64::from(VERSION) {
+        return Err(WireError::Version);
+    }
+    if part(6, 8) != fleet {
+        return Err(WireError::Fleet);
+    }
+    let (length, sum) = (part(14, 4) as usize, part(18, 4) as u32);
+    if length > MOST {
+        return Err(WireError::Long(length));
+    }
+    let mut body = vec![0; length];
+    from.read_exact(&mut body)?;
+    if crc32fast::hash(&body) != sum {
+        return Err(WireError::Nonsense);
+    }
+    postcard::from_bytes(&body).map_err(|_| WireError::Nonsense)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_word_is_read_as_it_was_written_and_nothing_else_is() {
+        let word = Word::Hello { id: MemberId(7), listen: "127.0.0.1:1".into(), formed: true };
+        let bytes = encode(9, &word).expect("short");
+        assert_eq!(read(9, &mut &bytes[..]).expect("sound"), word);
+        assert!(matches!(read(8, &mut &bytes[..]), Err(WireError::Fleet)));
+        // Every cut and every flipped bit is an error, never another word.
+        for cut in 0..bytes.len() {
+            assert!(matches!(read(9, &mut &bytes[..cut]), Err(WireError::Io(_))), "{cut}");
+        }
+        for bit in 0..bytes.len() * 8 {
+            let mut bad = bytes.clone();
+            bad[bit / 8] ^= 1 << (bit % 8);
+            assert!(read(9, &mut &bad[..]).is_err(), "bit {bit}");
+        }
+        let mut long = bytes.clone();
+        long[14..18].copy_from_slice(&u32::MAX.to_be_bytes());
+        assert!(matches!(read(9, &mut &long[..]), Err(WireError::Long(_))));
+        assert_eq!(encode(9, &Word::NotLeader(Some("x".repeat(MOST)))), None);
+    }
+}
