Front nodes that lose their event bus together ask again at different moments

Need: calls for lists are priced over the fleet; after a break 300 front nodes asked again at 50, 100, 200 ms and so on, all at the same instants. At fault: crates/shell/src/bus.rs, broke().

--- a/crates/herd/tests/herds.rs
+++ b/crates/herd/tests/herds.rs
@@ -5,6 +5,7 @@
 use beechloft_herd::media::Media;
 use beechloft_herd::settings::Terms;
 use beechloft_herd::{Fleet, Sum};
+use beechloft_node::Again;
 use beechloft_proto::bus::Status;
 
 const SEEDS: [u64; 3] = [1, 2, 3];
@@ -145,6 +146,35 @@
     }
 }
 
+/// Calls for the list, by all front nodes whose event bus breaks off at the same instant and is back after so long.
+fn calls(fronts: u64, seed: u64, back_after: u64) -> Vec<u64> {
+    let mut all = Vec::new();
+    for front in 0..fronts {
+        let mut again = Again::new(Micros(50_000), Micros(500_000), seed * 1_000 + front);
+        let mut at = 0;
+        while at < back_after {
+            at += again.failed().0;
+            all.push(at);
+        }
+    }
+    all.sort_unstable();
+    all
+}
+
+#[test]
+fn calls_for_lists_after_a_break_are_few_and_spread() {
+    for seed in SEEDS {
+        let all = calls(300, seed, 5 * S);
+        // Between a quarter and half of a second apart once the ladder is climbed: 20 each at most, and some at its foot.
+        assert!(all.len() <= 300 * 24, "{} calls", all.len());
+        // At the foot of the ladder they fall into 25 ms; from its top on no 10 ms have more than a tenth of them all.
+        let top = all.iter().filter(|at| **at > 2 * S).copied().collect::<Vec<_>>();
+        let most =
+            top.iter().map(|from| top.iter().filter(|t| (*from..from + 10_000).contains(*t)).count()).max();
+        assert!(most.is_some_and(|n| n <= 30), "{most:?} calls within 10 ms");
+    }
+}
+
 #[test]
 fn the_same_seed_gives_the_same_run() {
     let run = |seed| {
--- /dev/null
+++ b/crates/node/src/again.rs
@@ -0,0 +1,56 @@
+//! When to try again after a failure, by many at once.
+
+use beechloft::interface::Micros;
+
+/// A back-off with jitter: each wait is twice the one before, up to a bound, and between half of that and all of it by chance.
+/// Guards against hundreds of front nodes that lose the same event bus at the same instant and would ask again together, at
+/// each step of the same ladder.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Again {
+    first: Micros,
+    most: Micros,
+    failures: u32,
+    dice: u64,
+}
+
+impl Again {
+    /// Waits that begin at `first` and grow to `most`; `seed` is each process's own.
+    pub fn new(first: Micros, most: Micros, seed: u64) -> Again {
+        Again { first, most, failures: 0, dice: seed }
+    }
+
+    /// A try failed: how long to wait for the next.
+    pub fn failed(&mut self) -> Micros {
+        let whole = (self.first.0 << self.failures.min(16)).min(self.most.0).max(1);
+        self.failures = self.failures.saturating_add(1);
+        // Splitmix64 (Steele, Lea and Flood, 2014): enough to keep processes apart.
+        self.dice = self.dice.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let z = (self.dice ^ (self.dice >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        let half = whole / 2;
+        Micros(half + (z ^ (z >> 31)) % (whole - half + 1))
+    }
+
+    /// It went well: the next failure begins anew.
+    pub fn went_well(&mut self) {
+        self.failures = 0;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn waits_double_up_to_the_bound_and_begin_anew_after_a_success() {
+        let mut again = Again::new(Micros(50), Micros(500), 7);
+        for whole in [50, 100, 200, 400, 500, 500, 500] {
+            let wait = again.failed().0;
+            assert!((whole / 2..=whole).contains(&wait), "{wait} of {whole}");
+        }
+        again.went_well();
+        assert!(again.failed().0 <= 50);
+        let mut long = Again { failures: u32::MAX, ..again };
+        assert!(long.failed().0 <= 500);
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 mod actions;
+mod again;
 mod directory;
 pub mod io;
 mod node;
@@ -13,6 +14,7 @@
 mod timers;
 mod viewers;
 
+pub use again::Again;
 pub use io::{Broken, Input, Lane, Output, ViewerConn};
 pub use node::{Bounds, Counts, Node};
 pub use releases::Use;
--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -146,7 +146,8 @@
             probe_within: connections.connect_within,
             sessions: 8192,
         };
-        let node = Node::new(parsed, config.seed(), machine);
+        let seed = config.seed();
+        let node = Node::new(parsed, seed, machine);
         let mut listener = TcpListener::bind(config.listen)
             .map_err(|e| StartError::Io("the address can't be listened on", e))?;
         let poll = Poll::new().map_err(|e| StartError::Io("no poll", e))?;
@@ -168,7 +169,7 @@
             control: Control { hup: tell_hup, term: tell_term },
             viewers: Viewers::new(bounds),
             servers: Servers::new(bounds),
-            bus: Bus::new(config.bus, config.known.offset, bounds),
+            bus: Bus::new(config.bus, config.known.offset, bounds, seed),
             bounds,
             next: FIRST,
             inputs: VecDeque::from([Input::Known(known)]),
