Trouble on the links between keepers and holders: cut, one way, late, trickling, reset

Need: the leases' issue: faults between real processes, not only in them. Change: crates/trouble, a relay on loopback whose two directions are told at any time what to do: hold all bytes, be late, trickle; its connections are reset on demand. `fleet.test_via` leads a process to its peers by way of relays. A test of five keepers and four candidates with a relay between each two.

--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -2,12 +2,14 @@
 //! all stopped and started, a disk emptied, clocks apart. Acts go on all the time; a record of every act shows its token, and a
 //! token under one that came before it is a stale act.
 
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use beechloft_trouble::{Mood, Relay, Way};
 use rustix::process::{Pid, Signal, kill_process, kill_process_group};
 use serde_json::Value;
 
@@ -42,6 +44,8 @@
     addresses: Vec<SocketAddr>,
     keepers: Vec<Option<Process>>,
     candidates: Vec<Process>,
+    /// Between each two: who opens the connection (keepers first, then candidates) and the keeper that it leads to.
+    relays: BTreeMap<(usize, usize), Relay>,
 }
 
 fn beechloft() -> Command {
@@ -50,13 +54,25 @@
 
 impl Fleet {
     fn new(keepers: usize) -> Fleet {
+        Fleet::relayed(keepers, 0)
+    }
+
+    /// With a relay between each two keepers, and between each of so many candidates and each keeper.
+    fn relayed(keepers: usize, relayed: usize) -> Fleet {
         // Ports that were free a moment ago.
         let taken: Vec<TcpListener> =
             (0..keepers).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
         let addresses = taken.iter().map(|l| l.local_addr().expect("an address")).collect();
         drop(taken);
         let dir = tempfile::tempdir().expect("a folder");
-        let mut fleet = Fleet { dir, addresses, keepers: Vec::new(), candidates: Vec::new() };
+        let mut fleet =
+            Fleet { dir, addresses, keepers: Vec::new(), candidates: Vec::new(), relays: BTreeMap::new() };
+        // All keepers that are to be, and as many candidates as any test has.
+        for from in 0..keepers + relayed {
+            for to in (0..keepers).filter(|to| relayed > 0 && *to != from) {
+                fleet.relays.insert((from, to), Relay::start(fleet.addresses[to]).expect("a relay"));
+            }
+        }
         for n in 0..keepers {
             fleet.keepers.push(None);
             fleet.start(n);
@@ -66,15 +82,25 @@
 
     /// A file of settings; each keeper's clock runs at a rate of its own, 1% apart.
     fn settings(&self, keeper: Option<usize>) -> PathBuf {
+        self.settings_of(keeper, keeper)
+    }
+
+    /// Of a keeper, of a candidate (whose place comes after all keepers), or of whoever only looks.
+    fn settings_of(&self, keeper: Option<usize>, from: Option<usize>) -> PathBuf {
         let list: Vec<String> = self.addresses.iter().map(|a| format!("'{a}'")).collect();
         let mut text =
             format!("fleet:\n  name: test\n  keepers: [{}]\n  drift_ppm: 20000\n", list.join(", "));
         let rate = keeper.map_or(1.005, |n| 0.995 + 0.005 * (n % 3) as f64);
         text += &format!("  test_clock_rate: {rate}\n");
+        let of = |r: &((usize, usize), &Relay)| Some(r.0.0) == from;
+        let by = self.relays.iter().map(|(k, r)| (*k, r)).filter(of);
+        let via: Vec<String> =
+            by.map(|((_, to), r)| format!("'{}={}'", self.addresses[to], r.address())).collect();
+        text += &format!("  test_via: [{}]\n", via.join(", "));
         if let Some(n) = keeper {
             text += &format!("  listen: {}\n  store: {}\n", self.addresses[n], self.folder(n).display());
         }
-        let path = self.dir.path().join(keeper.map_or("asks.yaml".into(), |n| format!("k{n}.yaml")));
+        let path = self.dir.path().join(from.map_or("asks.yaml".into(), |n| format!("p{n}.yaml")));
         std::fs::write(&path, text).expect("written");
         path
     }
@@ -100,7 +126,8 @@
     fn candidate(&mut self) {
         let act = format!("while :; do echo $BEECHLOFT_FENCE >> {}; sleep 0.02; done", self.acts().display());
         let program = env!("CARGO_BIN_EXE_beechloft");
-        let (file, ttl) = (self.settings(None).display().to_string(), TTL_MS.to_string());
+        let place = self.addresses.len() + self.candidates.len();
+        let (file, ttl) = (self.settings_of(None, Some(place)).display().to_string(), TTL_MS.to_string());
         let again = "while :; do \"$@\"; sleep 0.05; done";
         let mut command = Command::new("sh");
         command.args(["-c", again, "sh", program, "lease", "hold", &file, "task", "--ttl-ms", &ttl, "--"]);
@@ -134,6 +161,20 @@
         }
     }
 
+    /// Between two, whoever opened the connection: what `from` says to `to` and the way back.
+    fn way(&self, from: usize, to: usize, way: Way) {
+        if let Some(relay) = self.relays.get(&(from, to)) {
+            relay.set(way);
+        }
+        if let Some(relay) = self.relays.get(&(to, from)) {
+            relay.set(Way { there: way.back, back: way.there });
+        }
+    }
+
+    fn heal(&self) {
+        self.relays.values().for_each(|r| r.set(Way::default()));
+    }
+
     fn tokens(&self) -> Vec<u64> {
         let text = std::fs::read_to_string(self.acts()).unwrap_or_default();
         // The last line may be half written.
@@ -155,7 +196,7 @@
     fn another_holds(&self, than: u64, what: &str) {
         let began = Instant::now();
         while self.tokens().last().is_none_or(|t| *t <= than) {
-            assert!(began.elapsed() < PATIENCE, "nobody else after {what}");
+            assert!(began.elapsed() < PATIENCE, "nobody else after {what}: {:?}", self.status());
             std::thread::sleep(Duration::from_millis(10));
         }
     }
@@ -287,6 +328,59 @@
     assert!(all.len() > 100, "{} acts", all.len());
 }
 
+#[test]
+fn acts_go_on_and_none_is_stale_whatever_links_do() {
+    let mut fleet = Fleet::relayed(5, 4);
+    fleet.leader(5);
+    (0..4).for_each(|_| fleet.candidate());
+    fleet.goes_on("the start");
+
+    // The leader is cut off together with the holder, which sees it alone.
+    let (leader, holder, token) = (fleet.leader(5), fleet.holder(), *fleet.tokens().last().expect("an act"));
+    let others = |leader| (0..5).filter(move |n| *n != leader);
+    for n in others(leader) {
+        fleet.way(leader, n, Way::cut());
+        fleet.way(5 + holder, n, Way::cut());
+    }
+    for c in (0..4).filter(|c| *c != holder) {
+        fleet.way(5 + c, leader, Way::cut());
+    }
+    fleet.another_holds(token, "the cut");
+    fleet.heal();
+    fleet.goes_on("the cut's healing");
+
+    // One way: the leader is heard and hears nobody; then it hears and is not heard.
+    let cut = Mood { cut: true, ..Mood::default() };
+    for way in [Way { back: cut, ..Way::default() }, Way { there: cut, ..Way::default() }] {
+        let leader = fleet.leader(5);
+        others(leader).for_each(|n| fleet.way(leader, n, way));
+        std::thread::sleep(Duration::from_millis(2 * TTL_MS));
+        fleet.goes_on("a cut one way");
+        fleet.heal();
+        fleet.goes_on("its healing");
+    }
+
+    // The leader's links are late by more than the lease's time.
+    let leader = fleet.leader(5);
+    others(leader).for_each(|n| fleet.way(leader, n, Way::late(Duration::from_millis(2_000))));
+    std::thread::sleep(Duration::from_millis(2 * TTL_MS));
+    fleet.goes_on("late links");
+    fleet.heal();
+    fleet.goes_on("their healing");
+
+    // All links trickle, and all connections are reset again and again.
+    let slow = Mood { trickle: Some(20_000), ..Mood::default() };
+    fleet.relays.values().for_each(|r| r.set(Way { there: slow, back: slow }));
+    for _ in 0..5 {
+        fleet.relays.values().for_each(Relay::reset);
+        std::thread::sleep(Duration::from_millis(300));
+    }
+    fleet.goes_on("links that trickle and break");
+    fleet.heal();
+    fleet.goes_on("their healing");
+    no_stale_act(&fleet.tokens());
+}
+
 fn text_of(out: &std::process::Output) -> String {
     String::from_utf8_lossy(&out.stderr).into_owned()
 }
--- a/crates/keeper/src/client.rs
+++ b/crates/keeper/src/client.rs
@@ -25,7 +25,7 @@
 
 /// Asks a keeper, and hears what it says first.
 pub fn call(set: &FleetSettings, keeper: SocketAddr, word: &Word, within: Duration) -> Option<Word> {
-    let mut stream = TcpStream::connect_timeout(&keeper, within).ok()?;
+    let mut stream = TcpStream::connect_timeout(&set.reach(keeper), within).ok()?;
     stream.set_read_timeout(Some(within)).ok()?;
     stream.set_write_timeout(Some(within)).ok()?;
     stream.write_all(&wire::encode(set.number(), word)?).ok()?;
@@ -109,7 +109,7 @@
         if let Some((_, old)) = self.conn.take() {
             let _ = old.shutdown(Shutdown::Both);
         }
-        let stream = TcpStream::connect_timeout(&self.set.keepers[at], CONNECT).ok()?;
+        let stream = TcpStream::connect_timeout(&self.set.reach(self.set.keepers[at]), CONNECT).ok()?;
         let _ = stream.set_nodelay(true);
         stream.set_write_timeout(Some(WRITE)).ok()?;
         let (mut reads, number, heard) = (stream.try_clone().ok()?, self.set.number(), self.hears.clone());
--- a/crates/keeper/src/engine.rs
+++ b/crates/keeper/src/engine.rs
@@ -111,8 +111,8 @@
                 let formed = *known.lock().unwrap_or_else(PoisonError::into_inner);
                 wire::encode(number, &Word::Hello { id, listen: address.to_string(), formed })
             };
-            let link =
-                Peer::start(*peer, hello, Arc::clone(&end)).map_err(|e| StartError::Io("no threads", e))?;
+            let link = Peer::start(set.reach(*peer), hello, Arc::clone(&end))
+                .map_err(|e| StartError::Io("no threads", e))?;
             peers.insert(*peer, link);
         }
         info!(id = %id, %address, fleet = set.name, "keeper is up");
--- a/crates/keeper/src/settings.rs
+++ b/crates/keeper/src/settings.rs
@@ -1,5 +1,6 @@
 //! The `fleet:` section.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -25,6 +26,8 @@
     pub drift: Drift,
     /// For tests: this process's clock runs at this rate.
     pub test_clock_rate: f64,
+    /// For tests: keepers that are reached by way of another address.
+    pub test_via: BTreeMap<SocketAddr, SocketAddr>,
 }
 
 impl FleetSettings {
@@ -39,6 +42,11 @@
         self.name.bytes().fold(0xcbf2_9ce4_8422_2325, hash)
     }
 
+    /// Where a keeper is reached.
+    pub fn reach(&self, keeper: SocketAddr) -> SocketAddr {
+        self.test_via.get(&keeper).copied().unwrap_or(keeper)
+    }
+
     /// A clock that goes by these settings: time since some moment before now.
     pub fn clock(&self) -> impl Fn() -> Duration + Clone + Send + 'static {
         let (start, rate) = (std::time::Instant::now(), self.test_clock_rate);
@@ -81,7 +89,21 @@
         // Within bounds by the range above; a file with a fault there is not used.
         drift: Drift::ppm(ppm).unwrap_or_default(),
         test_clock_rate: s.number("test_clock_rate", 0.5..=2.0).unwrap_or(1.0),
+        test_via: via(s),
+    }
+}
+
+/// `KEEPER=ADDRESS`, each.
+fn via(s: &Section<'_>) -> BTreeMap<SocketAddr, SocketAddr> {
+    let mut all = BTreeMap::new();
+    for text in s.texts("test_via") {
+        let pair = text.split_once('=').and_then(|(a, b)| Some((a.parse().ok()?, b.parse().ok()?)));
+        match pair {
+            Some((keeper, address)) => drop(all.insert(keeper, address)),
+            None => s.fault("test_via", format!("'{text}' is not KEEPER=ADDRESS")),
+        }
     }
+    all
 }
 
 #[cfg(test)]
