--- a/src/choice.rs
+++ b/src/choice.rs
@@ -155,9 +155,8 @@
         self.stale = true;
     }
 
-    /// Lets go of servers that are off the list, with nothing of this front's there, for longer than any rest
-    /// lasts. Guards against memory that grows by each server that is replaced; a list that flaps keeps what is
-    /// known of its servers.
+    /// Lets go of servers off the list, with nothing of this front's there, for longer than any rest. Guards
+    /// against memory that grows by each server that is replaced; a list that flaps keeps what is known.
     fn forget(&mut self) {
         let (now, rest) = (self.now, Micros(SHUT.0 << MAX_STRIKES));
         self.servers.retain(|_, s| {
