--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -478,3 +478,79 @@
     let mut keeper = keeper;
     assert_eq!(keeper.0.wait().expect("it ends").code(), Some(0));
 }
+
+/// The longest time in which no act was added, while `during` lasts.
+fn longest_gap(fleet: &Fleet, during: Duration) -> Duration {
+    let (began, mut last, mut count) = (Instant::now(), Instant::now(), fleet.tokens().len());
+    let mut longest = Duration::ZERO;
+    while began.elapsed() < during {
+        std::thread::sleep(Duration::from_millis(5));
+        let now = fleet.tokens().len();
+        if now != count {
+            longest = longest.max(last.elapsed());
+            (count, last) = (now, Instant::now());
+        }
+    }
+    longest.max(last.elapsed())
+}
+
+/// Outside CI: `cargo test --release -p beechloft-cli --test fleet figures -- --ignored --nocapture`.
+#[test]
+#[ignore = "figures for docs/fleet.md, a minute"]
+fn figures() {
+    use beechloft_fleet::{Holder, HolderId, HolderInput, HolderOutput, Name, Terms};
+    use beechloft_keeper::FleetSettings;
+    use beechloft_keeper::client::Way as ToKeepers;
+    let mut fleet = Fleet::new(5);
+    fleet.leader(5);
+    let text = std::fs::read_to_string(fleet.settings(None)).expect("read");
+    let set = FleetSettings::read(&text).expect("sound");
+    let clock = set.clock();
+    let name = Name::try_from("figures".to_owned()).expect("a name");
+    let terms = Terms { name, places: 1, ttl_ms: 3_000 };
+    let mut holder = Holder::new(HolderId(7), terms, set.drift, 1);
+    let mut way = ToKeepers::new(set);
+    let mut grants = Vec::new();
+    while grants.len() < 500 {
+        let began = Instant::now();
+        let (mut input, mut held) = (HolderInput::Want, false);
+        while !held || !holder.is_idle() {
+            for output in holder.handle(clock(), input) {
+                match output {
+                    HolderOutput::Send(request) => way.send(request),
+                    HolderOutput::Held(_) => {
+                        held = true;
+                        grants.push(began.elapsed());
+                    }
+                    other => panic!("{other:?}"),
+                }
+            }
+            input = if held && grants.len() % 1_000 > 0 && holder.permit(clock()).is_some() {
+                HolderInput::GiveBack
+            } else {
+                way.hear(Duration::from_millis(5)).unwrap_or(HolderInput::Tick)
+            };
+        }
+    }
+    grants.sort_unstable();
+    println!("grant p50 {:?} p99 {:?}", grants[grants.len() / 2], grants[grants.len() * 99 / 100]);
+    (0..8).for_each(|_| fleet.candidate());
+    fleet.goes_on("the start");
+    for _ in 0..5 {
+        let holder = fleet.holder();
+        drop(fleet.candidates.remove(holder));
+        fleet.candidate();
+        println!(
+            "holder killed, ttl {TTL_MS} ms: no act for {:?}",
+            longest_gap(&fleet, Duration::from_secs(4))
+        );
+    }
+    for _ in 0..5 {
+        let leader = fleet.leader(5);
+        fleet.kill(leader);
+        let gap = longest_gap(&fleet, Duration::from_secs(4));
+        fleet.start(leader);
+        println!("leader killed: no act for {gap:?}");
+        std::thread::sleep(Duration::from_secs(1));
+    }
+}
