--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -175,6 +175,37 @@
         self.relays.values().for_each(|r| r.set(Way::default()));
     }
 
+    /// A keeper's disk is emptied, and it starts again.
+    fn empty(&mut self, n: usize) {
+        self.kill(n);
+        std::fs::remove_dir_all(self.folder(n)).expect("removed");
+        self.start(n);
+    }
+
+    /// Has a keeper whose disk was emptied take the place of its old self, by its own new id or by another.
+    fn replace(&self, lost: usize, new: Option<&str>) -> std::process::Output {
+        let until = Instant::now() + PATIENCE;
+        let address = self.addresses[lost].to_string();
+        loop {
+            let all = self.status();
+            let own = all[lost]["status"]["id"].as_str().map(str::to_owned);
+            let leads = |v: &&Value| v["status"]["role"] == "leader";
+            let members = all.iter().find(leads).and_then(|v| v["status"]["members"].as_array().cloned());
+            let old = members.into_iter().flatten().find(|m| m["address"] == address.as_str());
+            if let (Some(own), Some(old)) = (own, old.as_ref().and_then(|m| m["id"].as_str())) {
+                let mut c = beechloft();
+                c.args(["keeper", "replace"]).arg(self.settings(None)).args([old, new.unwrap_or(&own)]);
+                let out = c.output().expect("it runs");
+                // The new one says who it is now and then; until it has, nobody is known to be there.
+                if !text_of(&out).contains("nobody has come up") && !text_of(&out).contains("under way") {
+                    return out;
+                }
+            }
+            assert!(Instant::now() < until, "nobody can be replaced: {all:?}");
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    }
+
     fn tokens(&self) -> Vec<u64> {
         let text = std::fs::read_to_string(self.acts()).unwrap_or_default();
         // The last line may be half written.
@@ -296,28 +327,16 @@
     // A keeper's disk is emptied: it is another one, stays out, and the rest go on without it.
     let leader = fleet.leader(5);
     let lost = (leader + 1) % 5;
-    fleet.kill(lost);
-    std::fs::remove_dir_all(fleet.folder(lost)).expect("removed");
-    fleet.start(lost);
+    fleet.empty(lost);
     fleet.goes_on("a disk that was emptied");
     std::thread::sleep(Duration::from_millis(1_000));
     let all = fleet.status();
     assert_eq!(all[lost]["status"]["members"].as_array().map(Vec::len), Some(0), "it is no member: {all:?}");
 
-    // It takes its old self's place once an operator says so.
-    let id = |v: &Value| v["status"]["id"].as_str().expect("an id").to_owned();
-    let new = id(&all[lost]);
-    let address = fleet.addresses[lost].to_string();
-    let members = all[leader]["status"]["members"].as_array().expect("members").clone();
-    let old = members.iter().find(|m| m["address"] == address.as_str()).expect("its old self")["id"].clone();
-    let old = old.as_str().expect("an id");
-    let replace = |old: &str, new: &str| {
-        let mut c = beechloft();
-        c.args(["keeper", "replace"]).arg(fleet.settings(None)).args([old, new]).output().expect("it runs")
-    };
-    let wrong = replace(old, "00000000000000aa");
+    // It takes its old self's place once an operator says so, and nobody else's id does.
+    let wrong = fleet.replace(lost, Some("00000000000000aa"));
     assert_eq!(wrong.status.code(), Some(1), "{}", text_of(&wrong));
-    let out = replace(old, &new);
+    let out = fleet.replace(lost, None);
     assert_eq!(out.status.code(), Some(0), "{}", text_of(&out));
     fleet.leader(5);
     fleet.goes_on("a keeper that was replaced");
@@ -328,6 +347,28 @@
     assert!(all.len() > 100, "{} acts", all.len());
 }
 
+#[test]
+fn two_of_five_keepers_are_lost_with_their_disks_and_replaced_while_acts_go_on() {
+    let mut fleet = Fleet::new(5);
+    let leader = fleet.leader(5);
+    (0..4).for_each(|_| fleet.candidate());
+    fleet.goes_on("the start");
+    // The leader is one of them.
+    let lost = [leader, (leader + 2) % 5];
+    lost.iter().for_each(|n| fleet.empty(*n));
+    fleet.goes_on("two disks that were emptied");
+    for n in lost {
+        let out = fleet.replace(n, None);
+        assert_eq!(out.status.code(), Some(0), "{}", text_of(&out));
+        fleet.goes_on("a keeper that was replaced");
+    }
+    // They count now: two others may go.
+    fleet.leader(5);
+    (0..5).filter(|n| !lost.contains(n)).take(2).for_each(|n| fleet.kill(n));
+    fleet.goes_on("the end of two others");
+    no_stale_act(&fleet.tokens());
+}
+
 #[test]
 fn acts_go_on_and_none_is_stale_whatever_links_do() {
     let mut fleet = Fleet::relayed(5, 4);
