A keeper past its bound turns requests away itself, without asking the log

Need: read over: past 4,096 waiting requests a proposal of a megabyte was made for each further one, only to be refused as too long; memory and time for nothing just when there is too much to do. Change: what is past the bound is told `Busy` with the next outputs. Measured: a new test asks for 100 more than the bound: 100 are told busy, 4,096 are answered; the lease tests pass.

--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -79,6 +79,8 @@
     applied: Index,
     snapshot_at: Index,
     tickets: u64,
+    /// What was turned away before the log was asked, to be told with the next outputs.
+    turned_away: Vec<Waits>,
     /// By ticket, until the log has taken it or not.
     untaken: BTreeMap<Ticket, Waits>,
     /// By place, until it is committed.
@@ -113,6 +115,7 @@
             applied: at,
             snapshot_at: at,
             tickets: OWN,
+            turned_away: Vec::new(),
             untaken: BTreeMap::new(),
             uncommitted: BTreeMap::new(),
             deadlines: BTreeMap::new(),
@@ -184,13 +187,14 @@
     }
 
     fn propose(&mut self, command: &Command, waits: Waits, out: &mut Outputs) {
-        let ticket = self.wait(waits);
-        // Past the bound it is refused by a proposal that is too long for any log.
-        let full = self.uncommitted.len() + self.untaken.len() > MOST_WAITING;
-        match postcard::to_allocvec(command) {
-            Ok(bytes) if !full => self.raft.handle(self.now, Input::Propose(ticket, bytes.into()), out),
-            _ => self.raft.handle(self.now, Input::Propose(ticket, vec![0; 1 << 20].into()), out),
+        // Past the bound it is refused here, before the log is asked.
+        if self.uncommitted.len() + self.untaken.len() >= MOST_WAITING {
+            return self.turned_away.push(waits);
         }
+        // Only a value that has no length beforehand could fail, and a command has none such.
+        let Ok(bytes) = postcard::to_allocvec(command) else { return self.turned_away.push(waits) };
+        let ticket = self.wait(waits);
+        self.raft.handle(self.now, Input::Propose(ticket, bytes.into()), out);
     }
 
     /// Sees whether it has begun to lead. A new leader gives all that was granted its full time again: it does not know when
@@ -258,6 +262,7 @@
         self.now = self.now.max(now);
         let Released { messages, restored, committed, taken, reads, members: _ } = released;
         let mut out: Vec<KeeperOutput> = messages.into_iter().map(KeeperOutput::Peer).collect();
+        out.extend(self.turned_away.drain(..).filter_map(|waits| refused(waits, Refused::Busy)));
         if let Some(snapshot) = restored {
             self.table = Table::read(&snapshot.state)?;
             #[cfg(feature = "planted")]
@@ -343,3 +348,47 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::words::{Name, Op};
+    use beechloft_consensus::{Disk, Membership, Save};
+
+    struct Nowhere;
+
+    impl Disk for Nowhere {
+        type Error = std::convert::Infallible;
+
+        fn save(&mut self, _: &Save) -> Result<(), Self::Error> {
+            Ok(())
+        }
+    }
+
+    #[test]
+    fn past_the_bound_requests_are_turned_away_at_once_and_all_are_told() {
+        let stored = Stored::first(Membership::of([(MemberId(1), "a".into())]));
+        let drift = Drift::ppm(100).expect("within bounds");
+        let mut keeper =
+            Keeper::new(MemberId(1), Settings::default(), stored, drift, 1, Duration::ZERO).expect("a table");
+        let (now, mut out) = (Duration::from_secs(2), Outputs::default());
+        keeper.handle(now, Asked::Tick, &mut out);
+        assert!(keeper.raft().leads());
+        let more = 100;
+        for n in 0..MOST_WAITING as u64 + more {
+            let name = Name::try_from("task".to_owned()).expect("a name");
+            let op = Op::Acquire { name, places: 1, ttl_ms: 1_000 };
+            keeper.handle(
+                now,
+                Asked::Request(ClientId(n), Request { holder: HolderId(n), seq: 1, op }),
+                &mut out,
+            );
+        }
+        let Ok(released) = out.commit(&mut Nowhere);
+        let told = keeper.released(now, released).expect("a table");
+        let busy = told.iter().filter(|o| matches!(o, KeeperOutput::Heard(_, Heard::Busy))).count();
+        let answered =
+            told.iter().filter(|o| matches!(o, KeeperOutput::Heard(_, Heard::Answer { .. }))).count();
+        assert_eq!((busy as u64, answered), (more, MOST_WAITING));
+    }
+}
