Members on UDP, whom a process sees by `fleet members`, and a relay for datagrams

Change: Peers, one thread and one UDP socket on fleet.listen around the machine; keepers whose settings name seeds are members; settings keys zone, zones and seeds with their faults (a zone that is not there, an address twice, a listen address that nobody can reach); words Members and MembersAre; `beechloft fleet members FILE [--of ADDRESS] [--json]`. A datagram for another fleet, of another version, too long, cut or with a wrong checksum is dropped and counted. crates/trouble: udp::Relay, which loses, doubles, delays and cuts by a seed.

Measured: every cut and every flipped bit of a datagram is refused; the relay's own tests see loss, copies, overtaking and each direction cut.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -79,6 +79,17 @@
 
 #[derive(Debug, Subcommand)]
 pub enum Fleet {
+    /// Print whom a process of the fleet sees: its own address's if it has one, else a seed's or a keeper's
+    Members {
+        /// The settings, with a `fleet` section
+        file: PathBuf,
+        /// Ask the process at this address
+        #[arg(long)]
+        of: Option<std::net::SocketAddr>,
+        /// As JSON lines
+        #[arg(long)]
+        json: bool,
+    },
     /// Print how each keeper stands
     Status {
         /// The settings, with a `fleet` section
@@ -157,7 +168,44 @@
 
 /// Runs one of `fleet`'s.
 pub fn fleet(command: &Fleet) -> ExitCode {
-    let Fleet::Status { file, json } = command;
+    match command {
+        Fleet::Members { file, of, json } => members(file, *of, *json),
+        Fleet::Status { file, json } => status(file, *json),
+    }
+}
+
+fn members(file: &Path, of: Option<std::net::SocketAddr>, json: bool) -> ExitCode {
+    let set = match settings(file) {
+        Ok(set) => set,
+        Err(code) => return code,
+    };
+    let anyone = set.listen.into_iter().chain(set.seeds.iter().copied()).chain(set.keepers.iter().copied());
+    let asked: Vec<_> = of.map_or_else(|| anyone.collect(), |of| vec![of]);
+    let mut seen = asked.iter().filter_map(|at| client::members(&set, *at, Duration::from_secs(1)));
+    let Some(mut lines) = seen.next() else {
+        return fail(1, "no member answers");
+    };
+    lines.sort_by(|a, b| (&a.zone, &a.address, &a.id).cmp(&(&b.zone, &b.address, &b.id)));
+    for l in lines {
+        if json {
+            println!("{}", serde_json::to_string(&l).unwrap_or_default());
+        } else {
+            let zone = if l.zone.is_empty() { "-" } else { &l.zone };
+            let mark = if l.asked { "  (asked)" } else { "" };
+            println!(
+                "{}  {}  {}  {zone}  {} for {} s{mark}",
+                l.id,
+                l.address,
+                l.kind,
+                l.life,
+                l.since_ms / 1_000
+            );
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+fn status(file: &Path, json: bool) -> ExitCode {
     let set = match settings(file) {
         Ok(set) => set,
         Err(code) => return code,
@@ -166,7 +214,7 @@
     for keeper in &set.keepers {
         let status = client::status(&set, *keeper, Duration::from_millis(1_000));
         reached += usize::from(status.is_some());
-        if *json {
+        if json {
             println!("{}", serde_json::json!({"keeper": keeper.to_string(), "status": status}));
         } else {
             match status {
--- a/crates/keeper/src/client.rs
+++ b/crates/keeper/src/client.rs
@@ -23,6 +23,14 @@
     }
 }
 
+/// Asks a process of the fleet whom it sees; none: it does not answer, or is no member.
+pub fn members(set: &FleetSettings, of: SocketAddr, within: Duration) -> Option<Vec<wire::SeenLine>> {
+    match call(set, of, &Word::Members, within)? {
+        Word::MembersAre(seen) => seen,
+        _ => None,
+    }
+}
+
 /// Asks a keeper, and hears what it says first.
 pub fn call(set: &FleetSettings, keeper: SocketAddr, word: &Word, within: Duration) -> Option<Word> {
     let mut stream = TcpStream::connect_timeout(&set.reach(keeper), within).ok()?;
--- a/crates/keeper/src/engine.rs
+++ b/crates/keeper/src/engine.rs
@@ -12,12 +12,14 @@
     Change, Disk, Input, MemberId, Membership, Outputs, Save, Settings, Snapshot, Stored, Ticket,
 };
 use beechloft_fleet::{Asked, ClientId, Heard, Keeper, KeeperOutput, Table, TableError};
+use beechloft_members::Kind;
 use beechloft_store::StoreError;
 use crossbeam_channel::{Receiver, RecvTimeoutError, bounded};
 use thiserror::Error;
 use tracing::{info, warn};
 
 use crate::links::{Came, ConnId, Conns, Peer};
+use crate::peers::Peers;
 use crate::settings::FleetSettings;
 use crate::store::{LogStore, OpenError};
 use crate::wire::{self, LeaseLine, MemberLine, StatusLine, Word};
@@ -81,6 +83,8 @@
     /// Who asked for a change that the log has not taken yet.
     asked: BTreeMap<Ticket, ConnId>,
     clock: Box<dyn Fn() -> Duration + Send>,
+    /// As a member, if its settings name seeds.
+    members: Option<Peers>,
 }
 
 impl Keeping {
@@ -115,6 +119,10 @@
                 .map_err(|e| StartError::Io("no threads", e))?;
             peers.insert(*peer, link);
         }
+        let members = match set.seeds.is_empty() {
+            true => None,
+            false => Some(Peers::start(&set, Kind::Keeper).map_err(|e| StartError::Io("no member", e))?),
+        };
         info!(id = %id, %address, fleet = set.name, "keeper is up");
         Ok(Keeping {
             look_at: clock(),
@@ -132,6 +140,7 @@
             tickets: 0,
             asked: BTreeMap::new(),
             clock,
+            members,
         })
     }
 
@@ -168,6 +177,9 @@
             let formed = self.keeper.status().members.iter().next().is_some();
             *self.formed.lock().unwrap_or_else(PoisonError::into_inner) |= formed;
         }
+        if let Some(members) = &self.members {
+            members.leave();
+        }
         info!("keeper ends");
         Ok(())
     }
@@ -189,7 +201,12 @@
             Word::Ask(_) | Word::List => self.say(conn, &Word::Heard(Heard::Busy)),
             Word::Status => self.say(conn, &Word::StatusIs(self.status())),
             Word::Replace { old, new } => self.replace(conn, old, new, out),
-            Word::Heard(_)
+            Word::Members => {
+                let seen = self.members.as_ref().map(Peers::seen);
+                self.say(conn, &Word::MembersAre(seen));
+            }
+            Word::MembersAre(_)
+            | Word::Heard(_)
             | Word::NotLeader(_)
             | Word::Listed(_)
             | Word::StatusIs(_)
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -5,6 +5,9 @@
 //! queue between: a peer that does not read costs its own messages and nobody else's time. What can't be queued is dropped;
 //! the machine sends it again.
 //!
+//! [`Peers`] is this process as a member of the fleet: one thread with a UDP socket around `beechloft_members::Swim`, on the
+//! address that keepers have for TCP.
+//!
 //! Peers listen on an address of their own, meant for a private network: there is no sign-in. A word for another fleet, of
 //! another version, too long or with a wrong checksum costs its connection, and is counted.
 #![forbid(unsafe_code)]
@@ -12,10 +15,12 @@
 pub mod client;
 mod engine;
 mod links;
+mod peers;
 mod settings;
 mod store;
 pub mod wire;
 
 pub use engine::{Keeping, StartError};
+pub use peers::Peers;
 pub use settings::FleetSettings;
 pub use store::{LogStore, OpenError};
--- a/crates/keeper/src/settings.rs
+++ b/crates/keeper/src/settings.rs
@@ -7,9 +7,12 @@
 
 use beechloft_config::{Faults, Section, reader};
 use beechloft_fleet::Drift;
+use beechloft_members::Zone;
 
 /// Keepers at most.
 const MOST_KEEPERS: usize = 9;
+/// Seeds at most.
+const MOST_SEEDS: usize = 16;
 
 /// What the section says.
 #[derive(Debug, Clone, PartialEq)]
@@ -24,6 +27,10 @@
     pub store: Option<PathBuf>,
     /// How far clocks' rates may differ.
     pub drift: Drift,
+    /// This process's zone.
+    pub zone: Zone,
+    /// Where others are looked for at first; none: this process is no member.
+    pub seeds: Vec<SocketAddr>,
     /// For tests: this process's clock runs at this rate.
     pub test_clock_rate: f64,
     /// For tests: keepers that are reached by way of another address.
@@ -33,7 +40,12 @@
 impl FleetSettings {
     /// Reads a file; all faults together, each with its line and key.
     pub fn read(text: &str) -> Result<FleetSettings, Faults> {
-        reader::read(text, |top| fleet(&top.section("fleet")))
+        reader::read(text, |top| FleetSettings::of(&top.section("fleet"), None))
+    }
+
+    /// Reads the section of a file that says more than this; `zones` are those that the rest of it names.
+    pub fn of(section: &Section<'_>, zones: Option<&[String]>) -> FleetSettings {
+        fleet(section, zones)
     }
 
     /// The fleet as a number, which goes with each word.
@@ -47,44 +59,50 @@
         self.test_via.get(&keeper).copied().unwrap_or(keeper)
     }
 
+    /// Which process is reached by way of this address, or else the address.
+    pub fn behind(&self, address: SocketAddr) -> SocketAddr {
+        self.test_via.iter().find(|(_, via)| **via == address).map_or(address, |(process, _)| *process)
+    }
+
     /// A clock that goes by these settings: time since some moment before now.
-    pub fn clock(&self) -> impl Fn() -> Duration + Clone + Send + 'static {
+    pub fn clock(&self) -> impl Fn() -> Duration + Clone + Send + Sync + 'static {
         let (start, rate) = (std::time::Instant::now(), self.test_clock_rate);
         move || Duration::from_secs(1) + start.elapsed().mul_f64(rate)
     }
 }
 
-fn fleet(s: &Section<'_>) -> FleetSettings {
+fn fleet(s: &Section<'_>, zones: Option<&[String]>) -> FleetSettings {
     let name = s.needed_text("name");
     if name.is_empty() || name.len() > 64 {
         s.fault("name", "1 to 64 bytes are needed");
     }
-    let texts = s.texts("keepers");
-    let mut keepers: Vec<SocketAddr> = Vec::new();
-    for text in &texts {
-        match text.parse() {
-            Ok(address) if keepers.contains(&address) => {
-                s.fault("keepers", format!("{address} is there twice"));
-            }
-            Ok(address) => keepers.push(address),
-            Err(_) => s.fault("keepers", format!("'{text}' is no address with a port")),
-        }
-    }
-    if texts.is_empty() {
+    let keepers = addresses(s, "keepers");
+    let count = s.texts("keepers").len();
+    if count == 0 {
         s.fault("keepers", "one at least is needed");
-    } else if texts.len().is_multiple_of(2) {
-        s.fault(
-            "keepers",
-            format!("{} are as good as {}: an odd number is needed", texts.len(), texts.len() - 1),
-        );
-    } else if texts.len() > MOST_KEEPERS {
+    } else if count.is_multiple_of(2) {
+        s.fault("keepers", format!("{count} are as good as {}: an odd number is needed", count - 1));
+    } else if count > MOST_KEEPERS {
         s.fault("keepers", format!("{MOST_KEEPERS} at most"));
     }
+    let listen: Option<SocketAddr> = s.address("listen");
+    let seeds = addresses(s, "seeds");
+    if seeds.len() > MOST_SEEDS {
+        s.fault("seeds", format!("{MOST_SEEDS} at most"));
+    }
+    if s.has("seeds") && listen.is_none() {
+        s.fault("seeds", "others reach a member at fleet.listen, which is missing");
+    }
+    if s.has("seeds") && listen.is_some_and(|l| l.ip().is_unspecified()) {
+        s.fault("listen", "others are told this address, and can't reach this one");
+    }
     let ppm = s.whole("drift_ppm", 0..=99_999).unwrap_or(10_000) as u32;
     FleetSettings {
         name,
-        listen: s.address("listen"),
+        zone: zone(s, zones),
+        listen,
         keepers,
+        seeds,
         store: s.text("store").map(PathBuf::from),
         // Within bounds by the range above; a file with a fault there is not used.
         drift: Drift::ppm(ppm).unwrap_or_default(),
@@ -93,6 +111,33 @@
     }
 }
 
+/// Addresses with ports, none of them twice.
+fn addresses(s: &Section<'_>, key: &'static str) -> Vec<SocketAddr> {
+    let mut all: Vec<SocketAddr> = Vec::new();
+    for text in s.texts(key) {
+        match text.parse() {
+            Ok(address) if all.contains(&address) => s.fault(key, format!("{address} is there twice")),
+            Ok(address) => all.push(address),
+            Err(_) => s.fault(key, format!("'{text}' is no address with a port")),
+        }
+    }
+    all
+}
+
+/// The zone, which is one of those that there are, if any are named.
+fn zone(s: &Section<'_>, zones: Option<&[String]>) -> Zone {
+    let listed = s.texts("zones");
+    let known = zones.filter(|z| !z.is_empty()).unwrap_or(&listed);
+    let text = s.text("zone").unwrap_or_default();
+    if !text.is_empty() && !known.is_empty() && !known.contains(&text) {
+        s.fault("zone", format!("there is no zone '{text}'; there are {}", known.join(", ")));
+    }
+    Zone::try_from(text).unwrap_or_else(|e| {
+        s.fault("zone", e.to_string());
+        Zone::default()
+    })
+}
+
 /// `KEEPER=ADDRESS`, each.
 fn via(s: &Section<'_>) -> BTreeMap<SocketAddr, SocketAddr> {
     let mut all = BTreeMap::new();
@@ -115,9 +160,20 @@
         let text = "fleet:\n  name: market\n  listen: 127.0.0.1:7000\n  keepers: ['127.0.0.1:7000', '127.0.0.1:7001', '127.0.0.1:7002']\n  store: /tmp/x\n  drift_ppm: 200\n";
         let read = FleetSettings::read(text).expect("sound");
         assert_eq!((read.keepers.len(), read.name.as_str(), read.test_clock_rate), (3, "market", 1.0));
-        let bad = "fleet:\n  keepers: ['127.0.0.1:7000', '127.0.0.1:7000', 'x', '127.0.0.1:7002']\n  drift_ppm: 100000\n  seed: 3\n";
+        let bad = "fleet:\n  keepers: ['127.0.0.1:7000', '127.0.0.1:7000', 'x', '127.0.0.1:7002']\n  drift_ppm: 100000\n  seed: 3\n  zones: [a, b]\n  zone: c\n  seeds: ['127.0.0.1:1', y]\n";
         let faults = FleetSettings::read(bad).expect_err("faulty").to_string();
-        for said in ["name", "twice", "'x' is no address", "odd number", "drift_ppm", "seed: unknown key"] {
+        let all = [
+            "name",
+            "twice",
+            "'x' is no address",
+            "odd number",
+            "drift_ppm",
+            "seed: unknown key",
+            "no zone 'c'; there are a, b",
+            "'y' is no address",
+            "fleet.listen, which is missing",
+        ];
+        for said in all {
             assert!(faults.contains(said), "{said} is not in {faults}");
         }
     }
--- a/crates/keeper/src/wire.rs
+++ b/crates/keeper/src/wire.rs
@@ -4,11 +4,15 @@
 
 use beechloft_consensus::{MemberId, Message};
 use beechloft_fleet::{Heard, Request};
+use beechloft_members::Packet;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 /// Bytes of a body.
 pub const MOST: usize = 1 << 20;
+/// Bytes of a datagram between members, head and all.
+pub const MOST_DATAGRAM: usize = 1_432;
 const MAGIC: [u8; 4] = *b"blft";
 const VERSION: u16 = 1;
 const HEAD: usize = 22;
@@ -99,6 +103,10 @@
     },
     /// The lost one's removal is in the log, or why not.
     Replacing(Result<(), String>),
+    /// Whom do you see?
+    Members,
+    /// These; none: it is no member itself, as its settings name no seeds.
+    MembersAre(Option<Vec<SeenLine>>),
 }
 
 /// Why a word could not be read.
@@ -128,9 +136,50 @@
     }
 }
 
+/// A member of the fleet as another one sees it, for people.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SeenLine {
+    /// Its id, drawn at its start.
+    pub id: String,
+    /// Where it is reached.
+    pub address: String,
+    /// Its zone.
+    pub zone: String,
+    /// `front` or `keeper`.
+    pub kind: String,
+    /// `alive`, `suspected`, `gone` or `left`.
+    pub life: String,
+    /// For how long so, as the one asked saw it, milliseconds.
+    pub since_ms: u64,
+    /// For how long it is known there at all, milliseconds.
+    pub known_ms: u64,
+    /// How often it refuted what was said of it.
+    pub incarnation: u64,
+    /// It is the one that was asked.
+    pub asked: bool,
+}
+
 /// The bytes of a word; none: past the bound.
 pub fn encode(fleet: u64, word: &Word) -> Option<Vec<u8>> {
-    let body = postcard::to_allocvec(word).ok().filter(|b| b.len() <= MOST)?;
+    framed(fleet, word, MOST)
+}
+
+/// The bytes of a packet between members; none: past the bound, which no machine's packet is.
+pub fn datagram(fleet: u64, packet: &Packet) -> Option<Vec<u8>> {
+    framed(fleet, packet, MOST_DATAGRAM - HEAD)
+}
+
+/// Reads a packet, which is all of a datagram.
+///
+/// # Errors
+/// Whatever is said in [`WireError`]; it is dropped then.
+pub fn read_datagram(fleet: u64, mut bytes: &[u8]) -> Result<Packet, WireError> {
+    let packet = unframed(fleet, &mut bytes)?;
+    if bytes.is_empty() { Ok(packet) } else { Err(WireError::Nonsense) }
+}
+
+fn framed(fleet: u64, what: &impl Serialize, most: usize) -> Option<Vec<u8>> {
+    let body = postcard::to_allocvec(what).ok().filter(|b| b.len() <= most)?;
     let mut out = Vec::with_capacity(HEAD + body.len());
     out.extend_from_slice(&MAGIC);
     out.extend_from_slice(&VERSION.to_be_bytes());
@@ -146,6 +195,10 @@
 /// # Errors
 /// Whatever is said in [`WireError`]; the connection is of no more use then.
 pub fn read(fleet: u64, from: &mut impl Read) -> Result<Word, WireError> {
+    unframed(fleet, from)
+}
+
+fn unframed<T: DeserializeOwned>(fleet: u64, from: &mut impl Read) -> Result<T, WireError> {
     let mut head = [0; HEAD];
     from.read_exact(&mut head)?;
     let part = |at: usize, n: usize| head[at..at + n].iter().fold(0u64, |v, b| (v << 8) | u64::from(*b));
@@ -191,4 +244,24 @@
         assert!(matches!(read(9, &mut &long[..]), Err(WireError::Long(_))));
         assert_eq!(encode(9, &Word::NotLeader(Some("x".repeat(MOST)))), None);
     }
+
+    #[test]
+    fn a_packet_is_read_as_it_was_written_and_nothing_else_is() {
+        use beechloft_members::{Digests, MemberId, Said};
+        let said = Said::Compare { digests: Digests(vec![u64::MAX; 64]), answers: false };
+        let packet = Packet { from: MemberId(7), to: None, said, rumours: Vec::new() };
+        let bytes = datagram(9, &packet).expect("short");
+        assert_eq!(read_datagram(9, &bytes).expect("sound"), packet);
+        assert!(matches!(read_datagram(8, &bytes), Err(WireError::Fleet)));
+        for bit in 0..bytes.len() * 8 {
+            let mut bad = bytes.clone();
+            bad[bit / 8] ^= 1 << (bit % 8);
+            assert!(read_datagram(9, &bad).is_err(), "bit {bit}");
+        }
+        for cut in 0..bytes.len() {
+            assert!(read_datagram(9, &bytes[..cut]).is_err(), "{cut}");
+        }
+        let more = [&bytes[..], &[0]].concat();
+        assert!(matches!(read_datagram(9, &more), Err(WireError::Nonsense)));
+    }
 }
--- a/crates/trouble/src/lib.rs
+++ b/crates/trouble/src/lib.rs
@@ -5,8 +5,12 @@
 //! given up by then. A connection that comes up while the way is cut is accepted and silent, as after a cut the sender's own
 //! system learns nothing either. Each direction has a reader, a bounded queue and a writer, so that a slow side holds up its own
 //! direction alone.
+//!
+//! [`udp`] does the like for datagrams, which may also be lost, come twice and overtake each other.
 #![forbid(unsafe_code)]
 
+pub mod udp;
+
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
