A front's number by lease: places in the table, and when a number and its `of` are gone by

Change: each grant has a place of its own, the lowest that is free, and answers say how far places reach and the longest time of any grant.

--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -7,7 +7,7 @@
 
 use crate::drift::Drift;
 use crate::planted::Fault;
-use crate::words::{Answer, Heard, HolderId, Name, Op, Request, Token, Unable};
+use crate::words::{Answer, Heard, HolderId, Name, Op, Request, Standing, Token, Unable};
 
 /// What is asked for.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -66,7 +66,7 @@
     /// Others have it; asked again at this time.
     Waiting(Duration),
     /// It is held until a time, by a token.
-    Held { token: Token, until: Duration, renew_at: Duration, renewal: Option<Out> },
+    Held { token: Token, standing: Standing, until: Duration, renew_at: Duration, renewal: Option<Out> },
     /// It is being given back; nobody acts by it any more.
     GivingBack { token: Token, until: Duration, out: Out },
 }
@@ -76,6 +76,7 @@
 #[derive(Debug)]
 pub struct Permit {
     token: Token,
+    standing: Standing,
     until: Duration,
 }
 
@@ -86,6 +87,11 @@
         (now < self.until).then_some(self.token)
     }
 
+    /// Where the grant stood among all of its task when it was last renewed.
+    pub fn standing(&self) -> Standing {
+        self.standing
+    }
+
     /// When it is over, unless the lease is renewed and another permit taken.
     pub fn until(&self) -> Duration {
         self.until
@@ -138,7 +144,9 @@
     /// A right to act, if it holds the lease now.
     pub fn permit(&self, now: Duration) -> Option<Permit> {
         match self.state {
-            State::Held { token, until, .. } if now < until => Some(Permit { token, until }),
+            State::Held { token, standing, until, .. } if now < until => {
+                Some(Permit { token, standing, until })
+            }
             _ => None,
         }
     }
@@ -257,13 +265,13 @@
                 out.push(self.send(next.seq, self.acquire()));
             }
             State::Waiting(at) if now >= at => self.ask(out),
-            State::Held { token, until, renew_at, renewal } => {
+            State::Held { token, standing, until, renew_at, renewal } => {
                 let next = match renewal {
                     Some(of) if now >= of.again_at => self.again(of),
                     None if now >= renew_at => self.new_out(),
                     _ => return,
                 };
-                self.state = State::Held { token, until, renew_at, renewal: Some(next) };
+                self.state = State::Held { token, standing, until, renew_at, renewal: Some(next) };
                 out.push(self.send(next.seq, Op::Renew { name, token }));
             }
             State::GivingBack { token, until, out: of } if now >= of.again_at => {
@@ -282,7 +290,7 @@
         let from_arrival = self.planted(Fault::CountsFromArrival);
         match self.state.clone() {
             State::Asking(of) => match heard.answer_to(self.id, of.seq) {
-                Some(Answer::Granted(token)) => {
+                Some(Answer::Granted(token, standing)) => {
                     let from = if from_arrival { self.now } else { of.made };
                     let until = from + self.time();
                     if self.now >= until {
@@ -290,7 +298,7 @@
                         return self.ask(out);
                     }
                     let renew_at = from + self.ttl() / 3;
-                    self.state = State::Held { token, until, renew_at, renewal: None };
+                    self.state = State::Held { token, standing, until, renew_at, renewal: None };
                     out.push(HolderOutput::Held(token));
                 }
                 Some(Answer::Unable(Unable::Taken | Unable::Overtaken)) => {
@@ -304,10 +312,10 @@
                 _ => {}
             },
             State::Held { token, renewal: Some(of), .. } => match heard.answer_to(self.id, of.seq) {
-                Some(Answer::Renewed(renewed)) if renewed == token => {
+                Some(Answer::Renewed(renewed, standing)) if renewed == token => {
                     let from = if from_arrival { self.now } else { of.made };
                     let (until, renew_at) = (from + self.time(), from + self.ttl() / 3);
-                    self.state = State::Held { token, until, renew_at, renewal: None };
+                    self.state = State::Held { token, standing, until, renew_at, renewal: None };
                     self.run_out(out);
                 }
                 Some(Answer::Unable(Unable::NotHeld)) => {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 mod drift;
 mod holder;
 mod keeper;
+mod numbering;
 mod planted;
 mod route;
 mod table;
@@ -21,7 +22,8 @@
 pub use drift::Drift;
 pub use holder::{Holder, HolderInput, HolderOutput, Permit, Terms};
 pub use keeper::{Asked, ClientId, Keeper, KeeperOutput};
+pub use numbering::{Numbering, Part};
 pub use planted::Fault;
 pub use route::Route;
 pub use table::{Event, Grant, Table, TableError};
-pub use words::{Answer, Command, Heard, HolderId, Name, NameError, Op, Request, Token, Unable};
+pub use words::{Answer, Command, Heard, HolderId, Name, NameError, Op, Request, Standing, Token, Unable};
--- a/crates/fleet/src/planted.rs
+++ b/crates/fleet/src/planted.rs
@@ -13,4 +13,10 @@
     RenewsReleased,
     /// A new leader gives what was granted no time again.
     NoTimeAnew,
+    /// A new number is gone by at once.
+    NumberAtOnce,
+    /// A smaller `of` is gone by at once.
+    SmallerAtOnce,
+    /// Two grants of a task at once may have the same place.
+    PlaceTwice,
 }
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -1,12 +1,12 @@
 //! Who holds what: the state that consensus replicates. It knows no time; what runs out is told to it by the log.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 use crate::planted::Fault;
-use crate::words::{Answer, Command, HolderId, Name, Op, Request, Token, Unable};
+use crate::words::{Answer, Command, HolderId, Name, Op, Request, Standing, Token, Unable};
 
 /// Tasks with a holder at most.
 const MOST_LEASES: usize = 4096;
@@ -22,6 +22,8 @@
 pub struct Grant {
     /// Whose.
     pub holder: HolderId,
+    /// Its place among those of its task: no two grants at once have the same.
+    pub place: u16,
     /// For how long each time, milliseconds.
     pub ttl_ms: u32,
     /// How often it was renewed.
@@ -34,6 +36,24 @@
     grants: BTreeMap<Token, Grant>,
 }
 
+impl Lease {
+    fn new(places: u16) -> Lease {
+        Lease { places, grants: BTreeMap::new() }
+    }
+
+    /// The lowest place that is free.
+    fn free(&self) -> u16 {
+        let taken: BTreeSet<u16> = self.grants.values().map(|g| g.place).collect();
+        (0..self.places).find(|p| !taken.contains(p)).unwrap_or(self.places)
+    }
+
+    fn standing(&self, place: u16) -> Standing {
+        let reach = self.grants.values().map(|g| g.place + 1).max().unwrap_or(0);
+        let longest_ms = self.grants.values().map(|g| g.ttl_ms).max().unwrap_or(0);
+        Standing { place, reach, longest_ms }
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 struct Last {
     seq: u64,
@@ -149,7 +169,7 @@
     /// Keeps the last answer of a holder. Past the bound the one that was heard of least lately goes, if it holds nothing.
     fn remember(&mut self, request: &Request, answer: Answer) {
         if self.last.len() >= MOST_HOLDERS && !self.last.contains_key(&request.holder) {
-            let holds: std::collections::BTreeSet<HolderId> =
+            let holds: BTreeSet<HolderId> =
                 self.leases.values().flat_map(|l| l.grants.values().map(|g| g.holder)).collect();
             let idle = self.last.iter().filter(|(id, _)| !holds.contains(id));
             if let Some(oldest) = idle.min_by_key(|(_, l)| l.done).map(|(id, _)| *id) {
@@ -164,13 +184,19 @@
             Op::Acquire { name, places, ttl_ms } => self.acquire(holder, name, *places, *ttl_ms),
             Op::Renew { name, token } => {
                 let taken = self.planted(Fault::RenewsReleased);
-                let grants = self.leases.get_mut(name).map(|l| &mut l.grants);
-                match grants.and_then(|g| g.get_mut(token)).filter(|g| g.holder == holder) {
-                    Some(grant) => grant.renewals += 1,
-                    None if taken => {}
+                let lease = self.leases.get_mut(name);
+                let own = lease.and_then(|l| {
+                    let grant = l.grants.get_mut(token).filter(|g| g.holder == holder)?;
+                    grant.renewals += 1;
+                    let place = grant.place;
+                    Some(l.standing(place))
+                });
+                let standing = match own {
+                    Some(standing) => standing,
+                    None if taken => Standing::default(),
                     None => return Err(Unable::NotHeld),
-                }
-                Ok((Answer::Renewed(*token), Event::Renewed(name.clone(), *token)))
+                };
+                Ok((Answer::Renewed(*token, standing), Event::Renewed(name.clone(), *token)))
             }
             Op::Release { name, token } => {
                 let own = self.grant(*token).is_some_and(|g| g.holder == holder);
@@ -214,6 +240,8 @@
                 before = own;
             }
         }
+        // It keeps its place: nobody else had it meanwhile.
+        let kept = before.and_then(|token| self.grant(token)).map(|g| g.place);
         if let Some(token) = before {
             self.end(token);
         }
@@ -221,11 +249,13 @@
             self.last_token += 1;
         }
         let token = Token(self.last_token);
-        let lease =
-            self.leases.entry(name.clone()).or_insert_with(|| Lease { places, grants: BTreeMap::new() });
-        lease.grants.insert(token, Grant { holder, ttl_ms, renewals: 0 });
+        let twice = self.planted(Fault::PlaceTwice);
+        let lease = self.leases.entry(name.clone()).or_insert_with(|| Lease::new(places));
+        let place = if twice { 0 } else { kept.unwrap_or_else(|| lease.free()) };
+        lease.grants.insert(token, Grant { holder, place, ttl_ms, renewals: 0 });
+        let standing = lease.standing(place);
         self.names.insert(token, name.clone());
-        Ok((Answer::Granted(token), Event::Granted { name: name.clone(), token, holder, before }))
+        Ok((Answer::Granted(token, standing), Event::Granted { name: name.clone(), token, holder, before }))
     }
 
     /// A grant ends.
@@ -264,6 +294,14 @@
         table.apply(&Command::Request(request)).0.expect("an answer")
     }
 
+    /// The token of a grant.
+    fn token(answer: Answer) -> Option<u64> {
+        match answer {
+            Answer::Granted(token, _) => Some(token.0),
+            _ => None,
+        }
+    }
+
     fn acquire(places: u16) -> Op {
         Op::Acquire { name: name("task"), places, ttl_ms: 3_000 }
     }
@@ -271,11 +309,11 @@
     #[test]
     fn a_request_sent_again_is_done_once_and_an_earlier_one_not_at_all() {
         let mut t = Table::default();
-        assert_eq!(ask(&mut t, 1, 5, acquire(1)), Answer::Granted(Token(1)));
-        assert_eq!(ask(&mut t, 1, 5, acquire(1)), Answer::Granted(Token(1)));
+        assert_eq!(token(ask(&mut t, 1, 5, acquire(1))), Some(1));
+        assert_eq!(token(ask(&mut t, 1, 5, acquire(1))), Some(1));
         let release = Op::Release { name: name("task"), token: Token(1) };
         assert_eq!(ask(&mut t, 1, 6, release.clone()), Answer::Released);
-        assert_eq!(ask(&mut t, 2, 1, acquire(1)), Answer::Granted(Token(2)));
+        assert_eq!(token(ask(&mut t, 2, 1, acquire(1))), Some(2));
         // Copies that come late.
         assert_eq!(ask(&mut t, 1, 5, acquire(1)), Answer::Unable(Unable::Overtaken));
         assert_eq!(ask(&mut t, 1, 6, release), Answer::Released);
@@ -285,18 +323,48 @@
     #[test]
     fn places_are_kept_and_tokens_rise() {
         let mut t = Table::default();
-        for (holder, token) in [(1, 1), (2, 2)] {
-            assert_eq!(ask(&mut t, holder, 1, acquire(2)), Answer::Granted(Token(token)));
+        for (holder, given) in [(1, 1), (2, 2)] {
+            assert_eq!(token(ask(&mut t, holder, 1, acquire(2))), Some(given));
         }
         assert_eq!(ask(&mut t, 3, 1, acquire(2)), Answer::Unable(Unable::Taken));
         assert_eq!(ask(&mut t, 3, 2, acquire(3)), Answer::Unable(Unable::Places));
         // One that asks anew has a new grant in place of its own.
-        assert_eq!(ask(&mut t, 1, 2, acquire(2)), Answer::Granted(Token(3)));
+        assert_eq!(token(ask(&mut t, 1, 2, acquire(2))), Some(3));
         assert_eq!(t.grants().map(|g| g.2).collect::<Vec<_>>(), [Token(2), Token(3)]);
         let renew = |token| Op::Renew { name: name("task"), token: Token(token) };
         assert_eq!(ask(&mut t, 1, 3, renew(1)), Answer::Unable(Unable::NotHeld));
         assert_eq!(ask(&mut t, 1, 4, renew(2)), Answer::Unable(Unable::NotHeld), "another's");
-        assert_eq!(ask(&mut t, 1, 5, renew(3)), Answer::Renewed(Token(3)));
+        assert!(matches!(ask(&mut t, 1, 5, renew(3)), Answer::Renewed(Token(3), _)));
+    }
+
+    #[test]
+    fn each_has_a_place_of_its_own_the_lowest_that_is_free_and_hears_how_far_places_reach() {
+        let mut t = Table::default();
+        let mut stands = |holder, seq, ttl_ms| {
+            let op = Op::Acquire { name: name("task"), places: 9, ttl_ms };
+            match ask(&mut t, holder, seq, op) {
+                Answer::Granted(token, s) => (token, (s.place, s.reach, s.longest_ms)),
+                other => panic!("{other:?}"),
+            }
+        };
+        assert_eq!(stands(1, 1, 3_000).1, (0, 1, 3_000));
+        let second = stands(2, 1, 9_000);
+        assert_eq!(second.1, (1, 2, 9_000));
+        assert_eq!(stands(3, 1, 3_000).1, (2, 3, 9_000));
+        // Asked anew it is the same place, by another grant.
+        assert_eq!(stands(1, 2, 3_000).1, (0, 3, 9_000));
+        let third = stands(3, 2, 3_000).0;
+        ask(&mut t, 2, 2, Op::Release { name: name("task"), token: second.0 });
+        let renewed = ask(&mut t, 3, 3, Op::Renew { name: name("task"), token: third });
+        assert_eq!(renewed, Answer::Renewed(third, Standing { place: 2, reach: 3, longest_ms: 3_000 }));
+        let op = |holder: u64| Op::Acquire { name: name("task"), places: 9, ttl_ms: 1_000 + holder as u32 };
+        let places: Vec<u16> = (10..16)
+            .map(|h| match ask(&mut t, h, 1, op(h)) {
+                Answer::Granted(_, s) => s.place,
+                other => panic!("{other:?}"),
+            })
+            .collect();
+        assert_eq!(places, [1, 3, 4, 5, 6, 7]);
     }
 
     #[test]
@@ -309,7 +377,7 @@
         let expired = t.apply(&Command::Expire { token: Token(1), renewals: 1 });
         assert_eq!(expired, (None, Some(Event::Expired(name("task"), Token(1)))));
         assert_eq!(t.apply(&Command::Expire { token: Token(1), renewals: 1 }), (None, None));
-        assert_eq!(ask(&mut t, 2, 2, acquire(1)), Answer::Granted(Token(2)));
+        assert_eq!(token(ask(&mut t, 2, 2, acquire(1))), Some(2));
     }
 
     #[test]
--- a/crates/fleet/src/words.rs
+++ b/crates/fleet/src/words.rs
@@ -125,13 +125,24 @@
     TooMany,
 }
 
+/// Where a grant stood among all of its task, when this was done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+pub struct Standing {
+    /// Its place: the lowest that was free, counted from nought, and its own for as long as it is renewed.
+    pub place: u16,
+    /// One more than the highest place that was held.
+    pub reach: u16,
+    /// The longest time for which any of the grants is given, milliseconds.
+    pub longest_ms: u32,
+}
+
 /// What became of a request that was done.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Answer {
     /// Granted, or held already.
-    Granted(Token),
+    Granted(Token, Standing),
     /// Renewed.
-    Renewed(Token),
+    Renewed(Token, Standing),
     /// Given back.
     Released,
     /// Not to be had.
--- /dev/null
+++ b/crates/fleet/tests/numbers.rs
@@ -0,0 +1,184 @@
+//! Fronts' numbers by lease under random faults: whatever each front believes, all of them together never do more than the pace
+//! of one server allows within its span.
+
+mod support;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use beechloft_consensus::MemberId;
+use beechloft_fleet::{Drift, Fault, HolderId, Numbering, Part};
+use rand::RngExt;
+use rand::seq::IndexedRandom;
+use support::World;
+
+const STEP: Duration = Duration::from_millis(25);
+const SPAN: Duration = Duration::from_millis(700);
+const FRONTS: usize = 14;
+/// Servers with their whole: what all fronts may do there within the span.
+const SERVERS: [(u32, usize); 6] = [(0, 1), (1, 2), (2, 3), (3, 6), (7, 11), (8, 40)];
+
+struct Front {
+    life: HolderId,
+    numbering: Numbering,
+    /// Of each server, what it did within the span, by its own clock.
+    did: BTreeMap<u32, VecDeque<Duration>>,
+}
+
+struct Fronts {
+    all: Vec<Front>,
+    /// Of each server, what all did, by true time.
+    did: BTreeMap<u32, VecDeque<(Duration, usize)>>,
+    acts: u64,
+    with_part: u64,
+    breach: Option<String>,
+    fault: Option<Fault>,
+}
+
+/// As the module paces (`Choice::pace_allows`).
+fn allowed(server: u32, whole: usize, part: Part) -> usize {
+    let Part::Of { number, of } = part else { return 0 };
+    match whole / of as usize {
+        0 => usize::from(((server + number) % of) < whole as u32),
+        part => part,
+    }
+}
+
+impl Fronts {
+    fn front(&self, life: HolderId) -> Front {
+        #[allow(unused_mut)]
+        let mut numbering = Numbering::new(Drift::ppm(50_000).expect("within bounds"), SPAN);
+        if let Some(fault) = self.fault {
+            numbering.plant(fault);
+        }
+        Front { life, numbering, did: BTreeMap::new() }
+    }
+
+    /// Each front does all that it may, now.
+    fn act(&mut self, w: &World) {
+        // The shortest true span of a clock within the bound.
+        let shortest = SPAN.div_f64(1.05);
+        for n in 0..FRONTS {
+            let Some(now) = w.clock(n) else { continue };
+            if self.all[n].life != w.candidates[n].id {
+                // Another process: it knows nothing of what the last one did.
+                self.all[n] = self.front(w.candidates[n].id);
+            }
+            let front = &mut self.all[n];
+            let permit = w.candidates[n].holder.permit(now);
+            front.numbering.look(now, permit.as_ref());
+            let part = front.numbering.part(now);
+            self.with_part += u64::from(part != Part::None);
+            for (server, whole) in SERVERS {
+                let did = front.did.entry(server).or_default();
+                while did.front().is_some_and(|t| now - *t > SPAN) {
+                    did.pop_front();
+                }
+                while did.len() < allowed(server, whole, part) {
+                    did.push_back(now);
+                    self.acts += 1;
+                    let all = self.did.entry(server).or_default();
+                    all.push_back((w.now, n));
+                    while all.front().is_some_and(|t| w.now - t.0 >= shortest) {
+                        all.pop_front();
+                    }
+                    if all.len() > whole {
+                        let why = format!(
+                            "{} of {whole} at server {server} by {:?} at {:?}",
+                            all.len(),
+                            all,
+                            w.now
+                        );
+                        self.breach.get_or_insert(why);
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn run(seed: u64, fault: Option<Fault>) -> (Fronts, usize) {
+    let mut w = World::new(3, FRONTS, 64, seed, fault);
+    let mut fronts =
+        Fronts { all: Vec::new(), did: BTreeMap::new(), acts: 0, with_part: 0, breach: None, fault };
+    fronts.all = (0..FRONTS).map(|n| fronts.front(w.candidates[n].id)).collect();
+    w.lost = w.dice.random_range(0..60);
+    w.doubled = w.dice.random_range(0..60);
+    w.late = w.dice.random_range(0..30);
+    let keepers = w.keeper_ids();
+    (0..FRONTS / 2).for_each(|n| w.want(n));
+    for _ in 0..500 {
+        for _ in 0..8 {
+            w.pass(STEP);
+            fronts.act(&w);
+        }
+        if w.breach.is_some() || fronts.breach.is_some() {
+            break;
+        }
+        let n = w.dice.random_range(0..FRONTS);
+        let span = Duration::from_millis(w.dice.random_range(100..4_000));
+        let any: MemberId = *keepers.choose(&mut w.dice).expect("keepers");
+        match w.dice.random_range(0..20) {
+            0..5 => w.want(n),
+            5 => w.give_back(n),
+            6 => w.kill(n),
+            7 => w.pause(n, span),
+            8 => w.pause_keeper(w.leader().unwrap_or(any), span),
+            9 => drop(w.deaf.insert((n, any))),
+            // Most of them go, and others come.
+            10 => (0..FRONTS).filter(|k| k % 4 != n % 4).for_each(|k| w.give_back(k)),
+            11 => (0..FRONTS).for_each(|k| w.want(k)),
+            12 => w.stop(w.leader().unwrap_or(any)),
+            13 | 14 => keepers.iter().for_each(|id| w.restart(*id)),
+            15 => w.deaf.clear(),
+            _ => {}
+        }
+    }
+    (fronts, w.granted)
+}
+
+#[test]
+fn all_fronts_together_keep_the_pace_whatever_fails() {
+    let (mut acts, mut with_part, mut granted) = (0, 0, 0);
+    for seed in 0..60 {
+        let (fronts, grants) = run(seed, None);
+        assert_eq!(fronts.breach, None, "seed {seed}");
+        acts += fronts.acts;
+        with_part += fronts.with_part;
+        granted += grants;
+    }
+    println!("{acts} acts, {with_part} moments with a part, {granted} grants");
+    // It is worth nothing if nobody may do anything.
+    assert!(acts > 40_000 && granted > 1_000, "{acts} {granted}");
+}
+
+#[test]
+fn planted_faults_are_found() {
+    for fault in [Fault::NumberAtOnce, Fault::SmallerAtOnce, Fault::PlaceTwice] {
+        let found = (0..100).find_map(|seed| run(seed, Some(fault)).0.breach.map(|why| (seed, why)));
+        println!("{fault:?}: {found:?}");
+        assert!(found.is_some(), "{fault:?} is not found");
+    }
+}
+
+#[test]
+fn a_front_has_a_part_soon_after_it_asks_and_goes_on_having_it() {
+    let mut w = World::new(3, FRONTS, 64, 5, None);
+    let mut fronts =
+        Fronts { all: Vec::new(), did: BTreeMap::new(), acts: 0, with_part: 0, breach: None, fault: None };
+    fronts.all = (0..FRONTS).map(|n| fronts.front(w.candidates[n].id)).collect();
+    (0..FRONTS).for_each(|n| w.want(n));
+    for step in 0..300 {
+        w.pass(STEP);
+        fronts.act(&w);
+        // The time of the lease, the span, and two seconds for a leader and to be asked for.
+        if step * STEP.as_millis() > 1_000 + 700 + 2_000 {
+            for (n, front) in fronts.all.iter().enumerate() {
+                let part = front.numbering.part(w.clock(n).expect("it runs"));
+                assert!(matches!(part, Part::Of { of: 16, .. }), "{n}: {part:?} at step {step}");
+            }
+        }
+    }
+    let numbers: std::collections::BTreeSet<_> = fronts.all.iter().map(|f| f.numbering.number()).collect();
+    assert_eq!(numbers.len(), FRONTS);
+}
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -340,6 +340,12 @@
         self.candidates[n].stopped_until = self.now + span;
     }
 
+    /// The clock of a candidate; none while it is stopped.
+    pub fn clock(&self, n: usize) -> Option<Duration> {
+        let c = &self.candidates[n];
+        (c.stopped_until <= self.now).then(|| self.now.mul_f64(c.rate))
+    }
+
     /// A candidate's process is killed, and another starts in its place.
     pub fn kill(&mut self, n: usize) {
         let id = HolderId(self.candidates[n].id.0 + 1_000);
@@ -405,8 +411,8 @@
             let asked = self.made.get(&(holder, seq)).copied().unwrap_or_default();
             match answer {
                 _ if holder != self.candidates[n].id => {}
-                Answer::Granted(token) => self.lives(Lived { token, asked }, true),
-                Answer::Renewed(token) => self.lives(Lived { token, asked }, false),
+                Answer::Granted(token, _) => self.lives(Lived { token, asked }, true),
+                Answer::Renewed(token, _) => self.lives(Lived { token, asked }, false),
                 _ => {}
             }
         }
