A front's number may change while it runs, and a number past all others has no part

Change: Event::Numbered with number, of and the fronts that are there. The pace of cold servers goes by number and of from then on; a number that is not under of has no part there; fronts alone serves the estimates of what others do. Without the event nothing changes.

Test: four renumbered fronts together stay within the pace, one alone does more than each of four, one without a part sends nothing to a server that started and goes on with warm ones.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -100,6 +100,7 @@
                 self.queue.push_back(Event::Probed { server, outcome, report: load });
             }
             Input::Released(ticket, gone) => self.releases.result(self.now, ticket, gone),
+            Input::Numbered(numbered) => self.queue.push_back(Event::Numbered(numbered)),
             Input::Tick => {}
             Input::Stop => self.stopping = true,
         }
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use beechloft::interface::{LoadReport, Micros, Note, Outcome, Rung, ServerId, SessionId};
+use beechloft::interface::{LoadReport, Micros, Note, Numbered, Outcome, Rung, ServerId, SessionId};
 
 use crate::catalog::ListUpdate;
 use crate::release::Ticket;
@@ -172,6 +172,8 @@
     },
     /// How an [`Output::Release`] went: whether the session is known to be gone from the box.
     Released(Ticket, bool),
+    /// This front's number among the fronts changed.
+    Numbered(Numbered),
     /// Time passes.
     Tick,
     /// Nothing new is taken from now on.
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use beechloft::interface::Numbered;
 use beechloft_proto::CallId;
 use beechloft_proto::bus::Topology;
 use beechloft_proto::server::Line;
@@ -47,6 +48,8 @@
     /// The media server's process is gone: connections are refused, or it can't be reached and was looked for long
     /// enough.
     Lost(Lane),
+    /// This front node's number among the fronts changed.
+    Numbered(Numbered),
     /// SIGTERM.
     Terminate,
     /// Only time has passed.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -125,6 +125,7 @@
             Input::Server(lane, line) => self.server(lane, line),
             Input::Broken(lane, id, how) => self.broken(lane, id, how),
             Input::Lost(lane) => self.lane_dead(lane),
+            Input::Numbered(numbered) => self.feed(Event::Numbered(numbered)),
             Input::Terminate => {
                 self.terminated.get_or_insert(self.now);
             }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -87,12 +87,14 @@
     probes: f64,        // probes that the sessions so far have paid for
     taken: Recent,
     extra: Recent,
+    turn: Option<(u32, u32)>, // this front's number, of so many, where cold servers are paced
 }
 
 impl Choice {
     /// A controller that knows its settings and nothing else.
     pub fn new(set: Settings, seed: u64) -> Self {
-        Choice { best_step: set.best_step(), set, rng: Random(seed), ..Choice::default() }
+        let turn = Some((set.number, set.fronts.max(1)));
+        Choice { best_step: set.best_step(), turn, set, rng: Random(seed), ..Choice::default() }
     }
 
     /// Takes one event and appends what is to be done, in order.
@@ -119,6 +121,10 @@
                     self.strike(server, now, outcome);
                 }
             }
+            Event::Numbered(n) => {
+                self.turn = (n.number < n.of).then_some((n.number, n.of));
+                self.set.fronts = n.fronts;
+            }
             Event::Timer(TICK_TOKEN) => self.tick(),
             Event::Timer(_) | Event::Peer(..) => {}
         }
@@ -521,9 +527,9 @@
         }
         let spans = c.span.secs() / c.warm_after.secs().max(1e-6);
         let all = COLD_SAFETY * c.multiple * c.from * s.streams.size * spans;
-        let fronts = self.set.fronts.max(1);
+        let Some((number, fronts)) = self.turn else { return false };
         let part = (all / f64::from(fronts)) as usize;
-        let turn = (u64::from(s.entry.server.0) + u64::from(self.set.number)) % u64::from(fronts);
+        let turn = (u64::from(s.entry.server.0) + u64::from(number)) % u64::from(fronts);
         let mine = if part == 0 && (turn as f64) < all.floor() { 1 } else { part };
         s.sent.within(self.now, c.span) < mine
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -399,6 +399,17 @@
     UplinkUse(f64),
 }
 
+/// A front's place among the fronts, in place of what the settings say.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Numbered {
+    /// Its number.
+    pub number: u32,
+    /// Of how many: numbers are under it. A number that is not has no part in pacing cold servers.
+    pub of: u32,
+    /// Fronts that are there, for what is estimated of the others' sessions.
+    pub fronts: u32,
+}
+
 /// What a front hears.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
@@ -456,6 +467,8 @@
         /// The server's load.
         report: LoadReport,
     },
+    /// This front's number changed while it runs: what paces cold servers goes by it from now on.
+    Numbered(Numbered),
     /// A timer of this module is due.
     Timer(TimerToken),
     /// A message from another front of the tier.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -223,6 +223,38 @@
     assert!(sent >= 1 && sent as f64 <= ALLOWED, "{sent}");
 }
 
+#[test]
+fn a_number_that_changes_while_running_paces_from_then_on_and_none_has_no_part() {
+    let started = |f: &mut Front| {
+        let now = f.now;
+        f.list(0, ServerState::Ready, now);
+    };
+    let numbered = |number, of| Event::Numbered(Numbered { number, of, fronts: 4 });
+    // Four fronts that were told another number of so many before.
+    let sent: Vec<usize> = (0..4)
+        .map(|number| {
+            let mut f = Front::new(settings());
+            f.send(numbered(0, 1));
+            f.send(numbered(number, 4));
+            started(&mut f);
+            crowd(&mut f)
+        })
+        .collect();
+    let sum = sent.iter().sum::<usize>() as f64;
+    assert!((1.0..=ALLOWED).contains(&sum), "{sent:?}");
+    let mut alone = Front::new(settings());
+    alone.send(numbered(0, 1));
+    started(&mut alone);
+    let most = crowd(&mut alone);
+    assert!(most >= 1 && most as f64 <= ALLOWED && most > sent[0], "{most} alone, {sent:?} of four");
+    // A number that is not under them all has no part, and a warm server needs none.
+    let mut none = Front::new(settings());
+    none.send(numbered(4, 4));
+    let warm = crowd(&mut none);
+    started(&mut none);
+    assert!(warm > 0 && crowd(&mut none) == 0);
+}
+
 #[test]
 fn a_warm_server_is_not_paced() {
     let mut f = Front::new(settings());
