--- /dev/null
+++ b/crates/cli/src/among.rs
@@ -0,0 +1,85 @@
+//! A front as one of a fleet: a member if its settings name seeds, with a number and a turn to restart if they ask for them.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use beechloft_core::api::Numbered;
+use beechloft_fleet::Part;
+use beechloft_keeper::{Agent, FleetSettings, Peers};
+use beechloft_members::Kind;
+
+/// What a front has of its fleet.
+pub struct Among {
+    agent: Arc<Agent>,
+    peers: Option<Arc<Peers>>,
+}
+
+impl Among {
+    /// Joins. `span` is that of the pace which goes by the number.
+    ///
+    /// # Errors
+    /// The fleet's address can't be listened on, or there is no thread.
+    pub fn start(set: &FleetSettings, span: Duration) -> io::Result<Among> {
+        let said = |e: io::Error| match set.listen {
+            Some(listen) => io::Error::new(e.kind(), format!("fleet.listen {listen}: {e}")),
+            None => e,
+        };
+        let peers = match set.seeds.is_empty() {
+            true => None,
+            false => {
+                let peers = Peers::start(set, Kind::Front).map_err(said)?;
+                peers.answer().map_err(said)?;
+                Some(Arc::new(peers))
+            }
+        };
+        Ok(Among { agent: Arc::new(Agent::start(set, span)?), peers })
+    }
+
+    /// Its number, for whoever asks at any moment.
+    pub fn numbers(&self) -> Box<dyn Fn() -> Option<Numbered> + Send> {
+        let (agent, peers) = (Arc::clone(&self.agent), self.peers.clone());
+        Box::new(move || {
+            // Without a part: a number that is not under them all.
+            let (number, of, reach) = match agent.part()? {
+                (Part::Of { number, of }, reach) => (number, of, reach),
+                (Part::None, reach) => (0, 0, reach),
+            };
+            let fronts = peers.as_ref().map_or(reach, |p| p.fronts()).max(1);
+            Some(Numbered { number, of, fronts })
+        })
+    }
+
+    /// It is told to end: it asks for its turn, if fronts restart in turn; how long it is to wait at most.
+    pub fn wants_end(&self) -> Option<Duration> {
+        let restart = self.agent.restart()?;
+        self.agent.want_turn();
+        Some(restart.wait)
+    }
+
+    /// Whether it is its turn now.
+    pub fn may_end(&self) -> bool {
+        self.agent.has_turn()
+    }
+
+    /// Tells others that it ends.
+    pub fn leave(&self) {
+        if let Some(peers) = &self.peers {
+            peers.leave();
+        }
+    }
+
+    /// The same, as a front node asks for it.
+    pub fn for_shell(self: &Arc<Self>) -> beechloft_shell::Fleet {
+        let (wants, may) = (Arc::clone(self), Arc::clone(self));
+        let waits = self.agent.restart().map(|r| r.wait);
+        beechloft_shell::Fleet {
+            numbered: self.numbers(),
+            may_end: Box::new(move || may.may_end()),
+            wants_end: Box::new(move || {
+                wants.wants_end();
+            }),
+            waits,
+        }
+    }
+}
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use beechloft_config::front::LogSettings;
+use beechloft_config::reader;
 use beechloft_consensus::MemberId;
 use beechloft_fleet::{Holder, HolderId, HolderInput, HolderOutput, Name, Permit, Terms, Token};
 use beechloft_keeper::client::{self, Way};
@@ -16,7 +17,7 @@
 use clap::{Args, Subcommand};
 use rustix::process::{Pid, Signal, kill_process};
 
-use crate::{fail, log};
+use crate::{fail, log, serve};
 
 /// The lease was not obtained in time (EX_TEMPFAIL).
 const NOT_OBTAINED: u8 = 75;
@@ -100,9 +101,18 @@
     },
 }
 
-fn settings(file: &Path) -> Result<FleetSettings, ExitCode> {
+pub fn settings(file: &Path) -> Result<FleetSettings, ExitCode> {
     let text = std::fs::read_to_string(file).map_err(|e| fail(2, format_args!("{}: {e}", file.display())))?;
-    FleetSettings::read(&text).map_err(|faults| fail(2, format_args!("{}: {faults}", file.display())))
+    // A front's file, with all that is in it, or one of the fleet's section alone.
+    let read = reader::read(&text, |top| match top.has("service") {
+        true => serve::read_sections(top).1,
+        false => Some(FleetSettings::of(&top.section("fleet"), None)),
+    });
+    match read {
+        Ok(Some(set)) => Ok(set),
+        Ok(None) => Err(fail(2, format_args!("{}: there is no fleet section", file.display()))),
+        Err(faults) => Err(fail(2, format_args!("{}: {faults}", file.display()))),
+    }
 }
 
 fn told_to_end() -> Arc<AtomicBool> {
@@ -249,6 +259,9 @@
                 Err(e) => return fail(2, e),
             };
             let terms = Terms { name, places: *holders, ttl_ms: *ttl_ms };
+            if let Err(e) = terms.check(set.drift) {
+                return fail(2, e);
+            }
             hold(set, &terms, wait_ms.map(Duration::from_millis), command)
         }
     }
@@ -267,8 +280,8 @@
             println!("{}", serde_json::to_string(&l).unwrap_or_default());
         } else {
             println!(
-                "{}  token {}  holder {:016x}  {} ms  renewed {}",
-                l.name, l.token, l.holder, l.ttl_ms, l.renewals
+                "{}  place {} of {}  token {}  holder {:016x}  {} ms  renewed {}",
+                l.name, l.place, l.places, l.token, l.holder, l.ttl_ms, l.renewals
             );
         }
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! `beechloft`: the session front and what is run around it.
 #![forbid(unsafe_code)]
 
+mod among;
 mod bench;
 mod day;
 mod demo;
@@ -31,7 +32,11 @@
         file: PathBuf,
     },
     /// Run a real front node on the platform's protocol, as ROUTER_CONFIG tells, until SIGTERM
-    Node,
+    Node {
+        /// It is one of a fleet: a file with a `fleet` section
+        #[arg(long)]
+        fleet: Option<PathBuf>,
+    },
     /// Check a settings file and say all its faults at once
     Check {
         /// The settings, or with --day a day script
@@ -110,7 +115,7 @@
 fn main() -> ExitCode {
     match Cli::parse().command {
         Command::Serve { file } => serve::serve(&file),
-        Command::Node => node::node(),
+        Command::Node { fleet } => node::node(fleet.as_deref()),
         Command::Check { file, day } => serve::check(&file, day),
         Command::Demo { boxes } => demo::demo(boxes),
         Command::Day { file, seed, json, keep } => day::day(&file, seed, json, keep.as_deref()),
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -2,17 +2,35 @@
 
 use std::path::Path;
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use beechloft_config::front;
+use beechloft_config::{FrontSettings, Section, reader};
 use beechloft_front::Front;
+use beechloft_keeper::FleetSettings;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
+use crate::among::Among;
 use crate::{fail, log};
 
 /// How long a front may take to answer what it took, once it is told to stop.
 const STOP_WITHIN: Duration = Duration::from_secs(6);
+/// How often a front that waits for its turn to restart looks.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// A front's settings, and its fleet's if it is one of a fleet.
+pub fn read_sections(top: &Section<'_>) -> (FrontSettings, Option<FleetSettings>) {
+    let front = FrontSettings::of(top);
+    let fleet = top.has("fleet").then(|| {
+        let section = top.section("fleet");
+        let fleet = FleetSettings::of(&section, Some(&front.service.zones));
+        if fleet.number.is_some() && front.numbered {
+            section.fault("number", "it comes by lease; front.number and front.of say something else");
+        }
+        fleet
+    });
+    (front, fleet)
+}
 
 /// Runs a front until it is told to stop.
 pub fn serve(file: &Path) -> ExitCode {
@@ -20,7 +38,7 @@
         Ok(text) => text,
         Err(e) => return fail(2, format_args!("{}: {e}", file.display())),
     };
-    let settings = match front::parse(&text) {
+    let (settings, fleet) = match reader::read(&text, read_sections) {
         Ok(settings) => settings,
         Err(faults) => return faulty(file, &faults.0),
     };
@@ -31,22 +49,53 @@
         Err(e) => return fail(1, format_args!("no signals: {e}")),
     };
     let listen = settings.listen;
-    let front = match Front::start(settings, None) {
+    let span = Duration::from_micros(settings.settings.cold.span.0);
+    let among = match fleet.map(|set| Among::start(&set, span)).transpose() {
+        Ok(among) => among,
+        Err(e) => return fail(1, e),
+    };
+    let started = match &among {
+        Some(among) => Front::start_among(settings, among.numbers()),
+        None => Front::start(settings, None),
+    };
+    let front = match started {
         Ok(front) => front,
         Err(e) => return fail(1, format_args!("{listen}: {e}")),
     };
     signals.forever().next();
+    if let Some(among) = &among {
+        wait_for_turn(among, &mut signals);
+    }
     front.stop(STOP_WITHIN);
+    if let Some(among) = &among {
+        among.leave();
+    }
     ExitCode::SUCCESS
 }
 
+/// Goes on serving until it is this front's turn to restart, or it was waited for long enough, or it is told again.
+fn wait_for_turn(among: &Among, signals: &mut Signals) {
+    let Some(waits) = among.wants_end() else { return };
+    let until = Instant::now() + waits;
+    while !among.may_end() {
+        if signals.pending().next().is_some() {
+            return;
+        }
+        if Instant::now() >= until {
+            return tracing::warn!("no turn to end within the time that is waited for one; it ends without");
+        }
+        std::thread::sleep(LOOK);
+    }
+}
+
 /// Says what is wrong with a file, all at once.
 pub fn check(file: &Path, day: bool) -> ExitCode {
     let text = match std::fs::read_to_string(file) {
         Ok(text) => text,
         Err(e) => return fail(2, format_args!("{}: {e}", file.display())),
     };
-    let faults = if day { beechloft_day::parse(&text, 1).err() } else { front::parse(&text).err() };
+    let faults =
+        if day { beechloft_day::parse(&text, 1).err() } else { reader::read(&text, read_sections).err() };
     match faults {
         Some(faults) => faulty(file, &faults.0),
         None => {
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -2,43 +2,21 @@
 //! all stopped and started, a disk emptied, clocks apart. Acts go on all the time; a record of every act shows its token, and a
 //! token under one that came before it is a stale act.
 
+mod support;
+
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::unix::process::CommandExt;
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
 use beechloft_trouble::{Mood, Relay, Way};
-use rustix::process::{Pid, Signal, kill_process, kill_process_group};
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
+use support::{PATIENCE, Process, beechloft, free_addresses};
 
-/// Long enough for anything that is to happen.
-const PATIENCE: Duration = Duration::from_secs(30);
 const TTL_MS: u64 = 1_500;
 
-/// A process in a group of its own, which is ended whatever becomes of the test.
-struct Process(Child);
-
-impl Process {
-    fn start(command: &mut Command) -> Process {
-        command.stdin(Stdio::null()).stdout(Stdio::null()).process_group(0);
-        Process(command.spawn().expect("it starts"))
-    }
-
-    /// To it and to what it runs.
-    fn signal(&self, signal: Signal) {
-        let _ = kill_process_group(Pid::from_child(&self.0), signal);
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.signal(Signal::KILL);
-        let _ = self.0.wait();
-    }
-}
-
 struct Fleet {
     dir: tempfile::TempDir,
     addresses: Vec<SocketAddr>,
@@ -48,10 +26,6 @@
     relays: BTreeMap<(usize, usize), Relay>,
 }
 
-fn beechloft() -> Command {
-    Command::new(env!("CARGO_BIN_EXE_beechloft"))
-}
-
 impl Fleet {
     fn new(keepers: usize) -> Fleet {
         Fleet::relayed(keepers, 0)
@@ -59,11 +33,7 @@
 
     /// With a relay between each two keepers, and between each of so many candidates and each keeper.
     fn relayed(keepers: usize, relayed: usize) -> Fleet {
-        // Ports that were free a moment ago.
-        let taken: Vec<TcpListener> =
-            (0..keepers).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
-        let addresses = taken.iter().map(|l| l.local_addr().expect("an address")).collect();
-        drop(taken);
+        let addresses = free_addresses(keepers);
         let dir = tempfile::tempdir().expect("a folder");
         let mut fleet =
             Fleet { dir, addresses, keepers: Vec::new(), candidates: Vec::new(), relays: BTreeMap::new() };
--- /dev/null
+++ b/crates/cli/tests/fronts.rs
@@ -0,0 +1,326 @@
+//! Fronts as real processes of one fleet: numbers by lease, restarts in turn, who sees whom; with keepers and fronts killed,
+//! stopped and started, and datagrams between them lost, doubled, late and cut.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use beechloft_trouble::udp::{self, Mood};
+use rustix::process::Signal;
+use serde_json::Value;
+use support::{Process, beechloft, free_addresses, until};
+
+struct Fleet {
+    dir: tempfile::TempDir,
+    keepers: Vec<SocketAddr>,
+    /// Where fronts are members, and where they take requests.
+    fronts: Vec<(SocketAddr, SocketAddr)>,
+    processes: BTreeMap<usize, Process>,
+    /// Between each two members, by who sends first: places of keepers, then of fronts.
+    relays: BTreeMap<(usize, usize), udp::Relay>,
+    more: String,
+}
+
+impl Fleet {
+    fn new(keepers: usize, fronts: usize, more: &str) -> Fleet {
+        let mut all = free_addresses(keepers + 2 * fronts);
+        let listens = all.split_off(keepers + fronts);
+        let members = all.split_off(keepers);
+        Fleet {
+            dir: tempfile::tempdir().expect("a folder"),
+            keepers: all,
+            fronts: members.into_iter().zip(listens).collect(),
+            processes: BTreeMap::new(),
+            relays: BTreeMap::new(),
+            more: more.to_owned(),
+        }
+    }
+
+    fn places(&self) -> std::ops::Range<usize> {
+        0..self.keepers.len() + self.fronts.len()
+    }
+
+    /// Where a process is a member.
+    fn member(&self, place: usize) -> SocketAddr {
+        self.keepers.get(place).copied().unwrap_or_else(|| self.fronts[place - self.keepers.len()].0)
+    }
+
+    fn zone(place: usize) -> &'static str {
+        ["a", "b"][place % 2]
+    }
+
+    fn file(&self, place: usize) -> PathBuf {
+        let texts = |all: &[SocketAddr]| all.iter().map(|a| format!("'{a}'")).collect::<Vec<_>>().join(", ");
+        let mut text = format!(
+            "fleet:\n  name: test\n  listen: {}\n  keepers: [{}]\n  seeds: [{}]\n  zone: {}\n  zones: [a, b]\n",
+            self.member(place),
+            texts(&self.keepers),
+            texts(&self.keepers),
+            Fleet::zone(place)
+        );
+        let via = self.relays.iter().filter(|(k, _)| k.0 == place);
+        let via: Vec<String> =
+            via.map(|((_, to), r)| format!("'{}={}'", self.member(*to), r.address())).collect();
+        if !via.is_empty() {
+            text += &format!("  test_udp_via: [{}]\n", via.join(", "));
+        }
+        if place < self.keepers.len() {
+            text += &format!("  store: {}\n", self.dir.path().join(format!("store{place}")).display());
+        } else {
+            text += &self.more;
+            let listen = self.fronts[place - self.keepers.len()].1;
+            text += &format!(
+                "service:\n  zones: [a, b]\n  racks: 1\n  ladder:\n    - {{rate_kb: 200, worth: 1}}\n  classes:\n    - \
+                 {{name: video, aim_ms: 800, patience_ms: 4000}}\n  kinds:\n    - {{name: small, streams: 30}}\n  links: \
+                 {{unit_kb: 6000, uplink_kb: 26000}}\n  cold: {{warm_ms: 8000, from: 0.4, multiple: 2.5, span_ms: 500}}\n\
+                 front:\n  listen: {listen}\n  zone: {}\nlist:\n  boxes:\n    - {{id: 1, name: box, address: \"127.0.0.1:9\", \
+                 rack: 0, zone: a, kind: small}}\n  titles:\n    - {{name: t, class: video, holders: [box], length_s: 40}}\n",
+                Fleet::zone(place)
+            );
+        }
+        let path = self.dir.path().join(format!("p{place}.yaml"));
+        std::fs::write(&path, text).expect("written");
+        path
+    }
+
+    fn log(&self, place: usize) -> PathBuf {
+        self.dir.path().join(format!("p{place}.log"))
+    }
+
+    fn start(&mut self, place: usize) {
+        let what = if place < self.keepers.len() { "keeper" } else { "serve" };
+        let log = std::fs::File::create(self.log(place)).expect("a file");
+        let mut command = beechloft();
+        command.arg(what).arg(self.file(place)).stderr(log);
+        self.processes.insert(place, Process::start(&mut command));
+    }
+
+    fn start_all(&mut self) {
+        self.places().for_each(|place| self.start(place));
+    }
+
+    fn lines(&self, args: &[&str], place: usize) -> Vec<Value> {
+        let mut command = beechloft();
+        let out = command.args(args).arg(self.file(place)).arg("--json").output().expect("it runs");
+        String::from_utf8_lossy(&out.stdout).lines().filter_map(|l| serde_json::from_str(l).ok()).collect()
+    }
+
+    /// Whom a member believes to be there.
+    fn seen(&self, place: usize) -> BTreeSet<SocketAddr> {
+        let there = |l: &&Value| l["life"] == "alive" || l["life"] == "suspected";
+        let lines = self.lines(&["fleet", "members"], place);
+        let text = |l: &Value| l["address"].as_str().and_then(|a| a.parse().ok());
+        lines.iter().filter(there).filter_map(text).collect()
+    }
+
+    /// Waits until each of these sees just these.
+    fn see_each_other(&self, places: &[usize]) -> Duration {
+        let wanted: BTreeSet<SocketAddr> = places.iter().map(|p| self.member(*p)).collect();
+        until(|| {
+            for place in places {
+                let seen = self.seen(*place);
+                if seen != wanted {
+                    return Err(format!("{place} sees {seen:?}, not {wanted:?}"));
+                }
+            }
+            Ok(())
+        })
+    }
+
+    /// The places of the lease of numbers that are held.
+    fn numbers(&self) -> BTreeSet<u64> {
+        let lines = self.lines(&["lease", "list"], 0);
+        lines.iter().filter(|l| l["name"] == "front/number").filter_map(|l| l["place"].as_u64()).collect()
+    }
+
+    /// What a front was numbered last: number, of, fronts; by what it logged.
+    fn numbered(&self, place: usize) -> Option<(u64, u64, u64)> {
+        let text = std::fs::read_to_string(self.log(place)).unwrap_or_default();
+        let line = text.lines().rfind(|l| l.contains("numbered"))?;
+        let part = |key: &str| {
+            let after = &line[line.find(key)? + key.len()..];
+            after.chars().take_while(char::is_ascii_digit).collect::<String>().parse().ok()
+        };
+        Some((part("number=")?, part("of=")?, part("fronts=")?))
+    }
+
+    /// Waits until these fronts go by numbers of their own.
+    fn all_numbered(&self, places: &[usize], of: u64) -> Duration {
+        until(|| {
+            let all: Vec<_> = places.iter().map(|p| self.numbered(*p)).collect();
+            let distinct: BTreeSet<_> = all.iter().flatten().filter(|n| n.0 < n.1).map(|n| n.0).collect();
+            let wide = all.iter().flatten().all(|n| n.1 == of);
+            if distinct.len() == places.len() && wide { Ok(()) } else { Err(format!("{all:?}")) }
+        })
+    }
+}
+
+fn takes_requests(front: SocketAddr) -> bool {
+    TcpStream::connect_timeout(&front, Duration::from_millis(500)).is_ok()
+}
+
+#[test]
+fn numbers_differ_and_follow_whoever_comes_goes_and_fails() {
+    let mut fleet = Fleet::new(3, 5, "  number: lease\n  number_ttl_ms: 2000\n");
+    (0..7).for_each(|place| fleet.start(place));
+    fleet.all_numbered(&[3, 4, 5, 6], 4);
+    assert_eq!(fleet.numbers(), BTreeSet::from([0, 1, 2, 3]));
+
+    // A fifth: all go by eight before it goes by its own.
+    fleet.start(7);
+    fleet.all_numbered(&[3, 4, 5, 6, 7], 8);
+
+    // One is stopped beyond its lease and goes on: it has no part, then another grant.
+    let before = fleet.numbered(4).expect("it was numbered");
+    fleet.processes[&4].signal(Signal::STOP);
+    until(|| if fleet.numbers().len() == 4 { Ok(()) } else { Err("its number is still held".into()) });
+    fleet.processes[&4].signal(Signal::CONT);
+    until(|| match fleet.numbered(4) {
+        Some(now) if now != before && now.1 == 0 => Ok(()),
+        now => Err(format!("it goes on by {now:?}")),
+    });
+    fleet.all_numbered(&[3, 4, 5, 6, 7], 8);
+
+    // One is killed: its number is free after the time of the lease, and those who are left go by four.
+    fleet.processes.remove(&7);
+    fleet.all_numbered(&[3, 4, 5, 6], 4);
+
+    // All keepers are gone for longer than the lease: nobody has a part, and all go on taking requests.
+    (0..3).for_each(|place| drop(fleet.processes.remove(&place)));
+    let nobody = |n: Option<(u64, u64, u64)>| n.is_some_and(|n| n.1 == 0);
+    until(|| match (3..7).all(|p| nobody(fleet.numbered(p))) {
+        true => Ok(()),
+        false => Err("somebody has a part without a keeper".into()),
+    });
+    assert!((0..4).all(|n| takes_requests(fleet.fronts[n].1)));
+    (0..3).for_each(|place| fleet.start(place));
+    fleet.all_numbered(&[3, 4, 5, 6], 4);
+}
+
+/// Fronts are told to restart at the same instant; each that has ended starts again at once. How many were out at most.
+fn restart_all(fleet: &mut Fleet, patience: Duration) -> usize {
+    let places: Vec<usize> = (3..3 + fleet.fronts.len()).collect();
+    places.iter().for_each(|p| fleet.processes[p].signal(Signal::TERM));
+    let (mut again, mut most) = (BTreeSet::new(), 0);
+    let began = Instant::now();
+    while again.len() < places.len() || places.iter().any(|p| !takes_requests(fleet.fronts[p - 3].1)) {
+        assert!(began.elapsed() < patience, "only {again:?} restarted");
+        let out = places.iter().filter(|p| !takes_requests(fleet.fronts[**p - 3].1)).count();
+        most = most.max(out);
+        for place in &places {
+            let ended = |p: &mut Process| p.0.try_wait().is_ok_and(|s| s.is_some());
+            if !again.contains(place) && fleet.processes.get_mut(place).is_some_and(ended) {
+                fleet.start(*place);
+                again.insert(*place);
+            }
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    most
+}
+
+#[test]
+fn ten_fronts_told_at_once_restart_two_at_a_time() {
+    let turns = "  restart: {at_most: 2, wait_ms: 60000, back_ms: 1500}\n";
+    let mut fleet = Fleet::new(3, 10, turns);
+    fleet.start_all();
+    until(|| match (0..10).all(|n| takes_requests(fleet.fronts[n].1)) {
+        true => Ok(()),
+        false => Err("a front is not up".into()),
+    });
+    // A leader must be there, or all wait for one.
+    until(|| match fleet.lines(&["fleet", "status"], 0).iter().any(|l| l["status"]["role"] == "leader") {
+        true => Ok(()),
+        false => Err("nobody leads".into()),
+    });
+    let most = restart_all(&mut fleet, Duration::from_secs(50));
+    assert!((1..=2).contains(&most), "{most} were out at once");
+
+    // Told twice it goes at once, whoever else is out.
+    let began = Instant::now();
+    for _ in 0..2 {
+        fleet.processes[&5].signal(Signal::TERM);
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    let five = fleet.processes.get_mut(&5).expect("it runs");
+    until(|| match five.0.try_wait() {
+        Ok(Some(status)) if status.success() => Ok(()),
+        other => Err(format!("{other:?}")),
+    });
+    assert!(began.elapsed() < Duration::from_secs(10));
+    fleet.processes.remove(&5);
+    fleet.start(5);
+    until(|| if takes_requests(fleet.fronts[2].1) { Ok(()) } else { Err("it is not up again".into()) });
+
+    // Without a keeper a front waits for as long as it is to, and goes then.
+    let short = "  restart: {at_most: 2, wait_ms: 1500, back_ms: 1500}\n";
+    (fleet.more, _) = (short.to_owned(), (0..3).for_each(|k| drop(fleet.processes.remove(&k))));
+    fleet.processes.remove(&4);
+    fleet.start(4);
+    until(|| if takes_requests(fleet.fronts[1].1) { Ok(()) } else { Err("it is not up".into()) });
+    let began = Instant::now();
+    fleet.processes[&4].signal(Signal::TERM);
+    let four = fleet.processes.get_mut(&4).expect("it runs");
+    until(|| match four.0.try_wait() {
+        Ok(Some(_)) => Ok(()),
+        other => Err(format!("{other:?}")),
+    });
+    assert!(began.elapsed() >= Duration::from_millis(1_500));
+}
+
+#[test]
+fn members_see_who_is_there_through_lost_doubled_late_and_cut_datagrams() {
+    let mut fleet = Fleet::new(3, 5, "");
+    let places: Vec<usize> = fleet.places().collect();
+    for from in &places {
+        for to in places.iter().filter(|to| *to != from) {
+            let seed = (from * 100 + to) as u64;
+            let relay = udp::Relay::start(fleet.member(*to), seed).expect("a relay");
+            fleet.relays.insert((*from, *to), relay);
+        }
+    }
+    let set = |fleet: &Fleet, of: &dyn Fn(usize, usize) -> Mood| {
+        for ((from, to), relay) in &fleet.relays {
+            relay.set(udp::Way { there: of(*from, *to), back: of(*to, *from) });
+        }
+    };
+    let poor = Mood { lost: 100, doubled: 200, late: Duration::from_millis(60) };
+    set(&fleet, &|_, _| poor);
+    fleet.start_all();
+    fleet.see_each_other(&places);
+
+    // Killed: gone for all others; nobody else is.
+    fleet.processes.remove(&7);
+    fleet.see_each_other(&[0, 1, 2, 3, 4, 5, 6]);
+
+    // One is heard by nobody and hears all others: it is gone for them, and comes back.
+    let mute = |from: usize, _: usize| if from == 6 { Mood::cut() } else { poor };
+    set(&fleet, &mute);
+    let six = fleet.member(6);
+    until(|| match [0, 3, 5].iter().any(|p| fleet.seen(*p).contains(&six)) {
+        true => Err("whoever is heard by nobody is believed to be there".into()),
+        false => Ok(()),
+    });
+    set(&fleet, &|_, _| poor);
+    fleet.see_each_other(&[0, 1, 2, 3, 4, 5, 6]);
+
+    // The two zones are parted, know what is left of them, and find each other again.
+    let zones = |from: usize, to: usize| if from % 2 == to % 2 { poor } else { Mood::cut() };
+    set(&fleet, &zones);
+    fleet.see_each_other(&[0, 2, 4, 6]);
+    fleet.see_each_other(&[1, 3, 5]);
+    set(&fleet, &|_, _| Mood::default());
+    fleet.see_each_other(&[0, 1, 2, 3, 4, 5, 6]);
+
+    // Told to end: it says so, and is gone for all at once and suspected by nobody.
+    fleet.processes[&5].signal(Signal::TERM);
+    fleet.see_each_other(&[0, 1, 2, 3, 4, 6]);
+    let five = fleet.member(5).to_string();
+    let lines = fleet.lines(&["fleet", "members"], 3);
+    assert!(lines.iter().any(|l| l["address"] == five.as_str() && l["life"] == "left"), "{lines:?}");
+    let passed: u64 = fleet.relays.values().map(|r| r.passed().came).sum();
+    assert!(passed > 200, "{passed} datagrams went by way of the relays");
+}
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -1,5 +1,7 @@
 //! The front node as a process: what it says of a start that can't be, and real signals.
 
+mod support;
+
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
@@ -145,3 +147,52 @@
     };
     assert_eq!(status.code(), Some(0));
 }
+
+#[test]
+fn as_one_of_a_fleet_it_has_a_number_by_lease_and_restarts_in_its_turn() {
+    let (dir, path) = folder();
+    let bus = bus();
+    let addr = bus.local_addr().expect("an address");
+    let keeper = support::free_addresses(1)[0];
+    let file = |name: &str, more: &str| {
+        let text = format!("fleet:\n  name: test\n  keepers: ['{keeper}']\n{more}");
+        let path = dir.path().join(name);
+        std::fs::write(&path, text).expect("written");
+        path
+    };
+    let store = dir.path().join("store");
+    let keeps = file("keeper.yaml", &format!("  listen: {keeper}\n  store: {}\n", store.display()));
+    let turns = "  number: lease\n  number_ttl_ms: 1000\n  restart: {at_most: 1, back_ms: 4000}\n";
+    let joins = file("fleet.yaml", turns);
+    std::fs::write(&path, config("127.0.0.1:0", addr).to_string()).expect("written");
+    let mut keeper = support::beechloft();
+    let _keeper = support::Process::start(keeper.arg("keeper").arg(&keeps).stderr(Stdio::null()));
+    let mut nodes = Vec::new();
+    for n in 0..2 {
+        let log = dir.path().join(format!("n{n}.log"));
+        let mut node = command(&path, &[]);
+        node.arg("--fleet").arg(&joins).stderr(std::fs::File::create(&log).expect("a file"));
+        nodes.push((support::Process::start(&mut node), log));
+    }
+    let says = |n: usize, what: &str| std::fs::read_to_string(&nodes[n].1).is_ok_and(|t| t.contains(what));
+    support::until(|| {
+        let of = |n: usize, number: usize| says(n, &format!("number={number} of=2 fronts=2"));
+        let differ = (of(0, 0) && of(1, 1)) || (of(0, 1) && of(1, 0));
+        if differ { Ok(()) } else { Err("they have no numbers of their own".into()) }
+    });
+    assert!((0..2).all(|n| says(n, "number=0 of=0 fronts=1")), "a part before the first lease");
+    // Both are told at once: one goes, the other when that one's time to be back is over.
+    nodes.iter().for_each(|n| n.0.signal(rustix::process::Signal::TERM));
+    let mut ended = [None, None];
+    support::until(|| {
+        for (n, node) in nodes.iter_mut().enumerate() {
+            if ended[n].is_none() && node.0.0.try_wait().is_ok_and(|s| s.is_some_and(|s| s.success())) {
+                ended[n] = Some(Instant::now());
+            }
+        }
+        if ended.iter().all(Option::is_some) { Ok(()) } else { Err(format!("{ended:?}")) }
+    });
+    let [Some(a), Some(b)] = ended else { panic!("one goes on") };
+    let apart = a.max(b) - a.min(b);
+    assert!(apart > Duration::from_millis(1_500), "both were out within {apart:?}");
+}
--- /dev/null
+++ b/crates/cli/tests/support/mod.rs
@@ -0,0 +1,57 @@
+//! Processes of the program, each ended whatever becomes of the test.
+#![allow(dead_code)]
+
+use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process_group};
+
+/// Long enough for anything that is to happen.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A process in a group of its own.
+pub struct Process(pub Child);
+
+impl Process {
+    pub fn start(command: &mut Command) -> Process {
+        command.stdin(Stdio::null()).stdout(Stdio::null()).process_group(0);
+        Process(command.spawn().expect("it starts"))
+    }
+
+    /// To it and to what it runs.
+    pub fn signal(&self, signal: Signal) {
+        let _ = kill_process_group(Pid::from_child(&self.0), signal);
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.signal(Signal::KILL);
+        let _ = self.0.wait();
+    }
+}
+
+pub fn beechloft() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_beechloft"))
+}
+
+/// Ports that were free a moment ago.
+pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let taken: Vec<TcpListener> =
+        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
+    taken.iter().map(|l| l.local_addr().expect("an address")).collect()
+}
+
+/// Waits until something holds; what is wrong if it does not.
+pub fn until(mut holds: impl FnMut() -> Result<(), String>) -> Duration {
+    let began = Instant::now();
+    loop {
+        match holds() {
+            Ok(()) => return began.elapsed(),
+            Err(why) => assert!(began.elapsed() < PATIENCE, "{why}"),
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
--- a/crates/config/src/front.rs
+++ b/crates/config/src/front.rs
@@ -57,6 +57,8 @@
     pub service: Service,
     /// For the module, complete.
     pub settings: Settings,
+    /// Whether its number, or of how many, is written there.
+    pub numbered: bool,
     /// Seed of its random numbers; none: drawn at the start.
     pub seed: Option<u64>,
     /// Where the list comes from.
@@ -73,7 +75,14 @@
 
 /// Reads a front's settings file; all its faults, if it has any.
 pub fn parse(text: &str) -> Result<FrontSettings, Faults> {
-    reader::read(text, front)
+    reader::read(text, FrontSettings::of)
+}
+
+impl FrontSettings {
+    /// Reads a front's sections of a file that may say more.
+    pub fn of(top: &Section<'_>) -> FrontSettings {
+        front(top)
+    }
 }
 
 fn front(top: &Section<'_>) -> FrontSettings {
@@ -97,6 +106,7 @@
         sip: f.address("sip"),
         sip_control: true,
         settings,
+        numbered: f.has("number") || f.has("of"),
         seed: f.whole("seed", 0..=u64::MAX),
         list: list_source(&top.section("list"), &service),
         sizes: sizes(&top.section("sockets")),
--- a/crates/fleet/src/drift.rs
+++ b/crates/fleet/src/drift.rs
@@ -15,6 +15,11 @@
         (ppm < 100_000).then_some(Drift(ppm))
     }
 
+    /// The bound, in parts of a million.
+    pub fn as_ppm(self) -> u32 {
+        self.0
+    }
+
     fn times(self, span: Duration, part: u128, up: bool) -> Duration {
         let nanos = span.as_nanos() * part;
         let whole = if up { nanos.div_ceil(MILLION) } else { nanos / MILLION };
--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -4,6 +4,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use thiserror::Error;
 
 use crate::drift::Drift;
 use crate::planted::Fault;
@@ -20,6 +21,38 @@
     pub ttl_ms: u32,
 }
 
+/// What must be left of a lease's time once the drift is off: half a dozen tries to renew it, each answered by a sync of a
+/// majority's disks, and a new leader's election among them.
+const LEAST: Duration = Duration::from_millis(450);
+
+/// Terms that can't be kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum TermsError {
+    /// The time is too short.
+    #[error("{ttl_ms} ms leave {left_ms} ms after a drift of {ppm} ppm, and {least} are needed to renew it", least = LEAST.as_millis())]
+    Short {
+        /// As asked for.
+        ttl_ms: u32,
+        /// What the drift leaves.
+        left_ms: u64,
+        /// The drift.
+        ppm: u32,
+    },
+}
+
+impl Terms {
+    /// Whether a holder has time to renew them.
+    ///
+    /// # Errors
+    /// The time is under what the drift allows.
+    pub fn check(&self, drift: Drift) -> Result<(), TermsError> {
+        let ttl_ms = self.ttl_ms;
+        let left = drift.shorter(Duration::from_millis(u64::from(ttl_ms)));
+        let left_ms = left.as_millis() as u64;
+        if left < LEAST { Err(TermsError::Short { ttl_ms, left_ms, ppm: drift.as_ppm() }) } else { Ok(()) }
+    }
+}
+
 /// What a holder hears.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum HolderInput {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,7 +20,7 @@
 mod words;
 
 pub use drift::Drift;
-pub use holder::{Holder, HolderInput, HolderOutput, Permit, Terms};
+pub use holder::{Holder, HolderInput, HolderOutput, Permit, Terms, TermsError};
 pub use keeper::{Asked, ClientId, Keeper, KeeperOutput};
 pub use numbering::{Numbering, Part};
 pub use planted::Fault;
--- a/crates/front/src/engine.rs
+++ b/crates/front/src/engine.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use beechloft_config::FrontSettings;
-use beechloft_core::api::{Micros, ServerId, SessionId};
+use beechloft_core::api::{Micros, Numbered, ServerId, SessionId};
 use beechloft_core::io::{Answer, Ask, AttemptId, Input, Output, RequestId, Secret};
 use beechloft_core::{Core, Exchanged};
 use beechloft_http::client::Pool;
@@ -174,6 +174,9 @@
     }
 }
 
+/// A front's number among others, now; none: as its settings say. It is asked before each input and must not wait.
+pub type Numbers = Box<dyn Fn() -> Option<Numbered> + Send>;
+
 /// The engine's thread and its helpers.
 pub struct Engine {
     sender: Sender<Message>,
@@ -188,6 +191,7 @@
         settings: Arc<FrontSettings>,
         pool: Arc<Pool>,
         record: bool,
+        numbers: Option<Numbers>,
     ) -> io::Result<(Engine, Handle)> {
         let (sender, receiver) = unbounded();
         let handle = Handle {
@@ -201,8 +205,9 @@
         let recording = record.then(Recording::default);
         let (waiting, followers) = (BTreeMap::new(), BTreeMap::new());
         let ended = handle.ended.clone();
+        let (out, sip, numbered) = (Vec::new(), None, None);
         let run =
-            Run { core, clock, calls, watchers, waiting, followers, out: Vec::new(), recording, sip: None };
+            Run { core, clock, calls, watchers, waiting, followers, out, recording, sip, numbers, numbered };
         let thread = thread::Builder::new().name("core".into()).spawn(move || {
             let recording = run.run(&receiver);
             ended.store(true, Ordering::SeqCst);
@@ -228,6 +233,8 @@
     out: Vec<Output>,
     recording: Option<Recording>,
     sip: Option<Sender<agent::Input>>,
+    numbers: Option<Numbers>,
+    numbered: Option<Numbered>,
 }
 
 impl Run {
@@ -308,7 +315,22 @@
         }
     }
 
+    /// Has the core know its number right before whatever else it hears: a lease may have run out since.
+    fn renumber(&mut self) {
+        let now = self.numbers.as_ref().and_then(|n| n());
+        if let Some(numbered) = now.filter(|n| Some(*n) != self.numbered) {
+            info!(target: "core", number = numbered.number, of = numbered.of, fronts = numbered.fronts, "numbered");
+            self.numbered = Some(numbered);
+            self.handle(Input::Numbered(numbered));
+        }
+    }
+
     fn input(&mut self, input: Input) {
+        self.renumber();
+        self.handle(input);
+    }
+
+    fn handle(&mut self, input: Input) {
         debug!(target: "core", ?input, "input");
         let now = self.clock.now();
         if let Some(recording) = &mut self.recording {
--- a/crates/keeper/src/engine.rs
+++ b/crates/keeper/src/engine.rs
@@ -372,6 +372,7 @@
         LeaseLine {
             name: name.to_string(),
             places,
+            place: g.place,
             token: token.0,
             holder: g.holder.0,
             ttl_ms: g.ttl_ms,
--- a/crates/keeper/src/lib.rs
+++ b/crates/keeper/src/lib.rs
@@ -8,10 +8,13 @@
 //! [`Peers`] is this process as a member of the fleet: one thread with a UDP socket around `beechloft_members::Swim`, on the
 //! address that keepers have for TCP.
 //!
+//! [`Agent`] is what a front asks of the fleet: its number, and its turn to restart.
+//!
 //! Peers listen on an address of their own, meant for a private network: there is no sign-in. A word for another fleet, of
 //! another version, too long or with a wrong checksum costs its connection, and is counted.
 #![forbid(unsafe_code)]
 
+mod agent;
 pub mod client;
 mod engine;
 mod links;
@@ -20,7 +23,8 @@
 mod store;
 pub mod wire;
 
+pub use agent::Agent;
 pub use engine::{Keeping, StartError};
 pub use peers::Peers;
-pub use settings::FleetSettings;
+pub use settings::{FleetSettings, Restart};
 pub use store::{LogStore, OpenError};
--- a/crates/keeper/src/peers.rs
+++ b/crates/keeper/src/peers.rs
@@ -2,12 +2,12 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
 
-use beechloft_members::{About, Input, Kind, Life, MemberId, Output, Packet, Swim};
+use beechloft_members::{About, Input, Kind, Life, Member, MemberId, Output, Packet, Swim};
 use crossbeam_channel::bounded;
 use tracing::{debug, info};
 
@@ -27,6 +27,7 @@
     clock: Box<dyn Fn() -> Duration + Send + Sync>,
     end: AtomicBool,
     refused: AtomicU64,
+    fronts: AtomicU32,
 }
 
 /// A member that runs until it is dropped.
@@ -49,7 +50,8 @@
         let swim = Mutex::new(Swim::new(id, about, set.seeds.clone(), rand::random(), clock()));
         info!(%id, %address, zone = %set.zone, "member is up");
         let (end, refused) = (AtomicBool::new(false), AtomicU64::new(0));
-        let shared = Arc::new(Shared { swim, socket, set: set.clone(), clock, end, refused });
+        let fronts = AtomicU32::new(u32::from(kind == Kind::Front));
+        let shared = Arc::new(Shared { swim, socket, set: set.clone(), clock, end, refused, fronts });
         let its = Arc::clone(&shared);
         thread::Builder::new().name("members".into()).stack_size(256 << 10).spawn(move || its.run())?;
         Ok(Peers { shared })
@@ -83,6 +85,11 @@
         self.shared.seen()
     }
 
+    /// Fronts that are there, by what it sees, itself included if it is one. It takes no time.
+    pub fn fronts(&self) -> u32 {
+        self.shared.fronts.load(Ordering::Relaxed)
+    }
+
     /// Tells some others that this process ends.
     pub fn leave(&self) {
         self.shared.handle(Input::Leave);
@@ -127,7 +134,16 @@
 
     fn handle(&self, input: Input) {
         // What is sent goes out after the lock is let go: a socket may take its time.
-        let outputs = self.swim().handle((self.clock)(), input);
+        let outputs = {
+            let mut swim = self.swim();
+            let outputs = swim.handle((self.clock)(), input);
+            if outputs.iter().any(|o| matches!(o, Output::Changed(..))) {
+                let fronts = |m: &&Member| m.life.is_there() && m.about.kind == Kind::Front;
+                let count = swim.roster().iter().map(|m| m.1).filter(fronts).count();
+                self.fronts.store(count as u32, Ordering::Relaxed);
+            }
+            outputs
+        };
         for output in outputs {
             match output {
                 Output::Send(to, packet) => self.send(to, &packet),
@@ -139,14 +155,14 @@
     fn send(&self, to: SocketAddr, packet: &Packet) {
         if let Some(bytes) = wire::datagram(self.set.number(), packet) {
             // What can't be sent is lost, as on any network.
-            let _ = self.socket.send_to(&bytes, self.set.reach(to));
+            let _ = self.socket.send_to(&bytes, self.set.reach_member(to));
         }
     }
 
     fn seen(&self) -> Vec<SeenLine> {
         let (swim, now) = (self.swim(), (self.clock)());
         let millis = |since: Duration| now.saturating_sub(since).as_millis() as u64;
-        let line = |(id, m): (MemberId, &beechloft_members::Member)| SeenLine {
+        let line = |(id, m): (MemberId, &Member)| SeenLine {
             id: id.to_string(),
             address: m.about.address.to_string(),
             zone: m.about.zone.to_string(),
--- a/crates/keeper/src/settings.rs
+++ b/crates/keeper/src/settings.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use beechloft_config::{Faults, Section, reader};
-use beechloft_fleet::Drift;
+use beechloft_fleet::{Drift, Name, Terms};
 use beechloft_members::Zone;
 
 /// Keepers at most.
@@ -31,10 +31,25 @@
     pub zone: Zone,
     /// Where others are looked for at first; none: this process is no member.
     pub seeds: Vec<SocketAddr>,
+    /// The lease of a front's number, if it is to have one.
+    pub number: Option<Terms>,
+    /// How fronts restart in turn, if they do.
+    pub restart: Option<Restart>,
     /// For tests: this process's clock runs at this rate.
     pub test_clock_rate: f64,
     /// For tests: keepers that are reached by way of another address.
     pub test_via: BTreeMap<SocketAddr, SocketAddr>,
+    /// For tests: members that are reached by way of another address.
+    pub test_udp_via: BTreeMap<SocketAddr, SocketAddr>,
+}
+
+/// How fronts restart in turn.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Restart {
+    /// The lease: as many places as fronts may be out at once, each for as long as a front takes to be back.
+    pub terms: Terms,
+    /// How long one is waited for.
+    pub wait: Duration,
 }
 
 impl FleetSettings {
@@ -59,9 +74,14 @@
         self.test_via.get(&keeper).copied().unwrap_or(keeper)
     }
 
-    /// Which process is reached by way of this address, or else the address.
+    /// Where a member is reached.
+    pub fn reach_member(&self, member: SocketAddr) -> SocketAddr {
+        self.test_udp_via.get(&member).copied().unwrap_or(member)
+    }
+
+    /// Which member is reached by way of this address, or else the address.
     pub fn behind(&self, address: SocketAddr) -> SocketAddr {
-        self.test_via.iter().find(|(_, via)| **via == address).map_or(address, |(process, _)| *process)
+        self.test_udp_via.iter().find(|(_, via)| **via == address).map_or(address, |(member, _)| *member)
     }
 
     /// A clock that goes by these settings: time since some moment before now.
@@ -97,6 +117,8 @@
         s.fault("listen", "others are told this address, and can't reach this one");
     }
     let ppm = s.whole("drift_ppm", 0..=99_999).unwrap_or(10_000) as u32;
+    // Within bounds by the range above; a file with a fault there is not used.
+    let drift = Drift::ppm(ppm).unwrap_or_default();
     FleetSettings {
         name,
         zone: zone(s, zones),
@@ -104,11 +126,36 @@
         keepers,
         seeds,
         store: s.text("store").map(PathBuf::from),
-        // Within bounds by the range above; a file with a fault there is not used.
-        drift: Drift::ppm(ppm).unwrap_or_default(),
+        drift,
+        number: number(s, drift),
+        restart: if s.has("restart") { restart(&s.section("restart"), drift) } else { None },
         test_clock_rate: s.number("test_clock_rate", 0.5..=2.0).unwrap_or(1.0),
-        test_via: via(s),
+        test_via: via(s, "test_via"),
+        test_udp_via: via(s, "test_udp_via"),
+    }
+}
+
+/// A lease's terms; what is wrong with them is a fault of the key that says the time.
+fn terms(s: &Section<'_>, name: &str, places: u16, ttl: (&'static str, u64), drift: Drift) -> Option<Terms> {
+    let ttl_ms = s.whole(ttl.0, 1..=3_600_000).unwrap_or(ttl.1) as u32;
+    let terms = Terms { name: Name::try_from(name.to_owned()).ok()?, places, ttl_ms };
+    if let Err(why) = terms.check(drift) {
+        s.fault(ttl.0, why.to_string());
     }
+    Some(terms)
+}
+
+fn number(s: &Section<'_>, drift: Drift) -> Option<Terms> {
+    s.choice("number", &[("lease", ())])?;
+    let places = s.whole("most_fronts", 1..=4_096).unwrap_or(1_024) as u16;
+    terms(s, "front/number", places, ("number_ttl_ms", 10_000), drift)
+}
+
+fn restart(s: &Section<'_>, drift: Drift) -> Option<Restart> {
+    let places = s.needed_whole("at_most", 1..=4_096) as u16;
+    let wait = s.millis("wait_ms", 1..=3_600_000).unwrap_or(Duration::from_secs(60));
+    let terms = terms(s, "front/restart", places, ("back_ms", 15_000), drift)?;
+    Some(Restart { terms, wait })
 }
 
 /// Addresses with ports, none of them twice.
@@ -138,14 +185,14 @@
     })
 }
 
-/// `KEEPER=ADDRESS`, each.
-fn via(s: &Section<'_>) -> BTreeMap<SocketAddr, SocketAddr> {
+/// `PROCESS=ADDRESS`, each.
+fn via(s: &Section<'_>, key: &'static str) -> BTreeMap<SocketAddr, SocketAddr> {
     let mut all = BTreeMap::new();
-    for text in s.texts("test_via") {
+    for text in s.texts(key) {
         let pair = text.split_once('=').and_then(|(a, b)| Some((a.parse().ok()?, b.parse().ok()?)));
         match pair {
             Some((keeper, address)) => drop(all.insert(keeper, address)),
-            None => s.fault("test_via", format!("'{text}' is not KEEPER=ADDRESS")),
+            None => s.fault(key, format!("'{text}' is not PROCESS=ADDRESS")),
         }
     }
     all
@@ -160,18 +207,21 @@
         let text = "fleet:\n  name: market\n  listen: 127.0.0.1:7000\n  keepers: ['127.0.0.1:7000', '127.0.0.1:7001', '127.0.0.1:7002']\n  store: /tmp/x\n  drift_ppm: 200\n";
         let read = FleetSettings::read(text).expect("sound");
         assert_eq!((read.keepers.len(), read.name.as_str(), read.test_clock_rate), (3, "market", 1.0));
-        let bad = "fleet:\n  keepers: ['127.0.0.1:7000', '127.0.0.1:7000', 'x', '127.0.0.1:7002']\n  drift_ppm: 100000\n  seed: 3\n  zones: [a, b]\n  zone: c\n  seeds: ['127.0.0.1:1', y]\n";
+        let bad = "fleet:\n  keepers: ['127.0.0.1:7000', '127.0.0.1:7000', 'x', '127.0.0.1:7002']\n  drift_ppm: 99999\n  seed: 3\n  zones: [a, b]\n  zone: c\n  seeds: ['127.0.0.1:1', y]\n  number: lease\n  number_ttl_ms: 460\n  restart:\n    at_least: 1\n    back_ms: 100\n";
         let faults = FleetSettings::read(bad).expect_err("faulty").to_string();
         let all = [
             "name",
             "twice",
             "'x' is no address",
             "odd number",
-            "drift_ppm",
             "seed: unknown key",
             "no zone 'c'; there are a, b",
             "'y' is no address",
             "fleet.listen, which is missing",
+            "number_ttl_ms: 460 ms leave 414 ms after a drift of 99999 ppm",
+            "at_least: unknown key",
+            "at_most: missing",
+            "back_ms: 100 ms leave",
         ];
         for said in all {
             assert!(faults.contains(said), "{said} is not in {faults}");
--- a/crates/keeper/src/wire.rs
+++ b/crates/keeper/src/wire.rs
@@ -24,6 +24,8 @@
     pub name: String,
     /// Holders at once at most.
     pub places: u16,
+    /// The grant's place among those of its task.
+    pub place: u16,
     /// The grant's token.
     pub token: u64,
     /// Whose.
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -10,6 +10,7 @@
 //! that must hold (who acts, who counts) may rest on it. That is what leases are for.
 #![forbid(unsafe_code)]
 
+mod joining;
 mod planted;
 mod roster;
 mod rumours;
--- a/crates/members/src/roster.rs
+++ b/crates/members/src/roster.rs
@@ -1,6 +1,6 @@
 //! All members, as one of them believes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -64,12 +64,19 @@
 pub struct Roster {
     members: BTreeMap<MemberId, Member>,
     parts: Vec<u64>,
+    /// Who is compared in which part, whether there or gone.
+    by_part: Vec<BTreeSet<MemberId>>,
     there: usize,
 }
 
 impl Default for Roster {
     fn default() -> Self {
-        Roster { members: BTreeMap::new(), parts: vec![0; PARTS], there: 0 }
+        Roster {
+            members: BTreeMap::new(),
+            parts: vec![0; PARTS],
+            by_part: vec![BTreeSet::new(); PARTS],
+            there: 0,
+        }
     }
 }
 
@@ -96,6 +103,11 @@
         self.members.iter().map(|(id, m)| (*id, m))
     }
 
+    /// Those that are compared in this part.
+    pub(crate) fn of_part(&self, part: usize) -> impl Iterator<Item = (MemberId, &Member)> {
+        self.by_part[part].iter().filter_map(|id| Some((*id, self.members.get(id)?)))
+    }
+
     /// How many are there, by what is believed.
     pub fn there(&self) -> usize {
         self.there
@@ -170,10 +182,12 @@
                 return Worth::Old;
             };
             self.members.remove(&oldest);
+            self.by_part[part(oldest)].remove(&oldest);
         }
         let about = Arc::clone(about);
         let member = Member { about, incarnation, life: Life::Alive, since: now, known_since: now };
         self.members.insert(id, member);
+        self.by_part[part(id)].insert(id);
         self.count(id, true);
         Worth::New
     }
@@ -181,6 +195,8 @@
     /// Lets go of whoever is gone for long.
     pub(crate) fn forget(&mut self, now: Duration) {
         self.members.retain(|_, m| m.life.is_there() || now.saturating_sub(m.since) < GONE_FOR);
+        let members = &self.members;
+        self.by_part.iter_mut().for_each(|ids| ids.retain(|id| members.contains_key(id)));
     }
 }
 
--- a/crates/members/src/swim.rs
+++ b/crates/members/src/swim.rs
@@ -9,12 +9,12 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::joining::ANSWERS;
 use crate::planted::Fault;
 use crate::roster::{Life, Roster, Worth};
 use crate::rumours::Rumours;
 use crate::suspicion::Suspicion;
-use crate::sync;
-use crate::words::{About, Digests, Incarnation, MemberId, Packet, Rumour, Said};
+use crate::words::{About, Incarnation, MemberId, Packet, Rumour, Said};
 
 /// From one probe to the next, by a member that is well (SWIM's protocol period).
 const PERIOD: Duration = Duration::from_secs(1);
@@ -32,20 +32,8 @@
 const LOOK: Duration = Duration::from_millis(250);
 /// Help that is given at once, at most.
 const MOST_HELP: usize = 64;
-/// Rosters that differ for so long are compared, as gossip is over by then.
-const DIFFERS_FOR: Duration = Duration::from_secs(6);
-/// From one comparison to the next.
-const COMPARE: Duration = Duration::from_secs(10);
 /// The same while the last brought something: whoever is new learns of all within seconds.
 const MORE: Duration = Duration::from_millis(500);
-/// Comparisons that are answered in a second, at most.
-const ANSWERS: f64 = 20.0;
-/// From one try to reach a seed to the next, alone: at first and at most.
-const JOIN: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(10));
-/// The same while others are there: guards against a fleet that was parted and stays so, each part for itself.
-const REJOIN: Duration = Duration::from_secs(20);
-/// Whom a member tells that it leaves.
-const FAREWELLS: usize = 8;
 
 /// What the machine hears.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -109,40 +97,40 @@
 /// A member.
 #[derive(Debug)]
 pub struct Swim {
-    id: MemberId,
-    about: Arc<About>,
-    incarnation: Incarnation,
-    roster: Roster,
-    rumours: Rumours,
-    suspicions: BTreeMap<MemberId, Suspicion>,
-    seeds: Vec<SocketAddr>,
-    rng: ChaCha8Rng,
-    now: Duration,
+    pub(crate) id: MemberId,
+    pub(crate) about: Arc<About>,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) roster: Roster,
+    pub(crate) rumours: Rumours,
+    pub(crate) suspicions: BTreeMap<MemberId, Suspicion>,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) now: Duration,
     /// How slow this one is itself: nought if well (Lifeguard's local health multiplier).
-    health: u32,
-    seq: u64,
-    order: Vec<MemberId>,
-    place: usize,
-    periods: u64,
+    pub(crate) health: u32,
+    pub(crate) seq: u64,
+    pub(crate) order: Vec<MemberId>,
+    pub(crate) place: usize,
+    pub(crate) periods: u64,
     probe: Option<Probe>,
-    period_at: Duration,
-    look_at: Duration,
+    pub(crate) period_at: Duration,
+    pub(crate) look_at: Duration,
     helps: BTreeMap<u64, Help>,
-    join_at: Duration,
-    joins: u32,
-    differs_since: Option<Duration>,
-    compare_at: Duration,
+    pub(crate) join_at: Duration,
+    pub(crate) joins: u32,
+    pub(crate) differs_since: Option<Duration>,
+    pub(crate) compare_at: Duration,
     /// Who was asked for a comparison last; it is asked again while that brings something.
-    compared: Option<(SocketAddr, Option<MemberId>)>,
-    more: bool,
+    pub(crate) compared: Option<(SocketAddr, Option<MemberId>)>,
+    pub(crate) more: bool,
     /// It has not known as much as another yet.
-    newcomer: bool,
-    passes_on: bool,
-    answers: f64,
-    answers_at: Duration,
-    left: bool,
-    counts: Counts,
-    fault: Option<Fault>,
+    pub(crate) newcomer: bool,
+    pub(crate) passes_on: bool,
+    pub(crate) answers: f64,
+    pub(crate) answers_at: Duration,
+    pub(crate) left: bool,
+    pub(crate) counts: Counts,
+    pub(crate) fault: Option<Fault>,
 }
 
 impl Swim {
@@ -197,7 +185,7 @@
         self.fault = Some(fault);
     }
 
-    fn planted(&self, fault: Fault) -> bool {
+    pub(crate) fn planted(&self, fault: Fault) -> bool {
         cfg!(feature = "planted") && self.fault == Some(fault)
     }
 
@@ -270,12 +258,12 @@
     }
 
     /// Between half of it and all of it, by chance.
-    fn about(&mut self, span: Duration) -> Duration {
+    pub(crate) fn about(&mut self, span: Duration) -> Duration {
         let micros = span.as_micros() as u64;
         Duration::from_micros(self.rng.random_range(micros / 2..=micros))
     }
 
-    fn send(
+    pub(crate) fn send(
         &mut self,
         at: SocketAddr,
         to: Option<MemberId>,
@@ -599,104 +587,4 @@
             self.learn(Rumour::Gone { id, incarnation, by: self.id }, out);
         }
     }
-
-    // Joining, comparing, leaving.
-
-    /// Looks for others at the seeds, and for whoever is gone and may only have been parted.
-    fn join(&mut self, out: &mut Vec<Output>) {
-        let alone = self.roster.there() <= 1;
-        let wait = if alone { (JOIN.0 * 2u32.pow(self.joins.min(6))).min(JOIN.1) } else { REJOIN };
-        self.joins = if alone { self.joins.saturating_add(1) } else { 0 };
-        self.join_at = self.now + self.about(wait);
-        let known =
-            |at: &SocketAddr| self.roster.iter().any(|(_, m)| m.about.address == *at && m.life.is_there());
-        let mut places: Vec<SocketAddr> = self.seeds.iter().copied().filter(|at| !known(at)).collect();
-        let gone = self.roster.iter().filter(|(_, m)| m.life == Life::Gone).map(|(_, m)| m.about.address);
-        places.extend(gone.filter(|at| !known(at)));
-        if !places.is_empty() {
-            let at = places[self.rng.random_range(0..places.len())];
-            self.compare(at, None, out);
-        }
-    }
-
-    fn differs(&mut self, digest: u64, at: SocketAddr, from: MemberId, out: &mut Vec<Output>) {
-        if digest == self.roster.digest() {
-            (self.differs_since, self.newcomer) = (None, false);
-            return;
-        }
-        let since = *self.differs_since.get_or_insert(self.now);
-        if self.now - since >= DIFFERS_FOR && self.now >= self.compare_at {
-            self.differs_since = None;
-            self.compare(at, Some(from), out);
-        }
-    }
-
-    fn compare(&mut self, at: SocketAddr, to: Option<MemberId>, out: &mut Vec<Output>) {
-        if self.planted(Fault::NoComparing) && self.roster.there() > 1 {
-            return;
-        }
-        self.counts.compared += 1;
-        self.compare_at = self.now + self.about(COMPARE);
-        self.compared = Some((at, to));
-        // Who is asked learns of this one, which may be new.
-        let (id, incarnation, about) = (self.id, self.incarnation, Arc::clone(&self.about));
-        let own = Rumour::Alive { id, incarnation, about };
-        let digests = self.roster.digests();
-        self.send(at, to, Said::Compare { digests, answers: false }, vec![own], out);
-    }
-
-    fn answer(
-        &mut self,
-        at: SocketAddr,
-        to: MemberId,
-        theirs: &Digests,
-        answers: bool,
-        out: &mut Vec<Output>,
-    ) {
-        if answers {
-            // Only to who was asked.
-            if self.compared.is_none_or(|(asked, _)| asked != at) {
-                return;
-            }
-        } else {
-            let passed = (self.now - self.answers_at).as_secs_f64();
-            self.answers = (self.answers + passed * ANSWERS).min(ANSWERS);
-            self.answers_at = self.now;
-            // Guards against a fleet that starts at once at one seed, and against whoever asks without end.
-            if self.answers < 1.0 {
-                self.counts.unanswered += 1;
-                return;
-            }
-            self.answers -= 1.0;
-        }
-        let first = self.rng.random_range(0..crate::words::PARTS);
-        for rumours in sync::entries(&self.roster, theirs, first, self.id) {
-            out.push(Output::Send(at, Packet { from: self.id, to: Some(to), said: Said::Entries, rumours }));
-        }
-        if !answers {
-            let digests = self.roster.digests();
-            self.send(at, Some(to), Said::Compare { digests, answers: true }, Vec::new(), out);
-        }
-    }
-
-    fn leave(&mut self) -> Vec<Output> {
-        let (id, incarnation) = (self.id, self.incarnation);
-        let farewell = Rumour::Gone { id, incarnation, by: id };
-        let mut out = Vec::new();
-        let mut told: Vec<(MemberId, SocketAddr)> = self
-            .roster
-            .iter()
-            .filter(|(to, m)| *to != id && m.life.is_there())
-            .map(|(to, m)| (to, m.about.address))
-            .collect();
-        told.shuffle(&mut self.rng);
-        for (to, at) in told.into_iter().take(FAREWELLS) {
-            out.push(Output::Send(
-                at,
-                Packet { from: id, to: Some(to), said: Said::Entries, rumours: vec![farewell.clone()] },
-            ));
-        }
-        self.left = true;
-        out
-    }
 }
--- a/crates/members/src/sync.rs
+++ b/crates/members/src/sync.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::roster::{Life, Roster, part};
+use crate::roster::{Life, Roster};
 use crate::words::{Digests, MOST_RUMOURS, MemberId, PARTS, Rumour};
 
 /// Packets of one answer: the rest comes with the next.
@@ -24,12 +24,10 @@
 pub(crate) fn entries(roster: &Roster, theirs: &Digests, first: usize, by: MemberId) -> Vec<Vec<Rumour>> {
     let own = roster.digests();
     let differs = |p: usize| theirs.0.get(p) != own.0.get(p);
-    let mut by_part: Vec<Vec<Rumour>> = vec![Vec::new(); PARTS];
-    for (id, member) in roster.iter().filter(|(id, _)| differs(part(*id))) {
-        by_part[part(id)].extend(said(id, member, by));
-    }
     let (mut packets, mut bytes) = (vec![Vec::new()], 0);
-    for rumour in (0..PARTS).flat_map(|p| std::mem::take(&mut by_part[(first + p) % PARTS])) {
+    let parts = (0..PARTS).map(|p| (first + p) % PARTS).filter(|p| differs(*p));
+    let all = parts.flat_map(|p| roster.of_part(p)).flat_map(|(id, member)| said(id, member, by));
+    for rumour in all {
         if bytes + rumour.bytes() > MOST_RUMOURS {
             if packets.len() == MOST_PACKETS {
                 break;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// The span over which the module paces cold servers.
+    pub fn pace_span(&self) -> Micros {
+        self.settings.cold.span
+    }
+
     /// Takes one input; what is due by now comes after it, so that what has arrived counts before time-outs do.
     pub fn handle(&mut self, now: Micros, input: Input) -> Vec<Output> {
         self.now = now.max(self.now);
--- a/crates/shell/src/lib.rs
+++ b/crates/shell/src/lib.rs
@@ -12,4 +12,4 @@
 mod stream;
 mod viewers;
 
-pub use run::{Control, Shell, StartError};
+pub use run::{Control, Fleet, Shell, StartError};
--- a/crates/shell/src/run.rs
+++ b/crates/shell/src/run.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use beechloft::interface::Micros;
+use beechloft::interface::{Micros, Numbered};
 use beechloft_clock::Clock;
 use beechloft_node::{Input, Node, Output};
 use beechloft_proto::config::{Config, Disagreement, Stated};
@@ -66,6 +66,18 @@
     Io(&'static str, io::Error),
 }
 
+/// What a front node has to do with others of its fleet, if it has. Both are asked at any moment and must not wait.
+pub struct Fleet {
+    /// Its number among them, now; none: as the configuration says.
+    pub numbered: Box<dyn Fn() -> Option<Numbered> + Send>,
+    /// Whether it may stop taking requests, now, once it was told to.
+    pub may_end: Box<dyn Fn() -> bool + Send>,
+    /// It is told to end, and waits for its turn.
+    pub wants_end: Box<dyn Fn() + Send>,
+    /// How long it waits for its turn at most; none: fronts do not take turns.
+    pub waits: Option<Duration>,
+}
+
 /// A front node on sockets.
 pub struct Shell {
     path: PathBuf,
@@ -88,6 +100,10 @@
     believes_at: Micros,
     read_again: Option<(Micros, u32)>,
     scratch: Vec<u8>,
+    fleet: Option<Fleet>,
+    numbered: Option<Numbered>,
+    /// It was told to end, and waits for its turn until then at most.
+    ends_by: Option<Micros>,
 }
 
 fn read_config(path: &Path) -> Result<Config, StartError> {
@@ -178,9 +194,23 @@
             believes_at: Micros(0),
             read_again: None,
             scratch: vec![0; 16 * 1024],
+            fleet: None,
+            numbered: None,
+            ends_by: None,
         })
     }
 
+    /// From now on it is one of a fleet.
+    pub fn join(&mut self, fleet: Fleet) {
+        self.fleet = Some(fleet);
+        self.renumber();
+    }
+
+    /// The span over which cold servers are paced.
+    pub fn pace_span(&self) -> Duration {
+        Duration::from_micros(self.node.pace_span().0)
+    }
+
     /// Where it listens.
     pub fn address(&self) -> io::Result<SocketAddr> {
         self.listener.local_addr()
@@ -214,15 +244,16 @@
                         self.read_again = Some((now, 0));
                     }
                     TERM => {
-                        drain(&mut self.term);
+                        let signals = drain(&mut self.term);
                         info!("SIGTERM");
-                        self.inputs.push_back(Input::Terminate);
+                        self.told_to_end(now, signals);
                     }
                     token => {
                         ready.insert(token);
                     }
                 }
             }
+            self.among_others(now);
             self.carry_on(now);
             // What media servers and the event bus have to say comes first: it decides what viewers get.
             for &token in ready.iter().filter(|t| !self.viewers.has(**t)).collect::<Vec<_>>() {
@@ -277,8 +308,49 @@
         self.servers.ready(token, &mut self.scratch, &mut turn)
     }
 
+    /// Told once it waits for its turn, told twice it goes at once: an operator who does not want to wait.
+    fn told_to_end(&mut self, now: Micros, signals: usize) {
+        let turns = self.fleet.as_ref().and_then(|f| Some((f, f.waits?)));
+        match turns {
+            Some((fleet, waits)) if self.ends_by.is_none() && signals < 2 => {
+                (fleet.wants_end)();
+                self.ends_by = Some(now + Micros(waits.as_micros() as u64));
+            }
+            _ => self.inputs.push_back(Input::Terminate),
+        }
+    }
+
+    /// Looks whether it is its turn to end, if it was told to.
+    fn among_others(&mut self, now: Micros) {
+        let Some(fleet) = &self.fleet else { return };
+        let Some(by) = self.ends_by.filter(|_| self.node.terminated().is_none()) else { return };
+        let turn = (fleet.may_end)();
+        if turn || now >= by {
+            if !turn {
+                warn!("no turn to end within the time that is waited for one; it ends without");
+            }
+            self.inputs.push_back(Input::Terminate);
+        }
+    }
+
+    /// Has the machine know its number, right before whatever else it hears: a lease may have run out since, as while this
+    /// process was stopped.
+    fn renumber(&mut self) {
+        let now = self.fleet.as_ref().and_then(|f| (f.numbered)());
+        if now.is_some() && now != self.numbered {
+            self.numbered = now;
+            if let Some(numbered) = now {
+                info!(number = numbered.number, of = numbered.of, fronts = numbered.fronts, "numbered");
+                self.inputs.push_front(Input::Numbered(numbered));
+            }
+        }
+    }
+
     /// Has the machine hear all there is, and does what it says.
     fn carry_on(&mut self, now: Micros) {
+        if !self.inputs.is_empty() {
+            self.renumber();
+        }
         while let Some(input) = self.inputs.pop_front() {
             for output in self.node.handle(now, input) {
                 self.put_out(output, now);
@@ -346,7 +418,11 @@
     }
 }
 
-fn drain(pipe: &mut UnixStream) {
-    let mut buf = [0; 64];
-    while matches!(pipe.read(&mut buf), Ok(n) if n > 0) {}
+/// Empties a signal's pipe; how many there were, up to its bound.
+fn drain(pipe: &mut UnixStream) -> usize {
+    let (mut buf, mut signals) = ([0; 64], 0);
+    while let Ok(n @ 1..) = pipe.read(&mut buf) {
+        signals += n;
+    }
+    signals
 }
