Watching a task's grants, by whichever keeper leads: `beechloft lease watch`

Change: a keeper takes watchers, bounded, tells each how things stand by a read that is linearizable, and from that entry on each grant that is made or ends; it tells them off when it loses the lead, so that none waits at a keeper that is cut off. The client goes to the next keeper after 5 s of silence and is told anew how things stand. CLI: lease watch FILE [NAME] [--json]. A connection's end reaches the machine.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -11,8 +11,8 @@
 use beechloft_config::reader;
 use beechloft_consensus::MemberId;
 use beechloft_fleet::{Holder, HolderId, HolderInput, HolderOutput, Name, Permit, Terms, Token};
-use beechloft_keeper::client::{self, Way};
-use beechloft_keeper::wire::StatusLine;
+use beechloft_keeper::client::{self, Watched, Way};
+use beechloft_keeper::wire::{LeaseLine, StatusLine};
 use beechloft_keeper::{FleetSettings, Keeping};
 use clap::{Args, Subcommand};
 use rustix::process::{Pid, Signal, kill_process};
@@ -45,6 +45,16 @@
         #[arg(last = true, required = true)]
         command: Vec<String>,
     },
+    /// Print the grants that there are, and then each that is made or ends, until it is told to end
+    Watch {
+        /// The settings, with a `fleet` section
+        file: PathBuf,
+        /// Of this task alone
+        name: Option<String>,
+        /// As JSON lines
+        #[arg(long)]
+        json: bool,
+    },
     /// Print all grants
     List {
         /// The settings, with a `fleet` section
@@ -249,6 +259,7 @@
 pub fn lease(command: &Lease) -> ExitCode {
     match command {
         Lease::List { file, json } => list(file, *json),
+        Lease::Watch { file, name, json } => watch(file, name.as_deref(), *json),
         Lease::Hold { file, name, holders, ttl_ms, wait_ms, command } => {
             let set = match settings(file) {
                 Ok(set) => set,
@@ -288,6 +299,34 @@
     ExitCode::SUCCESS
 }
 
+fn watch(file: &Path, name: Option<&str>, json: bool) -> ExitCode {
+    let set = match settings(file) {
+        Ok(set) => set,
+        Err(code) => return code,
+    };
+    let name = match name.map(|n| Name::try_from(n.to_owned())).transpose() {
+        Ok(name) => name,
+        Err(e) => return fail(2, e),
+    };
+    let mut out = std::io::stdout();
+    client::watch(&set, name.as_ref(), |watched| {
+        let text = match (json, watched) {
+            (true, Watched::Stands(lines)) => serde_json::json!({ "stands": lines }).to_string(),
+            (true, Watched::Changed(line)) => serde_json::json!({ "changed": line }).to_string(),
+            (false, Watched::Stands(lines)) => {
+                let one = |l: &LeaseLine| {
+                    format!("{}  place {} of {}  token {}  stands", l.name, l.place, l.places, l.token)
+                };
+                lines.iter().map(one).collect::<Vec<_>>().join("\n")
+            }
+            (false, Watched::Changed(l)) => format!("{}  token {}  {}", l.name, l.token, l.what),
+        };
+        // Whoever read it is gone.
+        (text.is_empty() || writeln!(out, "{text}").is_ok()) && out.flush().is_ok()
+    });
+    ExitCode::SUCCESS
+}
+
 /// A command that runs under a lease.
 struct Running {
     child: Child,
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -4,7 +4,7 @@
 
 mod support;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
@@ -247,6 +247,11 @@
 fn acts_go_on_and_none_is_stale_whatever_fails() {
     let mut fleet = Fleet::new(5);
     fleet.leader(5);
+    let watched = fleet.dir.path().join("watched");
+    let file = std::fs::File::create(&watched).expect("a file");
+    let mut command = beechloft();
+    command.args(["lease", "watch", "--json"]).arg(fleet.settings(None)).arg("task");
+    let _watcher = Process::start_to(&mut command, file);
     (0..8).for_each(|_| fleet.candidate());
     fleet.goes_on("the start");
 
@@ -315,6 +320,36 @@
     let from = all.iter().position(|t| *t > token).unwrap_or(0);
     no_stale_act(&all[from..]);
     assert!(all.len() > 100, "{} acts", all.len());
+    saw_all_in_order(&watched, *all.last().expect("an act"));
+}
+
+/// What one who watched through all of it was told: the newest grant, of each one its making before its end, and its end once.
+fn saw_all_in_order(watched: &Path, newest: u64) {
+    let read = || std::fs::read_to_string(watched).unwrap_or_default();
+    support::until(|| {
+        let seen = read().contains(&format!("\"token\":{newest}"));
+        if seen { Ok(()) } else { Err(format!("token {newest} was not told: {}", read())) }
+    });
+    let (mut there, mut ended) = (BTreeSet::new(), BTreeSet::new());
+    let text = read();
+    for line in text[..text.rfind('\n').map_or(0, |at| at + 1)].lines() {
+        let v: Value = serde_json::from_str(line).unwrap_or_else(|e| panic!("{line}: {e}"));
+        for stands in v["stands"].as_array().into_iter().flatten() {
+            let token = stands["token"].as_u64().expect("a token");
+            assert!(!ended.contains(&token), "{token} stands after its end: {text}");
+            there.insert(token);
+        }
+        let changed = &v["changed"];
+        let token = changed["token"].as_u64();
+        match (token, changed["what"].as_str()) {
+            (Some(token), Some("granted")) => {
+                assert!(!ended.contains(&token) && there.insert(token), "{text}")
+            }
+            (Some(token), Some(_)) => assert!(there.contains(&token) && ended.insert(token), "{text}"),
+            _ => {}
+        }
+    }
+    assert!(there.len() >= 3 && !ended.is_empty(), "{text}");
 }
 
 #[test]
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -16,7 +16,11 @@
 
 impl Process {
     pub fn start(command: &mut Command) -> Process {
-        command.stdin(Stdio::null()).stdout(Stdio::null()).process_group(0);
+        Process::start_to(command, Stdio::null())
+    }
+
+    pub fn start_to(command: &mut Command, stdout: impl Into<Stdio>) -> Process {
+        command.stdin(Stdio::null()).stdout(stdout).process_group(0);
         Process(command.spawn().expect("it starts"))
     }
 
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -11,7 +11,7 @@
 use crate::drift::Drift;
 use crate::planted::Fault;
 use crate::table::{Event, Table, TableError};
-use crate::words::{Answer, Command, Heard, HolderId, Request, Token};
+use crate::words::{Answer, Command, Heard, HolderId, Name, Request, Token};
 
 /// Whoever asked over one connection, as the shell names it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -28,6 +28,10 @@
     Request(ClientId, Request),
     /// All grants, as of now.
     List(ClientId),
+    /// All grants, as of now, and from then on each that is made or ends; of one task or of all.
+    Watch(ClientId, Option<Name>),
+    /// Whoever asked over this connection is gone.
+    Closed(ClientId),
     /// Anything else for the log's machine: changes of members, the lead handed over.
     Group(Input),
 }
@@ -41,14 +45,20 @@
     Heard(ClientId, Heard),
     /// All grants, for who asked for them: the table as of now.
     Listed(ClientId, Table),
-    /// For whoever watches.
+    /// What has changed, for the log of this keeper.
     Event(Event),
+    /// What has changed, for one who watches.
+    Told(ClientId, Event),
+    /// One who watches hears nothing here any more, and is to ask the keeper that leads: this one may be cut off.
+    Unwatched(ClientId),
     /// What became of something for the log's machine.
     Group(Ticket, Result<LogPos, Refused>),
 }
 
 /// Requests that wait for the log, at most.
 const MOST_WAITING: usize = 4096;
+/// Who watches, at most.
+const MOST_WATCHERS: usize = 512;
 /// A snapshot is taken after so many entries.
 const SNAPSHOT_EVERY: u64 = 4096;
 /// Tickets of the keeper's own begin here; those of `Asked::Group` are below.
@@ -58,6 +68,7 @@
 enum Waits {
     Request(ClientId, HolderId, u64),
     List(ClientId),
+    Watch(ClientId),
     Expiry,
 }
 
@@ -86,6 +97,10 @@
     /// By place, until it is committed.
     uncommitted: BTreeMap<Index, (Term, Waits)>,
     deadlines: BTreeMap<Token, Deadline>,
+    /// Who watches what, and whether it has been told how things stood.
+    watchers: BTreeMap<ClientId, (Option<Name>, bool)>,
+    /// Who watched until it lost the lead, to be told with the next outputs.
+    unwatched: Vec<ClientId>,
     /// The term that it leads in.
     leads_in: Option<Term>,
     now: Duration,
@@ -119,6 +134,8 @@
             untaken: BTreeMap::new(),
             uncommitted: BTreeMap::new(),
             deadlines: BTreeMap::new(),
+            watchers: BTreeMap::new(),
+            unwatched: Vec::new(),
             leads_in: None,
             now,
             fault: None,
@@ -172,6 +189,16 @@
                 let ticket = self.wait(Waits::List(client));
                 self.raft.handle(now, Input::Read(ticket), out);
             }
+            Asked::Watch(client, name) => {
+                if self.watchers.len() >= MOST_WATCHERS && !self.watchers.contains_key(&client) {
+                    self.turned_away.push(Waits::Watch(client));
+                } else {
+                    self.watchers.insert(client, (name, false));
+                    let ticket = self.wait(Waits::Watch(client));
+                    self.raft.handle(now, Input::Read(ticket), out);
+                }
+            }
+            Asked::Closed(client) => drop(self.watchers.remove(&client)),
             Asked::Group(input) => self.raft.handle(now, input, out),
         }
         self.lead();
@@ -208,6 +235,10 @@
         // What was proposed in another term may come or not; who asked asks again.
         self.uncommitted.clear();
         self.deadlines.clear();
+        // Those that were not told yet how things stand are told that it does not lead.
+        let told = self.watchers.iter().filter(|(_, w)| w.1).map(|(client, _)| *client);
+        self.unwatched.extend(told);
+        self.watchers.clear();
         if term.is_some() {
             let all: Vec<Token> = self.table.grants().map(|(_, _, token, _)| token).collect();
             all.into_iter().for_each(|token| self.count(token));
@@ -262,6 +293,7 @@
         self.now = self.now.max(now);
         let Released { messages, restored, committed, taken, reads, members: _ } = released;
         let mut out: Vec<KeeperOutput> = messages.into_iter().map(KeeperOutput::Peer).collect();
+        out.extend(self.unwatched.drain(..).map(KeeperOutput::Unwatched));
         out.extend(self.turned_away.drain(..).filter_map(|waits| refused(waits, Refused::Busy)));
         if let Some(snapshot) = restored {
             self.table = Table::read(&snapshot.state)?;
@@ -296,13 +328,36 @@
                 (Some(Waits::List(client)), Ok(())) => {
                     out.push(KeeperOutput::Listed(client, self.table.clone()));
                 }
-                (Some(waits), Err(why)) => out.extend(refused(waits, why)),
+                (Some(Waits::Watch(client)), Ok(())) => {
+                    // From here on it hears of all that is applied: nothing lies between.
+                    if let Some(watcher) = self.watchers.get_mut(&client) {
+                        watcher.1 = true;
+                        out.push(KeeperOutput::Listed(client, self.table.clone()));
+                    }
+                }
+                (Some(waits), Err(why)) => {
+                    if let Waits::Watch(client) = waits {
+                        self.watchers.remove(&client);
+                    }
+                    out.extend(refused(waits, why));
+                }
                 _ => {}
             }
         }
         Ok(out)
     }
 
+    /// Tells those who watch. Renewals change nothing that anybody waits for.
+    fn tell(&self, event: &Event, out: &mut Vec<KeeperOutput>) {
+        let name = match event {
+            Event::Renewed(..) => return,
+            Event::Granted { name, .. } | Event::Released(name, _) | Event::Expired(name, _) => name,
+        };
+        let wants = |w: &&(Option<Name>, bool)| w.1 && w.0.as_ref().is_none_or(|n| n == name);
+        let watchers = self.watchers.iter().filter(|(_, w)| wants(w));
+        out.extend(watchers.map(|(client, _)| KeeperOutput::Told(*client, event.clone())));
+    }
+
     fn apply(&mut self, bytes: &[u8], waits: Option<Waits>, out: &mut Vec<KeeperOutput>) {
         // A command that this version can't read is none for all of this version, so that tables stay alike.
         let Ok(command) = postcard::from_bytes::<Command>(bytes) else { return };
@@ -318,7 +373,10 @@
             }
             _ => {}
         }
-        out.extend(event.map(KeeperOutput::Event));
+        if let Some(event) = event {
+            self.tell(&event, out);
+            out.push(KeeperOutput::Event(event));
+        }
         if let (Some(Waits::Request(client, holder, seq)), Some(answer)) = (waits, answer) {
             out.push(KeeperOutput::Heard(client, Heard::Answer { holder, seq, answer }));
         }
@@ -331,7 +389,9 @@
         _ => Heard::Busy,
     };
     match waits {
-        Waits::Request(client, ..) | Waits::List(client) => Some(KeeperOutput::Heard(client, heard)),
+        Waits::Request(client, ..) | Waits::List(client) | Waits::Watch(client) => {
+            Some(KeeperOutput::Heard(client, heard))
+        }
         Waits::Expiry => None,
     }
 }
@@ -352,7 +412,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::words::{Name, Op};
+    use crate::words::Op;
     use beechloft_consensus::{Disk, Membership, Save};
 
     struct Nowhere;
@@ -367,10 +427,7 @@
 
     #[test]
     fn past_the_bound_requests_are_turned_away_at_once_and_all_are_told() {
-        let stored = Stored::first(Membership::of([(MemberId(1), "a".into())]));
-        let drift = Drift::ppm(100).expect("within bounds");
-        let mut keeper =
-            Keeper::new(MemberId(1), Settings::default(), stored, drift, 1, Duration::ZERO).expect("a table");
+        let mut keeper = alone();
         let (now, mut out) = (Duration::from_secs(2), Outputs::default());
         keeper.handle(now, Asked::Tick, &mut out);
         assert!(keeper.raft().leads());
@@ -391,4 +448,65 @@
             told.iter().filter(|o| matches!(o, KeeperOutput::Heard(_, Heard::Answer { .. }))).count();
         assert_eq!((busy as u64, answered), (more, MOST_WAITING));
     }
+
+    /// A keeper alone, that leads.
+    fn alone() -> Keeper {
+        let stored = Stored::first(Membership::of([(MemberId(1), "a".into())]));
+        let drift = Drift::ppm(100).expect("within bounds");
+        Keeper::new(MemberId(1), Settings::default(), stored, drift, 1, Duration::ZERO).expect("a table")
+    }
+
+    fn does(keeper: &mut Keeper, at_ms: u64, asked: Asked) -> Vec<KeeperOutput> {
+        let (now, mut out) = (Duration::from_millis(at_ms), Outputs::default());
+        keeper.handle(now, asked, &mut out);
+        let Ok(released) = out.commit(&mut Nowhere);
+        keeper.released(now, released).expect("a table")
+    }
+
+    #[test]
+    fn whoever_watches_hears_how_things_stand_and_then_each_change_once() {
+        let mut k = alone();
+        let name = |text: &str| Name::try_from(text.to_owned()).expect("a name");
+        let ask = |holder: u64, seq, of: &str| {
+            let op = Op::Acquire { name: name(of), places: 1, ttl_ms: 1_000 };
+            Asked::Request(ClientId(9), Request { holder: HolderId(holder), seq, op })
+        };
+        does(&mut k, 2_000, Asked::Tick);
+        does(&mut k, 2_001, ask(1, 1, "a"));
+        let out = does(&mut k, 2_002, Asked::Watch(ClientId(1), Some(name("a"))));
+        let listed =
+            |o: &KeeperOutput| matches!(o, KeeperOutput::Listed(ClientId(1), t) if t.grants().count() == 1);
+        assert_eq!(out.iter().filter(|o| listed(o)).count(), 1, "{out:?}");
+        does(&mut k, 2_003, Asked::Watch(ClientId(2), None));
+        let told = |out: &[KeeperOutput]| -> Vec<(u64, Event)> {
+            let one = |o: &KeeperOutput| match o {
+                KeeperOutput::Told(client, event) => Some((client.0, event.clone())),
+                _ => None,
+            };
+            out.iter().filter_map(one).collect()
+        };
+        // Another task's grant is told to who watches all alone; what was asked twice is told once.
+        assert_eq!(told(&does(&mut k, 2_004, ask(1, 2, "b"))).iter().map(|t| t.0).collect::<Vec<_>>(), [2]);
+        assert_eq!(told(&does(&mut k, 2_005, ask(1, 2, "b"))), []);
+        // A renewal is nothing to be told.
+        let renew = Op::Renew { name: name("b"), token: Token(2) };
+        let renew = Asked::Request(ClientId(9), Request { holder: HolderId(1), seq: 3, op: renew });
+        assert_eq!(told(&does(&mut k, 2_006, renew)), []);
+        does(&mut k, 2_007, Asked::Closed(ClientId(2)));
+        // The first grant runs out: its entry is put in, and applied.
+        let expired = told(&does(&mut k, 3_500, Asked::Tick));
+        assert_eq!(expired, [(1, Event::Expired(name("a"), Token(1)))]);
+    }
+
+    #[test]
+    fn past_the_bound_nobody_more_watches() {
+        let mut k = alone();
+        does(&mut k, 2_000, Asked::Tick);
+        let mut busy = 0;
+        for n in 0..MOST_WATCHERS as u64 + 5 {
+            let out = does(&mut k, 2_001, Asked::Watch(ClientId(n), None));
+            busy += out.iter().filter(|o| matches!(o, KeeperOutput::Heard(_, Heard::Busy))).count();
+        }
+        assert_eq!((busy, k.watchers.len()), (5, MOST_WATCHERS));
+    }
 }
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -308,7 +308,11 @@
                     let (way, start) = (self.way(), self.candidates[n].start);
                     self.put(way, Ahead::Tell(n, start, heard));
                 }
-                KeeperOutput::Listed(..) | KeeperOutput::Event(_) | KeeperOutput::Group(..) => {}
+                KeeperOutput::Listed(..)
+                | KeeperOutput::Event(_)
+                | KeeperOutput::Told(..)
+                | KeeperOutput::Unwatched(_)
+                | KeeperOutput::Group(..) => {}
             }
         }
     }
--- a/crates/keeper/src/client.rs
+++ b/crates/keeper/src/client.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use beechloft_consensus::MemberId;
-use beechloft_fleet::{Heard, HolderInput, Request, Route};
+use beechloft_fleet::{Heard, HolderInput, Name, Request, Route};
 use crossbeam_channel::{Receiver, Sender, bounded};
 
 use crate::settings::FleetSettings;
@@ -48,6 +48,59 @@
     }
 }
 
+/// What one who watches hears.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Watched {
+    /// How things stand; again after each connection that was lost, as something may have been missed.
+    Stands(Vec<wire::LeaseLine>),
+    /// A grant was made or has ended.
+    Changed(wire::ChangeLine),
+}
+
+/// Watches a task's grants, or all, by whichever keeper leads, until `hear` wants no more.
+pub fn watch(set: &FleetSettings, name: Option<&Name>, mut hear: impl FnMut(Watched) -> bool) {
+    let mut route = Route::new(set.keepers.len(), 0);
+    loop {
+        let keeper = set.keepers[route.take()];
+        if let Some(mut stream) = open_watch(set, keeper, name) {
+            loop {
+                match wire::read(set.number(), &mut stream) {
+                    Ok(Word::Listed(mut lines)) => {
+                        route.answered();
+                        lines.retain(|l| name.is_none_or(|n| n.to_string() == l.name));
+                        if !hear(Watched::Stands(lines)) {
+                            return;
+                        }
+                    }
+                    Ok(Word::Changed(line)) => {
+                        if !hear(Watched::Changed(line)) {
+                            return;
+                        }
+                    }
+                    Ok(Word::NotLeader(leader)) => {
+                        route.not_leader(place(set, leader.as_deref()));
+                        break;
+                    }
+                    _ => break,
+                }
+            }
+        }
+        thread::sleep(Duration::from_millis(rand::random_range(50..150)));
+    }
+}
+
+/// A connection on which nothing comes for so long is opened anew: guards against a keeper that is cut off and does not
+/// know, whose silence looks like nothing to tell.
+const SILENT: Duration = Duration::from_secs(5);
+
+fn open_watch(set: &FleetSettings, keeper: SocketAddr, name: Option<&Name>) -> Option<TcpStream> {
+    let mut stream = TcpStream::connect_timeout(&set.reach(keeper), CONNECT).ok()?;
+    stream.set_read_timeout(Some(SILENT)).ok()?;
+    stream.set_write_timeout(Some(WRITE)).ok()?;
+    stream.write_all(&wire::encode(set.number(), &Word::Watch(name.cloned()))?).ok()?;
+    Some(stream)
+}
+
 /// Has a keeper that was lost with its disk let go, for the one that came up in its place.
 pub fn replace(
     set: &FleetSettings,
--- a/crates/keeper/src/engine.rs
+++ b/crates/keeper/src/engine.rs
@@ -11,7 +11,7 @@
 use beechloft_consensus::{
     Change, Disk, Input, MemberId, Membership, Outputs, Save, Settings, Snapshot, Stored, Ticket,
 };
-use beechloft_fleet::{Asked, ClientId, Heard, Keeper, KeeperOutput, Table, TableError};
+use beechloft_fleet::{Asked, ClientId, Event, Heard, Keeper, KeeperOutput, Table, TableError};
 use beechloft_members::Kind;
 use beechloft_store::StoreError;
 use crossbeam_channel::{Receiver, RecvTimeoutError, bounded};
@@ -22,7 +22,7 @@
 use crate::peers::Peers;
 use crate::settings::FleetSettings;
 use crate::store::{LogStore, OpenError};
-use crate::wire::{self, LeaseLine, MemberLine, StatusLine, Word};
+use crate::wire::{self, ChangeLine, LeaseLine, MemberLine, StatusLine, Word};
 
 /// Words taken before one commit.
 const A_TURN: usize = 256;
@@ -185,8 +185,12 @@
     }
 
     fn take(&mut self, came: Came, out: &mut Outputs) {
-        let Came::Word(conn, word) = came else { return };
-        let (now, client) = ((self.clock)(), ClientId(conn.0));
+        let now = (self.clock)();
+        let (conn, word) = match came {
+            Came::Word(conn, word) => (conn, word),
+            Came::Closed(conn) => return self.keeper.handle(now, Asked::Closed(ClientId(conn.0)), out),
+        };
+        let client = ClientId(conn.0);
         match word {
             Word::Hello { id, listen, formed } => {
                 if let Some(address) = listen.parse().ok().filter(|a| self.set.keepers.contains(a)) {
@@ -198,7 +202,8 @@
                 self.keeper.handle(now, Asked::Request(client, request), out)
             }
             Word::List if self.serves() => self.keeper.handle(now, Asked::List(client), out),
-            Word::Ask(_) | Word::List => self.say(conn, &Word::Heard(Heard::Busy)),
+            Word::Watch(name) if self.serves() => self.keeper.handle(now, Asked::Watch(client, name), out),
+            Word::Ask(_) | Word::List | Word::Watch(_) => self.say(conn, &Word::Heard(Heard::Busy)),
             Word::Status => self.say(conn, &Word::StatusIs(self.status())),
             Word::Replace { old, new } => self.replace(conn, old, new, out),
             Word::Members => {
@@ -206,6 +211,7 @@
                 self.say(conn, &Word::MembersAre(seen));
             }
             Word::MembersAre(_)
+            | Word::Changed(_)
             | Word::Heard(_)
             | Word::NotLeader(_)
             | Word::Listed(_)
@@ -322,6 +328,12 @@
             }
             KeeperOutput::Heard(client, heard) => self.say(ConnId(client.0), &Word::Heard(heard)),
             KeeperOutput::Listed(client, table) => self.say(ConnId(client.0), &Word::Listed(lines(&table))),
+            KeeperOutput::Told(client, event) => {
+                if let Some(line) = change(&event) {
+                    self.say(ConnId(client.0), &Word::Changed(line));
+                }
+            }
+            KeeperOutput::Unwatched(client) => self.conns.close(ConnId(client.0)),
             KeeperOutput::Event(event) => info!(?event, "lease"),
             KeeperOutput::Group(ticket, taken) if self.asked.contains_key(&ticket) => {
                 if let Some(conn) = self.asked.remove(&ticket) {
@@ -362,6 +374,21 @@
     stored.snapshot.is_some() || !stored.entries.is_empty()
 }
 
+/// What those who watch are told; nothing of a renewal.
+fn change(event: &Event) -> Option<ChangeLine> {
+    let (name, token, what) = match event {
+        Event::Granted { name, token, .. } => (name, token, "granted"),
+        Event::Released(name, token) => (name, token, "released"),
+        Event::Expired(name, token) => (name, token, "expired"),
+        Event::Renewed(..) => return None,
+    };
+    let (holder, before) = match event {
+        Event::Granted { holder, before, .. } => (Some(holder.0), before.map(|t| t.0)),
+        _ => (None, None),
+    };
+    Some(ChangeLine { name: name.to_string(), token: token.0, what: what.to_owned(), holder, before })
+}
+
 fn lines(table: &Table) -> Vec<LeaseLine> {
     let line = |(name, places, token, g): (
         &beechloft_fleet::Name,
--- a/crates/keeper/src/links.rs
+++ b/crates/keeper/src/links.rs
@@ -35,7 +35,7 @@
 /// What comes from the sockets.
 pub(crate) enum Came {
     Word(ConnId, Word),
-    Closed,
+    Closed(ConnId),
 }
 
 /// Of each connection, what waits to be written, and its socket.
@@ -65,6 +65,14 @@
         }
     }
 
+    /// Closes a connection once what is queued for it has gone out, or its time to be written is over.
+    pub fn close(&self, conn: ConnId) {
+        if let Some((_, stream)) = self.queues().remove(&conn.0) {
+            // Its reader ends; its writer goes on until the queue, whose other end is gone, is empty.
+            let _ = stream.shutdown(Shutdown::Read);
+        }
+    }
+
     /// Takes connections until the process ends.
     pub fn accept(&self, listener: TcpListener, fleet: u64, came: Sender<Came>) -> std::io::Result<()> {
         let this = self.clone();
@@ -113,15 +121,15 @@
             }
             let _ = reads.shutdown(Shutdown::Both);
             this.queues().remove(&id);
-            let _ = came.send(Came::Closed);
+            let _ = came.send(Came::Closed(ConnId(id)));
         })?;
         thread::Builder::new().name("writes".into()).stack_size(STACK).spawn(move || {
             for bytes in words {
                 if writes.write_all(&bytes).is_err() {
-                    let _ = writes.shutdown(Shutdown::Both);
-                    return;
+                    break;
                 }
             }
+            let _ = writes.shutdown(Shutdown::Both);
         })?;
         Ok(())
     }
--- a/crates/keeper/src/wire.rs
+++ b/crates/keeper/src/wire.rs
@@ -3,7 +3,7 @@
 use std::io::{self, Read};
 
 use beechloft_consensus::{MemberId, Message};
-use beechloft_fleet::{Heard, Request};
+use beechloft_fleet::{Heard, Name, Request};
 use beechloft_members::Packet;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -36,6 +36,21 @@
     pub renewals: u64,
 }
 
+/// A grant that was made or has ended, for people.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeLine {
+    /// The task.
+    pub name: String,
+    /// The grant's token.
+    pub token: u64,
+    /// `granted`, `released` or `expired`.
+    pub what: String,
+    /// Whose, if it was granted.
+    pub holder: Option<u64>,
+    /// The same holder's grant that ended with this one's making, if it had one.
+    pub before: Option<u64>,
+}
+
 /// A member, for people.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberLine {
@@ -105,6 +120,10 @@
     },
     /// The lost one's removal is in the log, or why not.
     Replacing(Result<(), String>),
+    /// All grants, please, and then each that is made or ends; of one task or of all.
+    Watch(Option<Name>),
+    /// A grant was made or has ended.
+    Changed(ChangeLine),
     /// Whom do you see?
     Members,
     /// These; none: it is no member itself, as its settings name no seeds.
