--- a/crates/fleet/src/holder.rs
+++ b/crates/fleet/src/holder.rs
@@ -81,7 +81,7 @@
 }
 
 /// A request that is out.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct Out {
     seq: u64,
     /// When it was made, before any copy of it left.
@@ -90,7 +90,7 @@
     tries: u32,
 }
 
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 enum State {
     /// Nothing is wanted.
     Idle,
@@ -132,7 +132,7 @@
 }
 
 /// Who asks for one lease.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Holder {
     id: HolderId,
     terms: Terms,
@@ -144,6 +144,13 @@
     fault: Option<Fault>,
 }
 
+/// All that decides what it does next, but for what is drawn by chance.
+impl std::hash::Hash for Holder {
+    fn hash<H: std::hash::Hasher>(&self, into: &mut H) {
+        (self.id, &self.state, self.seq, self.now).hash(into);
+    }
+}
+
 /// From one copy of a request to the next, at first and at most; twice as long after each, up to eight times, but for
 /// renewals, which have no time for that.
 const AGAIN: Duration = Duration::from_millis(150);
@@ -174,6 +181,11 @@
         if self.planted(Fault::NoDrift) { self.ttl() } else { self.drift.shorter(self.ttl()) }
     }
 
+    /// Who it is.
+    pub fn id(&self) -> HolderId {
+        self.id
+    }
+
     /// A right to act, if it holds the lease now.
     pub fn permit(&self, now: Duration) -> Option<Permit> {
         match self.state {
--- a/crates/fleet/src/keeper.rs
+++ b/crates/fleet/src/keeper.rs
@@ -64,7 +64,7 @@
 /// Tickets of the keeper's own begin here; those of `Asked::Group` are below.
 const OWN: u64 = 1 << 62;
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Hash)]
 enum Waits {
     Request(ClientId, HolderId, u64),
     List(ClientId),
@@ -73,7 +73,7 @@
 }
 
 /// When a grant runs out by this keeper's clock, if it is not renewed by then.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Hash)]
 struct Deadline {
     at: Duration,
     renewals: u64,
@@ -82,7 +82,7 @@
 }
 
 /// A keeper.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Keeper {
     raft: Raft,
     table: Table,
@@ -107,6 +107,14 @@
     fault: Option<Fault>,
 }
 
+/// All that decides what it does next, but for what is drawn by chance.
+impl std::hash::Hash for Keeper {
+    fn hash<H: std::hash::Hasher>(&self, into: &mut H) {
+        (&self.raft, &self.table, self.applied, self.leads_in, self.now).hash(into);
+        (&self.untaken, &self.uncommitted, &self.deadlines, &self.watchers).hash(into);
+    }
+}
+
 impl Keeper {
     /// A keeper as its disk has it.
     ///
@@ -168,6 +176,11 @@
         &self.table
     }
 
+    /// Whether a grant runs out by then, as it has counted.
+    pub fn runs_out_by(&self, now: Duration) -> bool {
+        self.leads_in.is_some() && self.deadlines.values().any(|d| now >= d.told_until.unwrap_or(d.at))
+    }
+
     /// When it wants to hear of the time next.
     pub fn next_due(&self) -> Duration {
         let grants = self.deadlines.values().map(|d| d.told_until.unwrap_or(d.at));
