--- a/crates/checker/src/report.rs
+++ b/crates/checker/src/report.rs
@@ -73,6 +73,16 @@
     pub expired_sessions: u64,
     /// Attempts beyond the first.
     pub further_attempts: u64,
+    /// Grants by which somebody acted at what a lease guards.
+    pub leases_granted: u64,
+    /// Leases: acts by a token under one that had been seen, by a process that was not stopped before.
+    pub lease_overlaps: u64,
+    /// Leases: acts by such a token that were done.
+    pub stale_acts: u64,
+    /// Acts by such a token that were refused where it was checked, whoever they were of.
+    pub refused_acts: u64,
+    /// The longest time between two acts that were done, milliseconds.
+    pub longest_without_holder_ms: u64,
     /// From asking to the answer.
     pub answer_ms: Times,
     /// The same by protocol.
@@ -86,7 +96,7 @@
 
 impl Report {
     /// Breaks by rule, each with its name.
-    pub fn broken(&self) -> [(&'static str, u64); 9] {
+    pub fn broken(&self) -> [(&'static str, u64); 11] {
         [
             ("unanswered", self.unanswered),
             ("answered twice", self.duplicate_answers),
@@ -97,6 +107,8 @@
             ("seats", self.seat_breaks),
             ("budget", self.budget_breaks),
             ("left at boxes", self.phantom_sessions),
+            ("two holders", self.lease_overlaps),
+            ("stale acts", self.stale_acts),
         ]
     }
 
--- a/crates/checker/src/trace.rs
+++ b/crates/checker/src/trace.rs
@@ -37,6 +37,27 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "what", rename_all = "snake_case")]
 pub enum What {
+    /// Somebody acted at something that a lease guards.
+    Acted {
+        /// By which token.
+        token: u64,
+        /// Who.
+        holder: String,
+        /// It was done; otherwise a higher token had been seen, and nothing happened.
+        done: bool,
+    },
+    /// A holder's process was stopped, with all that it runs.
+    Stopped {
+        /// Whose.
+        holder: String,
+    },
+    /// It was let go on.
+    WentOn {
+        /// Whose.
+        holder: String,
+    },
+    /// From here on nobody is to act any more.
+    ActsEnd,
     /// A player's offer went to a front. An offer is named by its ICE user fragment.
     Asked {
         /// The offer.
--- a/crates/checker/tests/falsified.rs
+++ b/crates/checker/tests/falsified.rs
@@ -300,3 +300,46 @@
     // The later one had been given up before anybody read it.
     assert_eq!(recorded(false, true).overlapping_attempts, 0);
 }
+
+fn acted(t: u64, token: u64, holder: &str, done: bool) -> Seen {
+    at(t, What::Acted { token, holder: holder.into(), done })
+}
+
+/// Two grants, the first holder stopped and refused once when it goes on.
+fn acts() -> Vec<Seen> {
+    vec![
+        acted(S, 1, "a", true),
+        at(2 * S, What::Stopped { holder: "a".into() }),
+        acted(4 * S, 2, "b", true),
+        at(5 * S, What::WentOn { holder: "a".into() }),
+        acted(5 * S + 1, 1, "a", false),
+        acted(6 * S, 2, "b", true),
+        at(7 * S, What::ActsEnd),
+    ]
+}
+
+#[test]
+fn acts_by_old_tokens_break_a_rule_unless_their_process_was_stopped_and_they_are_refused() {
+    let sound = check(&acts(), &rules());
+    assert!(sound.kept(), "{sound:?}");
+    assert_eq!((sound.leases_granted, sound.refused_acts, sound.longest_without_holder_ms), (2, 1, 3_000));
+    // It was done where a higher token had been seen.
+    let mut done = acts();
+    done[4] = acted(5 * S + 1, 1, "a", true);
+    let report = check(&done, &rules());
+    assert_eq!((report.lease_overlaps, report.stale_acts), (0, 1));
+    // Whoever was not stopped, or went on long ago.
+    for (t, holder) in [(5 * S + 1, "c"), (8 * S, "a")] {
+        let mut late = acts();
+        late[4] = acted(t, 1, holder, false);
+        let report = check(&late, &rules());
+        assert_eq!((report.lease_overlaps, report.stale_acts), (1, 0), "{holder}");
+        assert!(!report.kept());
+    }
+    // Nobody acts for the rest of the day.
+    let mut short = acts();
+    short.remove(5);
+    assert_eq!(check(&short, &rules()).longest_without_holder_ms, 3_000);
+    short[5] = at(9 * S, What::ActsEnd);
+    assert_eq!(check(&short, &rules()).longest_without_holder_ms, 5_000);
+}
--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -73,6 +73,12 @@
         "further attempts {}; sessions that boxes freed by themselves {}",
         r.further_attempts, r.expired_sessions
     );
+    if r.leases_granted > 0 {
+        println!(
+            "leases: {} granted, {} overlaps, {} stale acts, {} acts refused by their tokens; longest without a holder {} ms",
+            r.leases_granted, r.lease_overlaps, r.stale_acts, r.refused_acts, r.longest_without_holder_ms
+        );
+    }
     println!("breaks: {}", r.broken().map(|(rule, n)| format!("{rule} {n}")).join(", "));
     for (rule, list) in &r.breaks {
         list.iter().for_each(|text| println!("  {rule}: {text}"));
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -45,6 +45,17 @@
         #[arg(last = true, required = true)]
         command: Vec<String>,
     },
+    /// Act by the token in BEECHLOFT_FENCE at something that checks tokens, again and again: for days and trials
+    Act {
+        /// Where it is
+        at: std::net::SocketAddr,
+        /// Who acts
+        #[arg(long = "as", default_value = "somebody")]
+        holder: String,
+        /// From one act to the next
+        #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(1..=60_000))]
+        every_ms: u64,
+    },
     /// Print the grants that there are, and then each that is made or ends, until it is told to end
     Watch {
         /// The settings, with a `fleet` section
@@ -259,6 +270,7 @@
 pub fn lease(command: &Lease) -> ExitCode {
     match command {
         Lease::List { file, json } => list(file, *json),
+        Lease::Act { at, holder, every_ms } => crate::act::act(*at, holder, Duration::from_millis(*every_ms)),
         Lease::Watch { file, name, json } => watch(file, name.as_deref(), *json),
         Lease::Hold { file, name, holders, ttl_ms, wait_ms, command } => {
             let set = match settings(file) {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
 //! `beechloft`: the session front and what is run around it.
 #![forbid(unsafe_code)]
 
+mod act;
 mod among;
 mod bench;
 mod day;
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -38,7 +38,7 @@
     let out = beechloft(&["check", &example("days/quiet.yaml")]);
     let text = String::from_utf8_lossy(&out.stderr);
     assert_eq!(out.status.code(), Some(2), "a day is no front's settings: {text}");
-    assert!(text.contains("front.listen: missing") && text.contains("fleet: unknown key"), "{text}");
+    assert!(text.contains("front.listen: missing") && text.contains("titles: unknown key"), "{text}");
     assert_eq!(beechloft(&["check", "no-such-file"]).status.code(), Some(2));
     assert_eq!(beechloft(&["day", &example("front.yaml")]).status.code(), Some(2));
     assert_eq!(beechloft(&["serve", &example("days/quiet.yaml")]).status.code(), Some(2));
@@ -136,3 +136,20 @@
         assert_eq!(text.lines().count(), 1, "{text}");
     }
 }
+
+/// Keepers killed and cut off, the holder stopped beyond its lease, clocks apart: nobody acts beside another.
+#[test]
+fn a_day_of_a_fleet_keeps_its_leases_through_faults_between_processes() {
+    let out = beechloft(&["day", &example("days/fleet-short.yaml"), "--seed", "3", "--json"]);
+    let text = String::from_utf8_lossy(&out.stdout).into_owned();
+    assert_eq!(out.status.code(), Some(0), "{text} {}", String::from_utf8_lossy(&out.stderr));
+    let report: serde_json::Value = serde_json::from_str(&text).expect("one JSON object");
+    let figure = |key: &str| report[key].as_u64().unwrap_or_else(|| panic!("{key} is missing: {text}"));
+    assert_eq!((figure("lease_overlaps"), figure("stale_acts")), (0, 0), "{text}");
+    // The holder was stopped beyond its lease: another one had it.
+    assert!(figure("leases_granted") >= 2, "{text}");
+    // A lease of 1.5 s, its drift, and time to elect a leader and to ask on a busy machine.
+    let longest = figure("longest_without_holder_ms");
+    assert!((500..10_000).contains(&longest), "{text}");
+    assert!(figure("playing") > 50, "{text}");
+}
--- a/crates/day/src/fronts.rs
+++ b/crates/day/src/fronts.rs
@@ -19,6 +19,21 @@
 /// How long a front may take to end.
 const DOWN_WITHIN: Duration = Duration::from_secs(8);
 
+/// What all fronts of a day have in common.
+#[derive(Clone, Copy)]
+pub struct Place<'a> {
+    /// The list's address.
+    pub list: &'a str,
+    /// The program.
+    pub program: &'a Path,
+    /// Where settings and logs lie.
+    pub folder: &'a Path,
+    /// The day's seed.
+    pub seed: u64,
+    /// Where what is seen is noted.
+    pub recorder: &'a Recorder,
+}
+
 /// A front's process.
 pub struct FrontProcess {
     number: u32,
@@ -33,22 +48,23 @@
 
 impl FrontProcess {
     /// Writes a front's settings into a folder. It does not run yet.
+    ///
+    /// # Errors
+    /// No port, or the file can't be written.
     pub fn new(
         day: &Day,
         number: u32,
-        list: &str,
-        program: &Path,
-        folder: &Path,
-        seed: u64,
-        recorder: &Recorder,
+        place: &Place<'_>,
+        fleet: Option<serde_json::Value>,
     ) -> io::Result<Self> {
+        let Place { list, program, folder, seed, recorder } = *place;
         // A port that is free now; the front takes it over, and takes it again after a restart.
         let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
         let sip = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
         let settings = folder.join(format!("front-{number}.yaml"));
         let zone = &day.fronts[number as usize].zone;
         let service: serde_json::Value = serde_json::from_str(&day.service_text)?;
-        let text = serde_json::json!({
+        let mut text = serde_json::json!({
             "service": service,
             "front": {
                 "listen": address.to_string(), "sip": sip.to_string(), "number": number, "of": day.fronts.len(), "zone": zone,
@@ -57,6 +73,15 @@
             "list": {"url": list, "cache": folder.join(format!("list-{number}.json"))},
             "log": {"format": "json"},
         });
+        if let Some(fleet) = fleet {
+            if fleet["number"].is_string()
+                && let Some(front) = text["front"].as_object_mut()
+            {
+                front.remove("number");
+                front.remove("of");
+            }
+            text["fleet"] = fleet;
+        }
         fs::write(&settings, serde_json::to_string_pretty(&text)?)?;
         let log = folder.join(format!("front-{number}.log"));
         let (program, recorder) = (program.to_owned(), recorder.clone());
@@ -113,14 +138,36 @@
         }
     }
 
+    /// Asks it to stop, as an operator does who wants it to restart.
+    pub fn tell(&self) {
+        if let Some(pid) = self.child.as_ref().map(rustix::process::Pid::from_child) {
+            let _ = rustix::process::kill_process(pid, rustix::process::Signal::TERM);
+        }
+    }
+
+    /// Whether it has ended by itself; whether that was well.
+    pub fn ended(&mut self) -> Option<bool> {
+        let status = self.child.as_mut().and_then(|c| c.try_wait().ok().flatten())?;
+        self.child = None;
+        Some(status.success())
+    }
+
     /// Asks it to stop, and waits for its end; whether it ended well.
     pub fn stop(&mut self) -> bool {
         let Some(mut child) = self.child.take() else { return true };
         if let Some(pid) = rustix::process::Pid::from_raw(child.id() as i32) {
             let _ = rustix::process::kill_process(pid, rustix::process::Signal::TERM);
         }
-        let until = Instant::now() + DOWN_WITHIN;
+        let (mut until, mut twice) = (Instant::now() + DOWN_WITHIN, false);
+        let soon = Instant::now() + Duration::from_millis(300);
         while Instant::now() < until {
+            // One that waits for its turn goes at once when it is told again.
+            if !twice && Instant::now() >= soon {
+                if let Some(pid) = rustix::process::Pid::from_raw(child.id() as i32) {
+                    let _ = rustix::process::kill_process(pid, rustix::process::Signal::TERM);
+                }
+                (twice, until) = (true, Instant::now() + DOWN_WITHIN);
+            }
             match child.try_wait() {
                 Ok(Some(status)) => return status.success(),
                 Ok(None) => thread::sleep(Duration::from_millis(10)),
--- a/crates/day/src/lib.rs
+++ b/crates/day/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod crowd;
 pub mod fronts;
+pub mod keepers;
 pub mod run;
 pub mod script;
 
--- a/crates/day/src/run.rs
+++ b/crates/day/src/run.rs
@@ -1,6 +1,6 @@
 //! A day from start to end.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::path::Path;
 use std::thread;
@@ -12,7 +12,8 @@
 use thiserror::Error;
 
 use crate::crowd::{CrowdRun, Reach};
-use crate::fronts::FrontProcess;
+use crate::fronts::{FrontProcess, Place};
+use crate::keepers::Keepers;
 use crate::script::{Day, Timed, Trouble};
 
 /// How long boxes may take to free what nobody plays, after the last player has left. A call whose answer was never
@@ -51,9 +52,13 @@
     std::fs::create_dir_all(folder)?;
     let recorder = Recorder::default();
     let fleet = Fleet::start(&day.fleet, &recorder)?;
-    let mut fronts = Vec::new();
+    let started = |spec| Keepers::start(spec, day.fronts.len(), program, folder, &recorder);
+    let mut keepers = day.keepers.as_ref().map(started).transpose()?;
+    let (mut fronts, url) = (Vec::new(), fleet.list.url());
     for number in 0..day.fronts.len() as u32 {
-        let mut front = FrontProcess::new(day, number, &fleet.list.url(), program, folder, seed, &recorder)?;
+        let section = keepers.as_ref().map(|k| k.of_front(number as usize));
+        let place = Place { list: &url, program, folder, seed, recorder: &recorder };
+        let mut front = FrontProcess::new(day, number, &place, section)?;
         front.start()?;
         fronts.push(front);
     }
@@ -65,10 +70,16 @@
     let mut crowd = CrowdRun::new(day, addresses, seed, recorder.clone())?;
     let mut plan = plan(day);
     let mut failed = None;
+    let mut told = BTreeSet::new();
     crowd.run(|now| {
+        let went_on =
+            keepers.as_mut().map_or(Ok(()), Keepers::look).and_then(|()| again(&mut told, &mut fronts));
+        if let Err(e) = went_on {
+            failed.get_or_insert(e);
+        }
         while plan.first_key_value().is_some_and(|(at, _)| at.0 <= now) {
             let Some((_, step)) = plan.pop_first() else { break };
-            if let Err(e) = take(&step, day, &fleet, &mut fronts) {
+            if let Err(e) = take(&step, day, &fleet, &mut fronts, (&mut keepers, &mut told)) {
                 failed.get_or_insert(e);
             }
         }
@@ -76,9 +87,16 @@
     // What is still to end, ends now.
     for (_, step) in plan {
         if matches!(step, Step::End(_)) {
-            take(&step, day, &fleet, &mut fronts)?;
+            take(&step, day, &fleet, &mut fronts, (&mut keepers, &mut told))?;
         }
     }
+    // Those that wait for their turn yet.
+    let until = Instant::now() + SETTLES_WITHIN;
+    while !told.is_empty() && Instant::now() < until {
+        again(&mut told, &mut fronts)?;
+        thread::sleep(Duration::from_millis(20));
+    }
+    keepers.iter_mut().for_each(Keepers::end_acts);
     if let Some(e) = failed {
         return Err(e.into());
     }
@@ -125,7 +143,28 @@
     plan
 }
 
-fn take(step: &Step, day: &Day, fleet: &Fleet, fronts: &mut [FrontProcess]) -> io::Result<()> {
+/// Starts those again that were told to restart and have ended.
+fn again(told: &mut BTreeSet<u32>, fronts: &mut [FrontProcess]) -> io::Result<()> {
+    for n in told.clone() {
+        match fronts[n as usize].ended() {
+            Some(true) => {
+                told.remove(&n);
+                fronts[n as usize].start()?;
+            }
+            Some(false) => return Err(io::Error::other(format!("front {n} did not end well"))),
+            None => {}
+        }
+    }
+    Ok(())
+}
+
+fn take(
+    step: &Step,
+    day: &Day,
+    fleet: &Fleet,
+    fronts: &mut [FrontProcess],
+    (keepers, told): (&mut Option<Keepers>, &mut BTreeSet<u32>),
+) -> io::Result<()> {
     let (n, begins) = match step {
         Step::Drain(id) => {
             fleet.list_as(*id, "draining");
@@ -156,6 +195,18 @@
                 fronts[*front as usize].start()?;
             }
         }
+        Trouble::RestartFronts(which) if begins => {
+            for front in which {
+                fronts[*front as usize].tell();
+                told.insert(*front);
+            }
+        }
+        Trouble::RestartFronts(_) => {}
+        Trouble::Between(between) => match keepers {
+            Some(keepers) if begins => keepers.begin(n, between)?,
+            Some(keepers) => keepers.end(n, between)?,
+            None => {}
+        },
         Trouble::ZoneLost(zone, with_fronts) => {
             for (id, b) in (1..).zip(&day.fleet.boxes) {
                 if b.zone == *zone {
--- a/crates/day/src/script.rs
+++ b/crates/day/src/script.rs
@@ -13,6 +13,8 @@
 use beechloft_standin::fault::Fault;
 use beechloft_standin::fleet::{FleetBox, FleetSpec, TitleSpec};
 
+use crate::keepers::{Between, KeepersSpec};
+
 /// A trouble.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Trouble {
@@ -30,6 +32,10 @@
     Uplink(u16, f64),
     /// A front is killed outright, and started again at the end.
     KillFront(u32),
+    /// Front processes are told to restart at once, and started again as each ends.
+    RestartFronts(Vec<u32>),
+    /// Between the fleet's processes.
+    Between(Between),
     /// All boxes of a zone die, and its fronts too if told; they come back cold.
     ZoneLost(String, bool),
 }
@@ -109,6 +115,8 @@
     pub fleet: FleetSpec,
     /// The fronts.
     pub fronts: Vec<FrontSpec>,
+    /// The keepers and who asks them; none: fronts know nothing of each other.
+    pub keepers: Option<KeepersSpec>,
     /// The players.
     pub load: Load,
     /// Crowds.
@@ -167,12 +175,16 @@
     if fronts.is_empty() || fronts.len() > 64 {
         top.fault("fronts", "1 to 64 fronts are needed");
     }
+    let keepers = top.has("keepers").then(|| KeepersSpec::of(&top.section("keepers")));
     let load = load(&top.section("load"));
     let crowds = top.sections("crowds").iter().map(crowd).collect();
-    let troubles =
-        top.sections("troubles").iter().filter_map(|t| trouble(t, &service, &fleet, fronts.len())).collect();
+    let troubles = top
+        .sections("troubles")
+        .iter()
+        .filter_map(|t| trouble(t, &service, &fleet, (fronts.len(), keepers.as_ref())))
+        .collect();
     let rules = rules(&top.section("rules"), &service, &fleet);
-    Day { service, service_text, fleet, fronts, load, crowds, troubles, rules }
+    Day { service, service_text, fleet, fronts, keepers, load, crowds, troubles, rules }
 }
 
 fn boxes(s: &Section<'_>, service: &Service) -> Vec<FleetBox> {
@@ -330,7 +342,12 @@
     })
 }
 
-fn trouble(s: &Section<'_>, service: &Service, fleet: &FleetSpec, fronts: usize) -> Option<Timed> {
+fn trouble(
+    s: &Section<'_>,
+    service: &Service,
+    fleet: &FleetSpec,
+    (fronts, keepers): (usize, Option<&KeepersSpec>),
+) -> Option<Timed> {
     let (at, lasts) = (seconds(s, "at_s", 0.0), seconds(s, "for_s", 5.0));
     let count = fleet.boxes.len() as u64;
     let trouble = if s.has("fault") {
@@ -351,8 +368,21 @@
     } else if s.has("zone_lost") {
         s.index("zone_lost", &service.zones, "zone")?;
         Trouble::ZoneLost(s.text("zone_lost")?, s.flag("with_fronts", false))
+    } else if s.has("restart_fronts") {
+        let told = s.wholes("restart_fronts", 0..=fronts as u64 - 1);
+        Trouble::RestartFronts(told.into_iter().map(|n| n as u32).collect())
+    } else if let Some(between) = Between::of(s, keepers.map_or(0, |k| k.count), fronts) {
+        if keepers.is_none() {
+            s.fault("", "there are no keepers: the section 'keepers' is missing");
+        }
+        Trouble::Between(between)
     } else {
-        s.fault("", "no trouble: one of fault, drain, list_lags_ms, list_down, list_flaps_per_s, uplink, kill_front, zone_lost");
+        s.fault(
+            "",
+            "no trouble: one of fault, drain, list_lags_ms, list_down, list_flaps_per_s, uplink, kill_front, \
+             restart_fronts, zone_lost, kill_keeper, stop_keeper, kill_keepers, cut_keeper, slow_keeper, \
+             cut_leader_with_holder, kill_holder, stop_holder, cut_front",
+        );
         return None;
     };
     Some(Timed { at, lasts, trouble })
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -72,6 +72,10 @@
 
 /// How long a thread without a connection waits for one.
 const SPARE: Duration = Duration::from_secs(5);
+/// Connections that are taken yet when the door closes, at most.
+const MOST_WAITING: usize = 4096;
+/// What a connection that has said nothing yet is waited for when the door closes: its request may be on the way.
+const LAST_WORD: Duration = Duration::from_millis(100);
 /// How often the listener looks whether it is to stop.
 const LOOK: Duration = Duration::from_millis(50);
 /// How long a connection that was refused may take to read why, and how many may at once.
@@ -175,6 +179,16 @@
             Err(_) => thread::sleep(Duration::from_millis(5)),
         }
     }
+    // Whoever had connected by now has come before the door closed: the system would reset what is left waiting.
+    for _ in 0..MOST_WAITING {
+        let Ok((stream, peer)) = listener.accept() else { break };
+        if stream.set_nonblocking(false).is_err() || stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        if let Some(stream) = hand_over(stream, peer, &sender, &receiver, shared) {
+            refuse(stream, shared, &mut lingering);
+        }
+    }
 }
 
 /// Gives a connection to a spare thread or a new one; gives it back if the bound is reached.
@@ -259,7 +273,12 @@
     let mut buf = Vec::new();
     let _ = stream.set_write_timeout(Some(limits.write_time));
     for n in 0..limits.messages {
-        let request = match read_request(stream, &mut buf, limits, shared) {
+        // The first request of a connection is waited for when the door closes, as who connected means to ask.
+        let waited_for = (n == 0).then(|| {
+            shared.busy.fetch_add(1, Ordering::SeqCst);
+            Counted(&shared.busy)
+        });
+        let request = match read_request(stream, &mut buf, limits, shared, n == 0) {
             Ok(request) => request,
             Err(NoRequest::Closed | NoRequest::Slow(false)) => return,
             Err(NoRequest::Slow(true)) => {
@@ -272,6 +291,7 @@
             shared.busy.fetch_add(1, Ordering::SeqCst);
             Counted(&shared.busy)
         };
+        drop(waited_for);
         let (method, keep) = (request.method.clone(), request.keep_alive && n + 1 < limits.messages);
         let reply = shared.handler.handle(request, &Link { socket: stream, peer });
         let keep = keep && !shared.stop.load(Ordering::SeqCst);
@@ -340,13 +360,16 @@
     buf: &mut Vec<u8>,
     limits: &Limits,
     shared: &Shared,
+    first: bool,
 ) -> Result<Request, NoRequest> {
     let idle_until = Instant::now() + limits.idle_time;
     while buf.is_empty() {
-        if shared.stop.load(Ordering::SeqCst) {
-            return Err(NoRequest::Closed);
-        }
-        match fill(stream, buf, idle_until.min(Instant::now() + Duration::from_millis(500))) {
+        // One that was served already is idle between requests: a moment is enough for what has arrived.
+        let last_word = if first { LAST_WORD } else { Duration::from_millis(1) };
+        let stops = shared.stop.load(Ordering::SeqCst);
+        let wait = if stops { last_word } else { Duration::from_millis(500) };
+        match fill(stream, buf, idle_until.min(Instant::now() + wait)) {
+            Err(NoRequest::Slow(false)) if stops => return Err(NoRequest::Closed),
             Err(NoRequest::Slow(false)) if Instant::now() < idle_until => continue,
             other => other?,
         }
--- a/crates/http/tests/sockets.rs
+++ b/crates/http/tests/sockets.rs
@@ -159,3 +159,44 @@
         Err(CallError::Refused)
     ));
 }
+
+/// A server that is told to stop while players come: each is refused a connection or gets its answer. Between the last look for
+/// a connection and the listener's close one may slip in; the system resets it, and nothing can be done about that.
+#[test]
+fn whoever_came_before_the_stop_is_answered() {
+    let (mut answered, mut refused, mut broken) = (0, 0, 0);
+    for round in 0..60 {
+        let server = server(64);
+        let address = server.address();
+        let players: Vec<_> = (0..6)
+            .map(|_| {
+                std::thread::spawn(move || {
+                    let (mut answered, mut broken) = (0, 0);
+                    // Until nobody listens any more.
+                    while let Ok(mut stream) = TcpStream::connect(address) {
+                        stream.set_read_timeout(Some(Duration::from_secs(20))).expect("set");
+                        let mut text = Vec::new();
+                        let asked =
+                            stream.write_all(b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+                        let got = asked.is_ok() && stream.read_to_end(&mut text).is_ok() && !text.is_empty();
+                        if got {
+                            answered += 1
+                        } else {
+                            broken += 1
+                        }
+                        std::thread::sleep(Duration::from_millis(1));
+                    }
+                    (answered, broken)
+                })
+            })
+            .collect();
+        std::thread::sleep(Duration::from_millis(15 + round % 7));
+        server.stop(Duration::from_secs(10));
+        for player in players {
+            let (a, b) = player.join().expect("it ends");
+            (answered, broken, refused) = (answered + a, broken + b, refused + 1);
+        }
+    }
+    println!("{answered} answered, {refused} refused, {broken} broken");
+    assert!(answered > 500 && broken <= 40, "{answered} answered, {refused} refused, {broken} broken");
+}
--- a/crates/keeper/src/settings.rs
+++ b/crates/keeper/src/settings.rs
@@ -15,7 +15,7 @@
 const MOST_SEEDS: usize = 16;
 
 /// What the section says.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct FleetSettings {
     /// The fleet's name: words of another fleet are refused.
     pub name: String,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod media;
 pub mod offer;
 pub mod player;
+pub mod resource;
 mod sessions;
 pub mod trunk;
