A front may be a keeper besides, on a thread of its own

Change: with a store and an address among the keepers a front keeps (Keeping::start_as on a thread; Among ends it between two saves when the front ends). A disk that fails ends the keeper and not the front. Renewals are no log lines any more: one a second for each holder.

Measured (real processes): three fronts that keep for themselves: numbered 0 to 2, the leader killed, its place free and the others' numbers kept, it comes back on its folder as the keeper that it was, SIGTERM ends it well (12 s).

--- a/crates/cli/src/among.rs
+++ b/crates/cli/src/among.rs
@@ -2,17 +2,28 @@
 
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 use beechloft_core::api::Numbered;
 use beechloft_fleet::Part;
-use beechloft_keeper::{Agent, FleetSettings, Peers};
+use beechloft_keeper::{Agent, FleetSettings, Keeping, Peers};
 use beechloft_members::Kind;
 
 /// What a front has of its fleet.
 pub struct Among {
     agent: Arc<Agent>,
     peers: Option<Arc<Peers>>,
+    /// A front may be a keeper besides, on a thread of its own.
+    keeping: Option<(Arc<AtomicBool>, JoinHandle<()>)>,
+}
+
+/// A keeper within this process. If its disk fails it stops for good, and the front goes on: others keep.
+fn keep(mut keeping: Keeping) {
+    if let Err(e) = keeping.run() {
+        tracing::error!("this front keeps no more, and serves on: {e}");
+    }
 }
 
 impl Among {
@@ -21,19 +32,31 @@
     /// # Errors
     /// The fleet's address can't be listened on, or there is no thread.
     pub fn start(set: &FleetSettings, span: Duration) -> io::Result<Among> {
+        let (peers, keeping) = if set.keeps() {
+            let end = Arc::new(AtomicBool::new(false));
+            let keeping = Keeping::start_as(Kind::Front, set.clone(), Arc::clone(&end));
+            let keeping = keeping.map_err(|e| io::Error::other(e.to_string()))?;
+            let peers = keeping.members();
+            let thread = thread::Builder::new().name("keeper".into()).spawn(move || keep(keeping))?;
+            (peers, Some((end, thread)))
+        } else {
+            (Among::member(set)?, None)
+        };
+        Ok(Among { agent: Arc::new(Agent::start(set, span)?), peers, keeping })
+    }
+
+    /// As a member, if its settings name seeds.
+    fn member(set: &FleetSettings) -> io::Result<Option<Arc<Peers>>> {
+        if set.seeds.is_empty() {
+            return Ok(None);
+        }
         let said = |e: io::Error| match set.listen {
             Some(listen) => io::Error::new(e.kind(), format!("fleet.listen {listen}: {e}")),
             None => e,
         };
-        let peers = match set.seeds.is_empty() {
-            true => None,
-            false => {
-                let peers = Peers::start(set, Kind::Front).map_err(said)?;
-                peers.answer().map_err(said)?;
-                Some(Arc::new(peers))
-            }
-        };
-        Ok(Among { agent: Arc::new(Agent::start(set, span)?), peers })
+        let peers = Peers::start(set, Kind::Front).map_err(said)?;
+        peers.answer().map_err(said)?;
+        Ok(Some(Arc::new(peers)))
     }
 
     /// Its number, for whoever asks at any moment.
@@ -62,23 +85,25 @@
         self.agent.has_turn()
     }
 
-    /// Tells others that it ends.
-    pub fn leave(&self) {
+    /// Tells others that it ends, and ends its keeper between two saves.
+    pub fn leave(&mut self) {
         if let Some(peers) = &self.peers {
             peers.leave();
         }
+        if let Some((end, thread)) = self.keeping.take() {
+            end.store(true, Ordering::Relaxed);
+            let _ = thread.join();
+        }
     }
 
     /// The same, as a front node asks for it.
-    pub fn for_shell(self: &Arc<Self>) -> beechloft_shell::Fleet {
-        let (wants, may) = (Arc::clone(self), Arc::clone(self));
+    pub fn for_shell(&self) -> beechloft_shell::Fleet {
+        let (wants, may) = (Arc::clone(&self.agent), Arc::clone(&self.agent));
         let waits = self.agent.restart().map(|r| r.wait);
         beechloft_shell::Fleet {
             numbered: self.numbers(),
-            may_end: Box::new(move || may.may_end()),
-            wants_end: Box::new(move || {
-                wants.wants_end();
-            }),
+            may_end: Box::new(move || may.has_turn()),
+            wants_end: Box::new(move || wants.want_turn()),
             waits,
         }
     }
--- a/crates/cli/src/node.rs
+++ b/crates/cli/src/node.rs
@@ -2,7 +2,6 @@
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::sync::Arc;
 
 use beechloft_config::front::LogSettings;
 use beechloft_proto::config::Stated;
@@ -31,15 +30,15 @@
         Ok(shell) => shell,
         Err(e) => return fail(2, e),
     };
-    let among = match set.map(|set| Among::start(&set, shell.pace_span())).transpose() {
-        Ok(among) => among.map(Arc::new),
+    let mut among = match set.map(|set| Among::start(&set, shell.pace_span())).transpose() {
+        Ok(among) => among,
         Err(e) => return fail(2, e),
     };
     if let Some(among) = &among {
         shell.join(among.for_shell());
     }
     let ended = shell.run();
-    if let Some(among) = &among {
+    if let Some(among) = &mut among {
         among.leave();
     }
     match ended {
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -50,7 +50,7 @@
     };
     let listen = settings.listen;
     let span = Duration::from_micros(settings.settings.cold.span.0);
-    let among = match fleet.map(|set| Among::start(&set, span)).transpose() {
+    let mut among = match fleet.map(|set| Among::start(&set, span)).transpose() {
         Ok(among) => among,
         Err(e) => return fail(1, e),
     };
@@ -67,7 +67,7 @@
         wait_for_turn(among, &mut signals);
     }
     front.stop(STOP_WITHIN);
-    if let Some(among) = &among {
+    if let Some(among) = &mut among {
         among.leave();
     }
     ExitCode::SUCCESS
--- a/crates/cli/tests/fronts.rs
+++ b/crates/cli/tests/fronts.rs
@@ -22,6 +22,8 @@
     /// Between each two members, by who sends first: places of keepers, then of fronts.
     relays: BTreeMap<(usize, usize), udp::Relay>,
     more: String,
+    /// There are no keepers but the fronts themselves.
+    fronts_keep: bool,
 }
 
 impl Fleet {
@@ -36,9 +38,18 @@
             processes: BTreeMap::new(),
             relays: BTreeMap::new(),
             more: more.to_owned(),
+            fronts_keep: false,
         }
     }
 
+    /// Fronts that keep as well, and nobody else does.
+    fn of_keeping_fronts(fronts: usize, more: &str) -> Fleet {
+        let mut fleet = Fleet::new(0, fronts, more);
+        fleet.keepers = Vec::new();
+        fleet.fronts_keep = true;
+        fleet
+    }
+
     fn places(&self) -> std::ops::Range<usize> {
         0..self.keepers.len() + self.fronts.len()
     }
@@ -54,11 +65,13 @@
 
     fn file(&self, place: usize) -> PathBuf {
         let texts = |all: &[SocketAddr]| all.iter().map(|a| format!("'{a}'")).collect::<Vec<_>>().join(", ");
+        let members: Vec<SocketAddr> = self.fronts.iter().map(|f| f.0).collect();
+        let keepers = if self.fronts_keep { &members } else { &self.keepers };
         let mut text = format!(
             "fleet:\n  name: test\n  listen: {}\n  keepers: [{}]\n  seeds: [{}]\n  zone: {}\n  zones: [a, b]\n",
             self.member(place),
-            texts(&self.keepers),
-            texts(&self.keepers),
+            texts(keepers),
+            texts(keepers),
             Fleet::zone(place)
         );
         let via = self.relays.iter().filter(|(k, _)| k.0 == place);
@@ -71,6 +84,9 @@
             text += &format!("  store: {}\n", self.dir.path().join(format!("store{place}")).display());
         } else {
             text += &self.more;
+            if self.fronts_keep {
+                text += &format!("  store: {}\n", self.dir.path().join(format!("store{place}")).display());
+            }
             let listen = self.fronts[place - self.keepers.len()].1;
             text += &format!(
                 "service:\n  zones: [a, b]\n  racks: 1\n  ladder:\n    - {{rate_kb: 200, worth: 1}}\n  classes:\n    - \
@@ -324,3 +340,39 @@
     let passed: u64 = fleet.relays.values().map(|r| r.passed().came).sum();
     assert!(passed > 200, "{passed} datagrams went by way of the relays");
 }
+
+#[test]
+fn fronts_may_keep_themselves_and_one_that_is_killed_costs_nobody_its_number() {
+    let mut fleet = Fleet::of_keeping_fronts(3, "  number: lease\n  number_ttl_ms: 2000\n");
+    fleet.start_all();
+    fleet.all_numbered(&[0, 1, 2], 4);
+    let leader = |fleet: &Fleet| {
+        fleet.lines(&["fleet", "status"], 0).iter().position(|l| l["status"]["role"] == "leader")
+    };
+    let first = leader(&fleet).expect("one leads");
+    fleet.processes.remove(&first);
+    let others: Vec<usize> = (0..3).filter(|n| *n != first).collect();
+    // Its place is free after the time of its lease, under another leader; the others go on by theirs.
+    until(|| match fleet.numbers().len() {
+        2 => Ok(()),
+        held => Err(format!("{held} numbers are held")),
+    });
+    let parts: Vec<_> = others.iter().filter_map(|n| fleet.numbered(*n)).collect();
+    assert!(parts.len() == 2 && parts.iter().all(|p| p.0 < p.1) && parts[0].0 != parts[1].0, "{parts:?}");
+    assert!(others.iter().all(|n| takes_requests(fleet.fronts[*n].1)));
+    // It comes back on its folder, as the keeper that it was.
+    fleet.start(first);
+    fleet.all_numbered(&[0, 1, 2], 4);
+    let voters = |l: &Value| l["status"]["members"].as_array().map_or(0, Vec::len);
+    until(|| {
+        let all = fleet.lines(&["fleet", "status"], 0);
+        if all.len() == 3 && all.iter().all(|l| voters(l) == 3) { Ok(()) } else { Err(format!("{all:?}")) }
+    });
+    // Told to end it ends well, its keeper with it.
+    fleet.processes[&first].signal(Signal::TERM);
+    let process = fleet.processes.get_mut(&first).expect("it runs");
+    until(|| match process.0.try_wait() {
+        Ok(Some(status)) if status.success() => Ok(()),
+        other => Err(format!("{other:?}")),
+    });
+}
--- a/crates/keeper/src/engine.rs
+++ b/crates/keeper/src/engine.rs
@@ -84,7 +84,7 @@
     asked: BTreeMap<Ticket, ConnId>,
     clock: Box<dyn Fn() -> Duration + Send>,
     /// As a member, if its settings name seeds.
-    members: Option<Peers>,
+    members: Option<Arc<Peers>>,
 }
 
 impl Keeping {
@@ -93,6 +93,14 @@
     /// # Errors
     /// As [`StartError`] says; nothing was changed then.
     pub fn start(set: FleetSettings, end: Arc<AtomicBool>) -> Result<Keeping, StartError> {
+        Keeping::start_as(Kind::Keeper, set, end)
+    }
+
+    /// The same within a process that is something else besides, as a front may be.
+    ///
+    /// # Errors
+    /// As [`StartError`] says; nothing was changed then.
+    pub fn start_as(kind: Kind, set: FleetSettings, end: Arc<AtomicBool>) -> Result<Keeping, StartError> {
         let address = set.listen.ok_or(StartError::Missing("listen"))?;
         let folder = set.store.clone().ok_or(StartError::Missing("store"))?;
         if !set.keepers.contains(&address) {
@@ -121,7 +129,10 @@
         }
         let members = match set.seeds.is_empty() {
             true => None,
-            false => Some(Peers::start(&set, Kind::Keeper).map_err(|e| StartError::Io("no member", e))?),
+            false => {
+                let peers = Peers::start(&set, kind).map_err(|e| StartError::Io("no member", e))?;
+                Some(Arc::new(peers))
+            }
         };
         info!(id = %id, %address, fleet = set.name, "keeper is up");
         Ok(Keeping {
@@ -144,6 +155,11 @@
         })
     }
 
+    /// This process as a member, if it is one.
+    pub fn members(&self) -> Option<Arc<Peers>> {
+        self.members.clone()
+    }
+
     /// Keeps until it is told to end.
     ///
     /// # Errors
@@ -207,7 +223,7 @@
             Word::Status => self.say(conn, &Word::StatusIs(self.status())),
             Word::Replace { old, new } => self.replace(conn, old, new, out),
             Word::Members => {
-                let seen = self.members.as_ref().map(Peers::seen);
+                let seen = self.members.as_ref().map(|m| m.seen());
                 self.say(conn, &Word::MembersAre(seen));
             }
             Word::MembersAre(_)
@@ -334,6 +350,7 @@
                 }
             }
             KeeperOutput::Unwatched(client) => self.conns.close(ConnId(client.0)),
+            KeeperOutput::Event(Event::Renewed(..)) => {}
             KeeperOutput::Event(event) => info!(?event, "lease"),
             KeeperOutput::Group(ticket, taken) if self.asked.contains_key(&ticket) => {
                 if let Some(conn) = self.asked.remove(&ticket) {
--- a/crates/keeper/src/settings.rs
+++ b/crates/keeper/src/settings.rs
@@ -63,6 +63,11 @@
         fleet(section, zones)
     }
 
+    /// Whether this process is a keeper: it has a folder, and its address is one of theirs.
+    pub fn keeps(&self) -> bool {
+        self.store.is_some() && self.listen.is_some_and(|l| self.keepers.contains(&l))
+    }
+
     /// The fleet as a number, which goes with each word.
     pub fn number(&self) -> u64 {
         let hash = |h: u64, b: u8| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3);
