--- a/crates/cli/tests/figures.rs
+++ b/crates/cli/tests/figures.rs
@@ -226,3 +226,19 @@
     }
     println!("one look: {:?}; {held} of {count} with a part", began.elapsed() / count);
 }
+
+#[test]
+#[ignore = "figures, a minute"]
+fn losses_with_a_lease_of_three_seconds() {
+    let mut fleet = Fleet::new(5);
+    fleet.leader(5);
+    (0..8).for_each(|_| fleet.candidate_for(3_000));
+    fleet.goes_on("the start");
+    for _ in 0..5 {
+        let holder = fleet.holder();
+        drop(fleet.candidates.remove(holder));
+        fleet.candidate_for(3_000);
+        let gap = longest_gap(&fleet, Duration::from_secs(6));
+        println!("holder killed, ttl 3000 ms: no act for {gap:?}");
+    }
+}
--- a/crates/cli/tests/support/keepers.rs
+++ b/crates/cli/tests/support/keepers.rs
@@ -91,10 +91,15 @@
 
     /// A candidate whose command acts every 20 ms for as long as it holds the lease, and which begins again when it ends.
     pub fn candidate(&mut self) {
+        self.candidate_for(TTL_MS);
+    }
+
+    /// The same with a lease of another time.
+    pub fn candidate_for(&mut self, ttl_ms: u64) {
         let act = format!("while :; do echo $BEECHLOFT_FENCE >> {}; sleep 0.02; done", self.acts().display());
         let program = env!("CARGO_BIN_EXE_beechloft");
         let place = self.addresses.len() + self.candidates.len();
-        let (file, ttl) = (self.settings_of(None, Some(place)).display().to_string(), TTL_MS.to_string());
+        let (file, ttl) = (self.settings_of(None, Some(place)).display().to_string(), ttl_ms.to_string());
         let again = "while :; do \"$@\"; sleep 0.05; done";
         let mut command = Command::new("sh");
         command.args(["-c", again, "sh", program, "lease", "hold", &file, "task", "--ttl-ms", &ttl, "--"]);
