Members' joining is a child of the machine, and what was written twice is written once

Need: read over, the fleet's code had pieces twice and more open than they need be.

No behaviour, bound or assertion changes.

--- a/crates/day/src/fronts.rs
+++ b/crates/day/src/fronts.rs
@@ -154,28 +154,27 @@
 
     /// Asks it to stop, and waits for its end; whether it ended well.
     pub fn stop(&mut self) -> bool {
-        let Some(mut child) = self.child.take() else { return true };
-        if let Some(pid) = rustix::process::Pid::from_raw(child.id() as i32) {
-            let _ = rustix::process::kill_process(pid, rustix::process::Signal::TERM);
+        if self.child.is_none() {
+            return true;
         }
+        self.tell();
         let (mut until, mut twice) = (Instant::now() + DOWN_WITHIN, false);
         let soon = Instant::now() + Duration::from_millis(300);
         while Instant::now() < until {
             // One that waits for its turn goes at once when it is told again.
             if !twice && Instant::now() >= soon {
-                if let Some(pid) = rustix::process::Pid::from_raw(child.id() as i32) {
-                    let _ = rustix::process::kill_process(pid, rustix::process::Signal::TERM);
-                }
+                self.tell();
                 (twice, until) = (true, Instant::now() + DOWN_WITHIN);
             }
-            match child.try_wait() {
-                Ok(Some(status)) => return status.success(),
-                Ok(None) => thread::sleep(Duration::from_millis(10)),
-                Err(_) => break,
+            if let Some(well) = self.ended() {
+                return well;
             }
+            thread::sleep(Duration::from_millis(10));
+        }
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
         }
-        let _ = child.kill();
-        let _ = child.wait();
         false
     }
 }
--- a/crates/fleet/tests/explored.rs
+++ b/crates/fleet/tests/explored.rs
@@ -5,36 +5,26 @@
 //! time goes on by a part of a lease's time at once, and each process's clock by that at its own rate: the fastest and the slowest
 //! that the drift allows, in each way that they can lie between keepers and candidates.
 
+mod support;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::convert::Infallible;
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
-use beechloft_consensus::{Body, Disk, MemberId, Membership, Message, Outputs, Save, Settings, Stored, Term};
+use beechloft_consensus::{Body, MemberId, Membership, Message, Outputs, Settings, Stored, Term};
 use beechloft_explore::{Found, Limits, Model, Seen, explore};
 use beechloft_fleet::{
     Asked, ClientId, Drift, Fault, Heard, Holder, HolderId, HolderInput, HolderOutput, Keeper, KeeperOutput,
     Name, Request, Terms, Token,
 };
 use siphasher::sip128::SipHasher13;
+use support::Memory;
 
 const TTL: Duration = Duration::from_millis(1_000);
 /// In parts of a million; the bound that `Drift` has.
 const PPM: u32 = 90_000;
 
-#[derive(Debug, Clone, Default)]
-struct Memory(Stored);
-
-impl Disk for Memory {
-    type Error = Infallible;
-
-    fn save(&mut self, save: &Save) -> Result<(), Infallible> {
-        self.0.apply(save);
-        Ok(())
-    }
-}
-
 /// What may happen how often.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct Left {
--- a/crates/keeper/src/agent.rs
+++ b/crates/keeper/src/agent.rs
@@ -33,9 +33,7 @@
             over: false,
         }
     }
-}
 
-impl Task {
     /// What is to be sent.
     fn take(&mut self, now: Duration, input: HolderInput) -> Vec<Request> {
         let mut requests = Vec::new();
@@ -64,9 +62,9 @@
 }
 
 impl State {
-    fn input(&mut self, now: Duration, of: impl FnOnce(&mut State) -> Option<&mut Task>, input: HolderInput) {
-        let outputs = of(self).map(|task| task.take(now, input)).unwrap_or_default();
-        self.requests.extend(outputs);
+    fn want(&mut self, now: Duration, of: impl FnOnce(&mut State) -> Option<&mut Task>) {
+        let requests = of(self).map(|task| task.take(now, HolderInput::Want)).unwrap_or_default();
+        self.requests.extend(requests);
     }
 
     fn tasks(&mut self) -> impl Iterator<Item = &mut Task> {
@@ -128,18 +126,14 @@
 
     /// Asks for its turn to restart. It is not given back: it runs out while this front's next start comes up.
     pub fn want_turn(&self) {
-        self.input(|state| state.turn.as_mut(), HolderInput::Want);
+        self.shared.state().want((self.shared.clock)(), |state| state.turn.as_mut());
     }
 
     /// Whether it is this front's turn to restart, now.
     pub fn has_turn(&self) -> bool {
         let state = self.shared.state();
         let now = (self.shared.clock)();
-        state.turn.as_ref().is_some_and(|t| t.holder.permit(now).is_some_and(|p| p.token_at(now).is_some()))
-    }
-
-    fn input(&self, of: impl FnOnce(&mut State) -> Option<&mut Task>, input: HolderInput) {
-        self.shared.state().input((self.shared.clock)(), of, input);
+        state.turn.as_ref().is_some_and(|t| t.holder.permit(now).is_some())
     }
 }
 
@@ -151,7 +145,7 @@
 
 impl Shared {
     fn run(&self, mut way: Way) {
-        self.state().input((self.clock)(), |s| s.number.as_mut(), HolderInput::Want);
+        self.state().want((self.clock)(), |s| s.number.as_mut());
         while !self.end.load(Ordering::Relaxed) {
             let due = self.state().tasks().filter_map(|t| t.holder.next_due()).min().unwrap_or(Duration::MAX);
             let wait = due.saturating_sub((self.clock)()).min(LOOK);
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -10,7 +10,6 @@
 //! that must hold (who acts, who counts) may rest on it. That is what leases are for.
 #![forbid(unsafe_code)]
 
-mod joining;
 mod planted;
 mod roster;
 mod rumours;
--- a/crates/members/src/swim.rs
+++ b/crates/members/src/swim.rs
@@ -1,5 +1,7 @@
 //! The machine.
 
+mod joining;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,12 +11,12 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::joining::ANSWERS;
 use crate::planted::Fault;
 use crate::roster::{Life, Roster, Worth};
 use crate::rumours::Rumours;
 use crate::suspicion::Suspicion;
 use crate::words::{About, Incarnation, MemberId, Packet, Rumour, Said};
+use joining::{ANSWERS, MORE};
 
 /// From one probe to the next, by a member that is well (SWIM's protocol period).
 const PERIOD: Duration = Duration::from_secs(1);
@@ -32,8 +34,6 @@
 const LOOK: Duration = Duration::from_millis(250);
 /// Help that is given at once, at most.
 const MOST_HELP: usize = 64;
-/// The same while the last brought something: whoever is new learns of all within seconds.
-const MORE: Duration = Duration::from_millis(500);
 
 /// What the machine hears.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -97,40 +97,40 @@
 /// A member.
 #[derive(Debug)]
 pub struct Swim {
-    pub(crate) id: MemberId,
-    pub(crate) about: Arc<About>,
-    pub(crate) incarnation: Incarnation,
-    pub(crate) roster: Roster,
-    pub(crate) rumours: Rumours,
-    pub(crate) suspicions: BTreeMap<MemberId, Suspicion>,
-    pub(crate) seeds: Vec<SocketAddr>,
-    pub(crate) rng: ChaCha8Rng,
-    pub(crate) now: Duration,
+    id: MemberId,
+    about: Arc<About>,
+    incarnation: Incarnation,
+    roster: Roster,
+    rumours: Rumours,
+    suspicions: BTreeMap<MemberId, Suspicion>,
+    seeds: Vec<SocketAddr>,
+    rng: ChaCha8Rng,
+    now: Duration,
     /// How slow this one is itself: nought if well (Lifeguard's local health multiplier).
-    pub(crate) health: u32,
-    pub(crate) seq: u64,
-    pub(crate) order: Vec<MemberId>,
-    pub(crate) place: usize,
-    pub(crate) periods: u64,
+    health: u32,
+    seq: u64,
+    order: Vec<MemberId>,
+    place: usize,
+    periods: u64,
     probe: Option<Probe>,
-    pub(crate) period_at: Duration,
-    pub(crate) look_at: Duration,
+    period_at: Duration,
+    look_at: Duration,
     helps: BTreeMap<u64, Help>,
-    pub(crate) join_at: Duration,
-    pub(crate) joins: u32,
-    pub(crate) differs_since: Option<Duration>,
-    pub(crate) compare_at: Duration,
+    join_at: Duration,
+    joins: u32,
+    differs_since: Option<Duration>,
+    compare_at: Duration,
     /// Who was asked for a comparison last; it is asked again while that brings something.
-    pub(crate) compared: Option<(SocketAddr, Option<MemberId>)>,
-    pub(crate) more: bool,
+    compared: Option<(SocketAddr, Option<MemberId>)>,
+    more: bool,
     /// It has not known as much as another yet.
-    pub(crate) newcomer: bool,
-    pub(crate) passes_on: bool,
-    pub(crate) answers: f64,
-    pub(crate) answers_at: Duration,
-    pub(crate) left: bool,
-    pub(crate) counts: Counts,
-    pub(crate) fault: Option<Fault>,
+    newcomer: bool,
+    passes_on: bool,
+    answers: f64,
+    answers_at: Duration,
+    left: bool,
+    counts: Counts,
+    fault: Option<Fault>,
 }
 
 impl Swim {
@@ -185,7 +185,7 @@
         self.fault = Some(fault);
     }
 
-    pub(crate) fn planted(&self, fault: Fault) -> bool {
+    fn planted(&self, fault: Fault) -> bool {
         cfg!(feature = "planted") && self.fault == Some(fault)
     }
 
@@ -269,12 +269,12 @@
     }
 
     /// Between half of it and all of it, by chance.
-    pub(crate) fn about(&mut self, span: Duration) -> Duration {
+    fn about(&mut self, span: Duration) -> Duration {
         let micros = span.as_micros() as u64;
         Duration::from_micros(self.rng.random_range(micros / 2..=micros))
     }
 
-    pub(crate) fn send(
+    fn send(
         &mut self,
         at: SocketAddr,
         to: Option<MemberId>,
@@ -377,14 +377,13 @@
             if id == not || id == self.id || found.contains(&id) || near.contains(&id) {
                 continue;
             }
-            if member.about.zone == self.about.zone && !near.is_empty() {
-                near.push(id);
-            } else if member.about.zone == self.about.zone {
-                near.push(id);
-                found.push(id);
-            } else {
+            let own_zone = member.about.zone == self.about.zone;
+            if !own_zone || near.is_empty() {
                 found.push(id);
             }
+            if own_zone {
+                near.push(id);
+            }
             if found.len() == HELPERS {
                 return found;
             }
@@ -579,12 +578,16 @@
         // Others did not hear from this one in time: it may be slow itself.
         self.worse(1);
         self.incarnation = said.next();
-        let about = Arc::clone(&self.about);
-        let alive = Rumour::Alive { id: self.id, incarnation: self.incarnation, about };
+        let alive = self.alive();
         self.roster.hear(self.now, &alive);
         self.rumours.push(alive);
     }
 
+    /// What it says of itself.
+    fn alive(&self) -> Rumour {
+        Rumour::Alive { id: self.id, incarnation: self.incarnation, about: Arc::clone(&self.about) }
+    }
+
     /// Suspicions that have lasted.
     fn believe(&mut self, out: &mut Vec<Output>) {
         let (there, now) = (self.roster.there(), self.now);
--- a/crates/members/src/joining.rs
+++ b/crates/members/src/swim/joining.rs
@@ -2,22 +2,23 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use rand::RngExt;
 use rand::seq::SliceRandom;
 
+use super::{Output, Swim};
 use crate::planted::Fault;
 use crate::roster::{Life, Member};
-use crate::swim::{Output, Swim};
 use crate::sync;
-use crate::words::{Digests, MemberId, Packet, Rumour, Said};
+use crate::words::{Digests, MemberId, PARTS, Packet, Rumour, Said};
 
 /// From one comparison to the next.
 const COMPARE: Duration = Duration::from_secs(10);
+/// The same while the last brought something: whoever is new learns of all within seconds.
+pub(super) const MORE: Duration = Duration::from_millis(500);
 /// Comparisons that are answered in a second, at most.
-pub(crate) const ANSWERS: f64 = 20.0;
+pub(super) const ANSWERS: f64 = 20.0;
 /// From one try to reach a seed to the next, alone: at first and at most.
 const JOIN: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(10));
 /// The same while others are there: guards against a fleet that was parted and stays so, each part for itself.
@@ -29,7 +30,7 @@
 
 impl Swim {
     /// Looks for others at the seeds, and for whoever is gone and may only have been parted.
-    pub(crate) fn join(&mut self, out: &mut Vec<Output>) {
+    pub(super) fn join(&mut self, out: &mut Vec<Output>) {
         let alone = self.roster.there() <= 1;
         let wait = if alone { (JOIN.0 * 2u32.pow(self.joins.min(6))).min(JOIN.1) } else { REJOIN };
         self.joins = if alone { self.joins.saturating_add(1) } else { 0 };
@@ -46,7 +47,7 @@
         }
     }
 
-    pub(crate) fn differs(&mut self, digest: u64, at: SocketAddr, from: MemberId, out: &mut Vec<Output>) {
+    pub(super) fn differs(&mut self, digest: u64, at: SocketAddr, from: MemberId, out: &mut Vec<Output>) {
         if digest == self.roster.digest() {
             (self.differs_since, self.newcomer) = (None, false);
             return;
@@ -58,7 +59,7 @@
         }
     }
 
-    pub(crate) fn compare(&mut self, at: SocketAddr, to: Option<MemberId>, out: &mut Vec<Output>) {
+    pub(super) fn compare(&mut self, at: SocketAddr, to: Option<MemberId>, out: &mut Vec<Output>) {
         if self.planted(Fault::NoComparing) && self.roster.there() > 1 {
             return;
         }
@@ -66,13 +67,11 @@
         self.compare_at = self.now + self.about(COMPARE);
         self.compared = Some((at, to));
         // Who is asked learns of this one, which may be new.
-        let (id, incarnation, about) = (self.id, self.incarnation, Arc::clone(&self.about));
-        let own = Rumour::Alive { id, incarnation, about };
-        let digests = self.roster.digests();
+        let (own, digests) = (self.alive(), self.roster.digests());
         self.send(at, to, Said::Compare { digests, answers: false }, vec![own], out);
     }
 
-    pub(crate) fn answer(
+    pub(super) fn answer(
         &mut self,
         at: SocketAddr,
         to: MemberId,
@@ -96,7 +95,7 @@
             }
             self.answers -= 1.0;
         }
-        let first = self.rng.random_range(0..crate::words::PARTS);
+        let first = self.rng.random_range(0..PARTS);
         for rumours in sync::entries(&self.roster, theirs, first, self.id) {
             out.push(Output::Send(at, Packet { from: self.id, to: Some(to), said: Said::Entries, rumours }));
         }
@@ -106,7 +105,7 @@
         }
     }
 
-    pub(crate) fn leave(&mut self) -> Vec<Output> {
+    pub(super) fn leave(&mut self) -> Vec<Output> {
         let (id, incarnation) = (self.id, self.incarnation);
         let farewell = Rumour::Gone { id, incarnation, by: id };
         let mut out = Vec::new();
--- a/crates/members/src/sync.rs
+++ b/crates/members/src/sync.rs
@@ -2,14 +2,14 @@
 
 use std::sync::Arc;
 
-use crate::roster::{Life, Roster};
+use crate::roster::{Life, Member, Roster};
 use crate::words::{Digests, MOST_RUMOURS, MemberId, PARTS, Rumour};
 
 /// Packets of one answer: the rest comes with the next.
 pub(crate) const MOST_PACKETS: usize = 8;
 
 /// What to say of one member, as it is believed to be.
-pub(crate) fn said(id: MemberId, member: &crate::roster::Member, by: MemberId) -> Vec<Rumour> {
+pub(crate) fn said(id: MemberId, member: &Member, by: MemberId) -> Vec<Rumour> {
     let incarnation = member.incarnation;
     let alive = Rumour::Alive { id, incarnation, about: Arc::clone(&member.about) };
     match member.life {
@@ -32,10 +32,8 @@
             if packets.len() == MOST_PACKETS {
                 break;
             }
-            (bytes, packets) = (0, {
-                packets.push(Vec::new());
-                packets
-            });
+            packets.push(Vec::new());
+            bytes = 0;
         }
         bytes += rumour.bytes();
         if let Some(last) = packets.last_mut() {
--- a/crates/members/tests/fleets.rs
+++ b/crates/members/tests/fleets.rs
@@ -13,12 +13,18 @@
 
 const MINUTE: Duration = Duration::from_secs(60);
 
+/// A fleet that knows itself, with a fault planted in each.
+fn grown_with(members: usize, seed: u64, fault: Option<Fault>) -> Result<World, String> {
+    let mut w = World::new(members, seed);
+    w.fault = fault;
+    (0..members).for_each(|n| w.start(n));
+    w.until_agreed(2 * MINUTE).ok_or(format!("seed {seed}: {members} do not know each other"))?;
+    Ok(w)
+}
+
 /// A fleet that knows itself.
 fn grown(members: usize, seed: u64) -> World {
-    let mut w = World::all(members, seed);
-    let took = w.until_agreed(2 * MINUTE);
-    assert!(took.is_some(), "seed {seed}: {members} do not know each other");
-    w
+    grown_with(members, seed, None).unwrap_or_else(|why| panic!("{why}"))
 }
 
 #[test]
@@ -89,10 +95,7 @@
 
 /// A stopped process is gone for the others, comes back by itself, and holds its own sleep against nobody.
 fn stopped(fault: Option<Fault>, seed: u64) -> Result<(), String> {
-    let mut w = World::new(40, seed);
-    w.fault = fault;
-    (0..40).for_each(|n| w.start(n));
-    w.until_agreed(2 * MINUTE).ok_or("they do not agree")?;
+    let mut w = grown_with(40, seed, fault)?;
     // It suspects one that is cut off for a while, when it is stopped.
     let all = 0..40;
     w.cut = all.clone().flat_map(|n| [(n, 8), (8, n)]).collect();
@@ -124,10 +127,7 @@
 
 /// Three zones parted for minutes and whole again.
 fn parted(fault: Option<Fault>, seed: u64) -> Result<(), String> {
-    let mut w = World::new(60, seed);
-    w.fault = fault;
-    (0..60).for_each(|n| w.start(n));
-    w.until_agreed(2 * MINUTE).ok_or("they do not agree")?;
+    let mut w = grown_with(60, seed, fault)?;
     w.parted = true;
     let alone = |w: &World| w.members.iter().flatten().all(|m| m.roster().there() == 20);
     w.until(4 * MINUTE, alone).ok_or("a zone does not know what is left of the fleet")?;
@@ -146,10 +146,7 @@
 
 /// A member is cut off from some that still hear all others.
 fn cut_off_from_some(fault: Option<Fault>, seed: u64) -> Result<(), String> {
-    let mut w = World::new(30, seed);
-    w.fault = fault;
-    (0..30).for_each(|n| w.start(n));
-    w.until_agreed(2 * MINUTE).ok_or("they do not agree")?;
+    let mut w = grown_with(30, seed, fault)?;
     // Each of ten can't reach one of them, in either direction; by way of others it is heard.
     for n in 5..15 {
         w.cut.extend([(n, 20), (20, n)]);
