Packages grouped by concern: base, front, platform, fleet, proof

Need: 25 folders in a row told nothing of what stands on what, and the fleet is about to grow by several packages. Change: `crates/` has five groups; the front's sockets are `crates/front/daemon`, the package of leases is beechloft-leases. Paths between packages stand once, in the workspace's dependencies. Pages, deploy file and layout follow; no code changed but for names and the order of imports.

--- a/crates/cli/src/among.rs
+++ b/crates/cli/src/among.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use beechloft_core::api::Numbered;
-use beechloft_fleet::Part;
 use beechloft_keeper::{Agent, FleetSettings, Keeping, Peers};
+use beechloft_leases::Part;
 use beechloft_members::Kind;
 
 /// What a front has of its fleet.
--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -10,10 +10,10 @@
 use beechloft_config::front::LogSettings;
 use beechloft_config::reader;
 use beechloft_consensus::MemberId;
-use beechloft_fleet::{Holder, HolderId, HolderInput, HolderOutput, Name, Permit, Terms, Token};
 use beechloft_keeper::client::{self, Watched, Way};
 use beechloft_keeper::wire::{LeaseLine, StatusLine};
 use beechloft_keeper::{FleetSettings, Keeping};
+use beechloft_leases::{Holder, HolderId, HolderInput, HolderOutput, Name, Permit, Terms, Token};
 use clap::{Args, Subcommand};
 use rustix::process::{Pid, Signal, kill_process};
 
--- a/crates/cli/tests/figures.rs
+++ b/crates/cli/tests/figures.rs
@@ -8,12 +8,12 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-use beechloft_fleet::{
-    Answer, Heard, Holder, HolderId, HolderInput, HolderOutput, Name, Op, Request, Terms, Token,
-};
 use beechloft_keeper::client::Way as ToKeepers;
 use beechloft_keeper::wire::{self, Word};
 use beechloft_keeper::{Agent, FleetSettings};
+use beechloft_leases::{
+    Answer, Heard, Holder, HolderId, HolderInput, HolderOutput, Name, Op, Request, Terms, Token,
+};
 use support::keepers::{Fleet, TTL_MS};
 
 fn settings(fleet: &Fleet) -> FleetSettings {
@@ -222,7 +222,7 @@
     let (count, began) = (1_000_000u32, Instant::now());
     let mut held = 0;
     for _ in 0..count {
-        held += u32::from(agent.part().is_some_and(|p| p.0 != beechloft_fleet::Part::None));
+        held += u32::from(agent.part().is_some_and(|p| p.0 != beechloft_leases::Part::None));
     }
     println!("one look: {:?}; {held} of {count} with a part", began.elapsed() / count);
 }
--- a/crates/keeper/src/agent.rs
+++ b/crates/fleet/keeper/src/agent.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
-use beechloft_fleet::{Holder, HolderId, HolderInput, HolderOutput, Numbering, Part, Request, Terms};
+use beechloft_leases::{Holder, HolderId, HolderInput, HolderOutput, Numbering, Part, Request, Terms};
 use tracing::{error, info};
 
 use crate::client::Way;
--- a/crates/keeper/src/client.rs
+++ b/crates/fleet/keeper/src/client.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use beechloft_consensus::MemberId;
-use beechloft_fleet::{Heard, HolderInput, Name, Request, Route};
+use beechloft_leases::{Heard, HolderInput, Name, Request, Route};
 use crossbeam_channel::{Receiver, Sender, bounded};
 
 use crate::settings::FleetSettings;
--- a/crates/keeper/src/engine.rs
+++ b/crates/fleet/keeper/src/engine.rs
@@ -11,7 +11,7 @@
 use beechloft_consensus::{
     Change, Disk, Input, MemberId, Membership, Outputs, Save, Settings, Snapshot, Stored, Ticket,
 };
-use beechloft_fleet::{Asked, ClientId, Event, Heard, Keeper, KeeperOutput, Table, TableError};
+use beechloft_leases::{Asked, ClientId, Event, Heard, Keeper, KeeperOutput, Table, TableError};
 use beechloft_members::Kind;
 use beechloft_store::StoreError;
 use crossbeam_channel::{Receiver, RecvTimeoutError, bounded};
@@ -408,10 +408,10 @@
 
 fn lines(table: &Table) -> Vec<LeaseLine> {
     let line = |(name, places, token, g): (
-        &beechloft_fleet::Name,
+        &beechloft_leases::Name,
         u16,
-        beechloft_fleet::Token,
-        &beechloft_fleet::Grant,
+        beechloft_leases::Token,
+        &beechloft_leases::Grant,
     )| {
         LeaseLine {
             name: name.to_string(),
--- a/crates/keeper/src/settings.rs
+++ b/crates/fleet/keeper/src/settings.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use beechloft_config::{Faults, Section, reader};
-use beechloft_fleet::{Drift, Name, Terms};
+use beechloft_leases::{Drift, Name, Terms};
 use beechloft_members::Zone;
 
 /// Keepers at most.
--- a/crates/keeper/src/wire.rs
+++ b/crates/fleet/keeper/src/wire.rs
@@ -3,7 +3,7 @@
 use std::io::{self, Read};
 
 use beechloft_consensus::{MemberId, Message};
-use beechloft_fleet::{Heard, Name, Request};
+use beechloft_leases::{Heard, Name, Request};
 use beechloft_members::Packet;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
--- a/crates/fleet/tests/explored.rs
+++ b/crates/fleet/leases/tests/explored.rs
@@ -1,7 +1,7 @@
 //! Every order of deliveries, copies, losses, crashes, elections, steps of clocks, requests and answers of three keepers and two
 //! candidates, up to a depth, with the real machines. What is never delivered is lost.
 //!
-//! Any keeper may stand for election at any moment (all its spans are nought), as in the explorer of `crates/consensus`. True
+//! Any keeper may stand for election at any moment (all its spans are nought), as in the explorer of `crates/fleet/consensus`. True
 //! time goes on by a part of a lease's time at once, and each process's clock by that at its own rate: the fastest and the slowest
 //! that the drift allows, in each way that they can lie between keepers and candidates.
 
@@ -14,7 +14,7 @@
 
 use beechloft_consensus::{Body, MemberId, Membership, Message, Outputs, Settings, Stored, Term};
 use beechloft_explore::{Found, Limits, Model, Seen, explore};
-use beechloft_fleet::{
+use beechloft_leases::{
     Asked, ClientId, Drift, Fault, Heard, Holder, HolderId, HolderInput, HolderOutput, Keeper, KeeperOutput,
     Name, Request, Terms, Token,
 };
@@ -447,7 +447,7 @@
     }
 }
 
-/// Outside CI: `cargo test --release -p beechloft-fleet --test explored -- --ignored --nocapture`.
+/// Outside CI: `cargo test --release -p beechloft-leases --test explored -- --ignored --nocapture`.
 #[test]
 #[ignore = "millions of states, minutes"]
 fn no_two_may_act_at_once_in_any_order_far() {
--- a/crates/fleet/tests/numbers.rs
+++ b/crates/fleet/leases/tests/numbers.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use beechloft_consensus::MemberId;
-use beechloft_fleet::{Drift, Fault, HolderId, Numbering, Part};
+use beechloft_leases::{Drift, Fault, HolderId, Numbering, Part};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use support::World;
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/leases/tests/support/mod.rs
@@ -9,7 +9,7 @@
 use beechloft_consensus::{
     Change, Disk, Input, MemberId, Membership, Message, Outputs, Save, Settings, Stored, Ticket,
 };
-use beechloft_fleet::{
+use beechloft_leases::{
     Answer, Asked, ClientId, Drift, Fault, Heard, Holder, HolderId, HolderInput, HolderOutput, Keeper,
     KeeperOutput, Name, Op, Request, Route, Terms, Token,
 };
