Limits without I/O: ledger, a front's shares, admission, soft parts

The replicated ledger holds the sum of each hard limit; a front holds shares under one account's lease and admits from them without asking. What a lost front held stays counted until boxes were asked, its sessions were taken over, or the longest life is over. Soft limits grow at a pace that follows from a stated bound.

`Drift` has a hash, for states that are explored.

--- a/crates/fleet/leases/src/drift.rs
+++ b/crates/fleet/leases/src/drift.rs
@@ -4,7 +4,7 @@
 
 /// The bound: each clock runs at a rate between 1 - d and 1 + d of true time, d in parts of a million. It is an assumption, and
 /// the only one about clocks: with a clock that runs at another rate two holders may act at once, and tokens are what is left.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
 pub struct Drift(u32);
 
 const MILLION: u128 = 1_000_000;
--- /dev/null
+++ b/crates/fleet/limits/src/admission.rs
@@ -0,0 +1,87 @@
+//! Which limits a session falls under, in which order, and by how much of each.
+
+use std::collections::BTreeMap;
+
+use beechloft_leases::Name;
+
+use crate::define::{Counts, Definition, Of};
+use crate::words::{Claim, Key};
+
+/// Whose session it is.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
+pub struct Subject {
+    /// The customer whose title it is.
+    pub customer: Key,
+    /// The title.
+    pub title: Key,
+    /// Its class.
+    pub class: Key,
+    /// The viewer, if one is known.
+    pub viewer: Option<Key>,
+    /// The highest rate that it may be given, kbit/s.
+    pub kbits: u64,
+    /// The uplink of the box's rack, once a box was chosen.
+    pub uplink: Option<Key>,
+    /// The box, once one was chosen.
+    pub server: Option<Key>,
+}
+
+/// What is about to happen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Stage {
+    /// A session is asked for; its box is not known.
+    Session,
+    /// An attempt goes to a box; how many the session had before.
+    Attempt(u16),
+}
+
+/// What was taken for a session or an attempt: it is to be given back once, when that is over. It can't be copied.
+#[derive(Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[cfg_attr(feature = "planted", derive(Clone))]
+#[must_use]
+pub struct Taken(pub(crate) u64);
+
+/// What a session takes of one counter.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Due<'a> {
+    pub(crate) claim: Claim,
+    pub(crate) units: u64,
+    pub(crate) of: &'a Definition,
+}
+
+impl Subject {
+    fn key(&self, of: Of) -> Option<Key> {
+        match of {
+            Of::All => Some(Key::default()),
+            Of::Customer => Some(self.customer.clone()),
+            Of::Title => Some(self.title.clone()),
+            Of::Class => Some(self.class.clone()),
+            Of::Viewer => self.viewer.clone(),
+            Of::Uplink => self.uplink.clone(),
+            Of::Box => self.server.clone(),
+        }
+    }
+
+    /// All that it falls under at this stage, by the names of limits: always the same order.
+    pub(crate) fn dues<'a>(&self, stage: Stage, all: &'a BTreeMap<Name, Definition>) -> Vec<Due<'a>> {
+        all.values().filter_map(|of| self.due(stage, of)).collect()
+    }
+
+    fn due<'a>(&self, stage: Stage, of: &'a Definition) -> Option<Due<'a>> {
+        let first = stage == Stage::Session;
+        let applies = match (of.counts, stage) {
+            (Counts::Attempts, Stage::Attempt(before)) => before > 0,
+            (Counts::Attempts, Stage::Session) => false,
+            // The first attempt is counted with the session where the box does not matter.
+            (Counts::SetUps, Stage::Attempt(before)) if !of.of.needs_box() => before > 0,
+            _ => of.of.needs_box() != first,
+        };
+        let key = applies.then(|| self.key(of.of)).flatten()?;
+        if of.only.as_ref().is_some_and(|only| *only != key) {
+            return None;
+        }
+        let customer = if of.weights.is_empty() { Key::default() } else { self.customer.clone() };
+        let units = if of.counts == Counts::Kbits { self.kbits } else { 1 };
+        Some(Due { claim: Claim { limit: of.name.clone(), key, customer }, units, of })
+    }
+}
--- /dev/null
+++ b/crates/fleet/limits/src/front/admit.rs
@@ -0,0 +1,195 @@
+//! Who is admitted, and what is counted of those who are.
+
+use std::time::Duration;
+
+use beechloft_leases::Name;
+
+use super::Front;
+use super::slot::Slot;
+use crate::admission::{Due, Stage, Subject, Taken};
+use crate::define::{Definition, MILLI};
+use crate::planted::Fault;
+use crate::refusal::{No, Why};
+use crate::words::Claim;
+
+/// Counters at one front.
+const MOST_SLOTS: usize = 1 << 16;
+/// Soft rates count what was taken for so long.
+const SECOND: Duration = Duration::from_secs(1);
+
+/// A session or an attempt that was admitted.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(super) struct Live {
+    subject: Subject,
+    stage: Stage,
+    held: Vec<(Claim, u64)>,
+}
+
+impl Front {
+    /// Admits, or not: of several limits all or none, in the order of their names.
+    ///
+    /// # Errors
+    /// The first limit that has no room.
+    pub fn take(&mut self, now: Duration, subject: &Subject, stage: Stage) -> Result<Taken, No> {
+        self.now = self.now.max(now);
+        let now = self.now;
+        self.pass(now);
+        let open = self.is_open(now);
+        let definitions = std::mem::take(&mut self.definitions);
+        let dues = subject.dues(stage, &definitions);
+        let no = dues.iter().find_map(|due| Some((due, self.look(now, open, due)?)));
+        let taken = match no {
+            Some((due, why)) => Err(self.refuse(now, due, why)),
+            None => {
+                let held = dues.iter().filter_map(|due| self.hold(now, due)).collect();
+                self.next_live += 1;
+                self.live.insert(self.next_live, Live { subject: subject.clone(), stage, held });
+                Ok(Taken(self.next_live))
+            }
+        };
+        self.definitions = definitions;
+        taken
+    }
+
+    /// What was taken is over.
+    pub fn give_back(&mut self, now: Duration, taken: Taken) {
+        self.now = self.now.max(now);
+        let Some(live) = self.live.remove(&taken.0) else { return };
+        for (claim, units) in live.held {
+            let units = if self.planted(Fault::ReleasedTwice) { 2 * units } else { units };
+            let hard = self.definitions.get(&claim.limit).is_none_or(Definition::is_hard);
+            if hard {
+                let Some(slot) = self.slots.get_mut(&claim) else { continue };
+                slot.used = slot.used.saturating_sub(units);
+                slot.lately.freed(self.now);
+                // What ends while the limit does not fit is nobody's here.
+                self.urgent |= slot.closed || slot.recall > 0;
+            } else {
+                self.soft.give_back(&claim, units);
+                if let Some(slot) = self.slots.get_mut(&claim) {
+                    slot.lately.freed(self.now);
+                }
+            }
+        }
+    }
+
+    /// Sessions and attempts that are admitted and not over.
+    pub fn live(&self) -> usize {
+        self.live.len()
+    }
+
+    /// Why there is no room, if there is none.
+    fn look(&mut self, now: Duration, open: bool, due: &Due<'_>) -> Option<Why> {
+        let Due { claim, units, of } = due;
+        if !of.is_hard() {
+            let units = if of.counts.is_rate() { MILLI } else { *units };
+            return (!self.soft.fits(now, of, claim, units)).then_some(Why::Full);
+        }
+        if !open {
+            return Some(Why::NoAccount);
+        }
+        let Some(slot) = self.slots.get_mut(claim) else { return Some(Why::Full) };
+        if slot.closed {
+            return Some(Why::Lowered);
+        }
+        if of.counts.is_rate() {
+            slot.bucket.set(now, slot.share, of.burst_milli);
+            return (!slot.bucket.has(now, *units)).then_some(Why::Rate);
+        }
+        (*units > slot.room()).then_some(Why::Full)
+    }
+
+    /// Takes what was found to be there; what is to be given back later.
+    fn hold(&mut self, now: Duration, due: &Due<'_>) -> Option<(Claim, u64)> {
+        let Due { claim, units, of } = due;
+        if !of.is_hard() {
+            let units = if of.counts.is_rate() { MILLI } else { *units };
+            self.soft.take(claim, units);
+            if of.counts.is_rate() {
+                self.passing.push_back((now + SECOND, claim.clone(), units));
+                return None;
+            }
+            return Some((claim.clone(), units));
+        }
+        let slot = self.slots.get_mut(claim)?;
+        slot.came(now, *units);
+        if of.counts.is_rate() {
+            slot.bucket.take(*units);
+            return None;
+        }
+        slot.used += units;
+        self.urgent |= slot.is_low();
+        Some((claim.clone(), *units))
+    }
+
+    fn refuse(&mut self, now: Duration, due: &Due<'_>, why: Why) -> No {
+        let (limit, key) = (due.claim.limit.clone(), due.claim.key.clone());
+        let known = self.slots.contains_key(&due.claim);
+        if !known && self.slots.len() >= MOST_SLOTS {
+            return No { limit, key, why, again: SECOND };
+        }
+        if !known {
+            // Nobody has come for this one yet: it is asked for at once.
+            self.gap = super::GAP.min(self.gap);
+        }
+        let slot = self.slots.entry(due.claim.clone()).or_insert_with(|| Slot::new(now));
+        slot.lacked(now, due.units);
+        let first = slot.bucket.wait().filter(|_| why == Why::Rate).unwrap_or_default();
+        let again = slot.lately.again(now, first, &mut self.rng);
+        self.urgent = true;
+        No { limit, key, why, again }
+    }
+
+    /// Soft rates: what was taken more than a second ago counts no more.
+    pub(super) fn pass(&mut self, now: Duration) {
+        while self.passing.front().is_some_and(|p| p.0 <= now) {
+            if let Some((_, claim, units)) = self.passing.pop_front() {
+                self.soft.give_back(&claim, units);
+            }
+        }
+    }
+
+    pub(super) fn define(&mut self, definition: Definition) {
+        let known = self.definitions.get(&definition.name).map(|d| d.version);
+        let older = known.or_else(|| self.undefined.get(&definition.name).copied());
+        if older.is_some_and(|v| v >= definition.version) || !definition.faults().is_empty() {
+            return;
+        }
+        self.undefined.remove(&definition.name);
+        self.definitions.insert(definition.name.clone(), definition);
+        self.recount();
+    }
+
+    pub(super) fn undefine(&mut self, name: Name, version: u64) {
+        if self.definitions.get(&name).is_some_and(|d| d.version < version) {
+            self.definitions.remove(&name);
+            self.undefined.insert(name, version);
+            self.recount();
+        }
+    }
+
+    /// Limits have changed: what plays is counted for all that it falls under now.
+    fn recount(&mut self) {
+        let definitions = std::mem::take(&mut self.definitions);
+        for slot in self.slots.values_mut() {
+            slot.used = 0;
+        }
+        for live in self.live.values_mut() {
+            for (claim, units) in live.held.drain(..) {
+                self.soft.give_back(&claim, units);
+            }
+            let dues = live.subject.dues(live.stage, &definitions);
+            for due in dues.into_iter().filter(|d| !d.of.counts.is_rate()) {
+                if due.of.is_hard() {
+                    let slot = self.slots.entry(due.claim.clone()).or_insert_with(|| Slot::new(self.now));
+                    slot.used += due.units;
+                } else {
+                    self.soft.take(&due.claim, due.units);
+                }
+                live.held.push((due.claim, due.units));
+            }
+        }
+        self.definitions = definitions;
+        self.urgent = true;
+    }
+}
--- /dev/null
+++ b/crates/fleet/limits/src/planted.rs
@@ -0,0 +1,36 @@
+//! Faults that tests plant, one at a time, to see that the checks find them.
+
+/// A fault. Without the feature `planted` none can be planted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Fault {
+    /// What a lost front held is free at once.
+    FreeAtOnce,
+    /// A lost front's share counts for what it had last said that it used.
+    LastWord,
+    /// A front counts its account's time from when the answer came.
+    CountsFromArrival,
+    /// Accounts run out without the drift, fronts count on all of the time.
+    NoDrift,
+    /// A recall counts before the front has said that it holds less.
+    RecallAtOnce,
+    /// What a front ends is given back twice.
+    ReleasedTwice,
+    /// A lowered limit goes on lending up to the one before it.
+    LoweredLends,
+    /// Nothing is kept for fronts that have not their least part yet.
+    LeastForgotten,
+    /// A new leader gives accounts no time again.
+    NoTimeAnew,
+    /// An answer to a request that was overtaken is taken.
+    OldAnswer,
+    /// Boxes are asked while set-ups of the lost front may be on their way.
+    SurveyAtOnce,
+    /// An older request is done after a newer one.
+    OldRequest,
+    /// A front that closes says what it uses and goes on admitting.
+    ClosesLate,
+    /// A soft part grows at any pace.
+    GrowsAtOnce,
+    /// A front that hears from nobody keeps its soft part.
+    NoHorizon,
+}
--- /dev/null
+++ b/crates/fleet/limits/src/times.rs
@@ -0,0 +1,137 @@
+//! The leader's clock: which accounts run out, and how old orphans are.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use beechloft_leases::Drift;
+
+use crate::ledger::Ledger;
+use crate::planted::Fault;
+use crate::words::{AccountId, Command, Event, OrphanId};
+
+/// What was put into the log may be lost; again after this.
+const AGAIN: Duration = Duration::from_secs(1);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+struct Deadline {
+    at: Duration,
+    /// Renewals of an account, or how old an orphan was, when it began to be counted.
+    from: u64,
+    /// For an orphan: by how much it is older at `at`, milliseconds.
+    by_ms: u64,
+    told_until: Option<Duration>,
+}
+
+impl Deadline {
+    fn due(&self) -> Duration {
+        self.told_until.unwrap_or(self.at)
+    }
+}
+
+/// Times of all accounts and orphans, while this keeper leads.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Times {
+    drift: Drift,
+    leads: bool,
+    accounts: BTreeMap<AccountId, Deadline>,
+    orphans: BTreeMap<OrphanId, Deadline>,
+    fault: Option<Fault>,
+}
+
+impl Times {
+    /// Counts nothing yet.
+    pub fn new(drift: Drift) -> Times {
+        Times { drift, leads: false, accounts: BTreeMap::new(), orphans: BTreeMap::new(), fault: None }
+    }
+
+    /// Plants a fault.
+    #[cfg(feature = "planted")]
+    pub fn plant(&mut self, fault: Fault) {
+        self.fault = Some(fault);
+    }
+
+    fn planted(&self, fault: Fault) -> bool {
+        cfg!(feature = "planted") && self.fault == Some(fault)
+    }
+
+    /// This keeper begins to lead, or its state came anew as a whole while it leads. All accounts have their full time again, as it
+    /// does not know when the leader before it began to count; orphans go on from the age that the log has.
+    pub fn begin(&mut self, now: Duration, ledger: &Ledger) {
+        self.leads = true;
+        self.accounts.clear();
+        self.orphans.clear();
+        for (id, ..) in ledger.accounts() {
+            self.count(now, ledger, id);
+        }
+        if self.planted(Fault::NoTimeAnew) {
+            self.accounts.values_mut().for_each(|d| d.at = now);
+        }
+        for (id, _) in ledger.orphans() {
+            self.count_orphan(now, ledger, id);
+        }
+    }
+
+    /// It leads no more.
+    pub fn end(&mut self) {
+        self.leads = false;
+        self.accounts.clear();
+        self.orphans.clear();
+    }
+
+    /// Something was applied. `now` is read after its commit.
+    pub fn applied(&mut self, now: Duration, ledger: &Ledger, event: &Event) {
+        if !self.leads {
+            return;
+        }
+        match event {
+            Event::Renewed(id) => self.count(now, ledger, *id),
+            Event::Ended(id, _, orphan) => {
+                self.accounts.remove(id);
+                if let Some(orphan) = orphan {
+                    self.count_orphan(now, ledger, *orphan);
+                }
+            }
+            Event::Aged(id) => self.count_orphan(now, ledger, *id),
+            Event::Returned(id, _) | Event::Gone(id) => drop(self.orphans.remove(id)),
+            Event::Defined(_) | Event::Undefined(_) => {}
+        }
+    }
+
+    fn longer(&self, span: Duration) -> Duration {
+        if self.planted(Fault::NoDrift) { span } else { self.drift.longer(span) }
+    }
+
+    fn count(&mut self, now: Duration, ledger: &Ledger, id: AccountId) {
+        if let Some((ttl_ms, renewals)) = ledger.account(id) {
+            let at = now + self.longer(Duration::from_millis(u64::from(ttl_ms)));
+            self.accounts.insert(id, Deadline { at, from: renewals, by_ms: 0, told_until: None });
+        }
+    }
+
+    fn count_orphan(&mut self, now: Duration, ledger: &Ledger, id: OrphanId) {
+        if let (Some(by_ms), Some(orphan)) = (ledger.next_age(id), ledger.orphan(id)) {
+            let at = now + self.longer(Duration::from_millis(by_ms));
+            self.orphans.insert(id, Deadline { at, from: orphan.aged_ms, by_ms, told_until: None });
+        }
+    }
+
+    /// When it wants to be asked next.
+    pub fn next_due(&self) -> Option<Duration> {
+        self.accounts.values().chain(self.orphans.values()).map(Deadline::due).min()
+    }
+
+    /// What is to be put into the log now. Each counts only if nothing has come before it in the log.
+    pub fn due(&mut self, now: Duration) -> Vec<Command> {
+        let again = now + AGAIN;
+        let mut all = Vec::new();
+        for (id, d) in self.accounts.iter_mut().filter(|(_, d)| now >= d.due()) {
+            d.told_until = Some(again);
+            all.push(Command::Expire { account: *id, renewals: d.from });
+        }
+        for (id, d) in self.orphans.iter_mut().filter(|(_, d)| now >= d.due()) {
+            d.told_until = Some(again);
+            all.push(Command::Age { orphan: *id, from_ms: d.from, by_ms: d.by_ms });
+        }
+        all
+    }
+}
