Which holders the module is offered may be narrowed from outside

Verdicts of the fleet and placements of titles both say which boxes a title is better, or may only be, played at; the decision module is to know of neither.

--- a/crates/fleet/spread/tests/fleets.rs
+++ b/crates/fleet/spread/tests/fleets.rs
@@ -58,7 +58,9 @@
     w.network = Network { lost: 150, doubled: 150, late: Duration::from_millis(900) };
     let mut gone = None;
     for step in 0..120u32 {
-        (0..16).filter(|n| (step as usize + n) % 3 == 0).for_each(|n| w.write(n, vec![step as u8; 1 + n]));
+        (0..16)
+            .filter(|n| (step as usize + n).is_multiple_of(3))
+            .for_each(|n| w.write(n, vec![step as u8; 1 + n]));
         match step {
             30 => w.stop(3, 4 * SECOND),
             50 => {
--- a/crates/front/core/src/catalog.rs
+++ b/crates/front/core/src/catalog.rs
@@ -242,6 +242,11 @@
         self.titles.get(name)
     }
 
+    /// A title's name as it is kept here.
+    pub(crate) fn name(&self, name: &str) -> Option<Arc<str>> {
+        self.titles.get_key_value(name).map(|(name, _)| name.clone())
+    }
+
     /// A box by number.
     pub fn server(&self, id: ServerId) -> Option<&BoxLine> {
         self.boxes.get(&id)
--- a/crates/front/core/src/core.rs
+++ b/crates/front/core/src/core.rs
@@ -7,6 +7,7 @@
 
 use crate::catalog::{Catalog, ListUpdate};
 use crate::io::*;
+use crate::narrow::Narrowing;
 use crate::release::Releases;
 use crate::session::{Attempt, GRACE, OVERDUE, Owed, Playing, REPLAY_FOR, Session, Stage, attempt_id};
 use crate::watch::{Fate, Watches};
@@ -31,6 +32,7 @@
     /// When the answer kept for a repeated offer is dropped.
     replays: VecDeque<(Micros, SessionId)>,
     releases: Releases,
+    narrowing: Narrowing,
     watches: Watches,
     watched: BTreeSet<ServerId>,
     /// Watched boxes that are off the list.
@@ -60,6 +62,7 @@
             overdue: BTreeSet::new(),
             replays: VecDeque::new(),
             releases: Releases::default(),
+            narrowing: Narrowing::default(),
             watches: Watches::default(),
             watched: BTreeSet::new(),
             leaving: BTreeSet::new(),
@@ -100,6 +103,7 @@
                 self.queue.push_back(Event::Probed { server, outcome, report: load });
             }
             Input::Released(ticket, gone) => self.releases.result(self.now, ticket, gone),
+            Input::Narrowed(narrowed) => self.narrowing.change(narrowed),
             Input::Numbered(numbered) => self.queue.push_back(Event::Numbered(numbered)),
             Input::Tick => {}
             Input::Stop => self.stopping = true,
@@ -229,11 +233,15 @@
             return out.push(Output::Reply(ask.request, Answer::Failed));
         };
         let gives_up = self.now + class.deadline;
+        let holders = self.catalog.holders(title, ask.protocol);
+        let ready = |id| self.catalog.server(id).is_some_and(|b| b.state == ServerState::Ready);
+        let (offered, warning) = self.narrowing.offered((&ask.title, title.id), ask.session, holders, ready);
+        out.extend(warning.map(Output::Log));
         let request = Request {
             session: ask.session,
             class: title.class,
             title: title.id,
-            on: Some(self.catalog.holders(title, ask.protocol)),
+            on: Some(offered),
             top: self.top_rung(class, ask.max_rate_kb),
             gives_up,
             hint: title.length,
@@ -248,6 +256,7 @@
             rung: Rung::default(),
             made: 0,
             repeat: ask.repeat,
+            title: self.catalog.name(&ask.title),
         };
         self.sessions.insert(ask.session, session);
         self.repeats.extend(ask.repeat.map(|key| (key, ask.session)));
@@ -302,6 +311,7 @@
             reply: session.repeat.is_some().then(|| reply.clone()),
         };
         let secret = session.secret;
+        session.title = None;
         let before = std::mem::replace(&mut session.stage, Stage::Playing(playing));
         self.forget_overdue(id.session, &before);
         if let Stage::Owed(owed, _) = before {
@@ -571,6 +581,9 @@
         session.made += 1;
         let attempt = attempt_id(id, number);
         let address = line.and_then(|l| l.address(session.protocol)).cloned();
+        // Guards against an attempt that was chosen before the title was narrowed.
+        let allowed = session.title.as_ref().is_none_or(|t| self.narrowing.allows(t, server));
+        let address = address.filter(|_| allowed);
         match (&mut session.stage, address) {
             (Stage::Owed(owed, out_now @ None), Some(url)) => {
                 *out_now = Some(Attempt { id: attempt, server, until });
@@ -578,7 +591,7 @@
                 self.overdue.insert((overdue(until), id));
                 out.push(Output::SetUp { attempt, request, server, url, rung, rate_kb, until });
             }
-            // The box's address is not known: the attempt never ran.
+            // The box's address is not known, or the title may not be played there any more: the attempt never ran.
             (stage, _) => {
                 let closed = !matches!(stage, Stage::Owed(..));
                 self.queue.push_back(Event::Ended {
--- a/crates/front/core/src/io.rs
+++ b/crates/front/core/src/io.rs
@@ -5,6 +5,7 @@
 use beechloft::interface::{LoadReport, Micros, Note, Numbered, Outcome, Rung, ServerId, SessionId};
 
 use crate::catalog::ListUpdate;
+use crate::narrow::Narrowed;
 use crate::release::Ticket;
 
 /// One call of a client that waits for a reply; named by the shell, never used twice.
@@ -172,6 +173,8 @@
     },
     /// How an [`Output::Release`] went: whether the session is known to be gone from the box.
     Released(Ticket, bool),
+    /// Other boxes are to be offered to the module from now on.
+    Narrowed(Narrowed),
     /// This front's number among the fronts changed.
     Numbered(Numbered),
     /// Time passes.
--- a/crates/front/core/src/lib.rs
+++ b/crates/front/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod catalog;
 mod core;
 pub mod io;
+pub mod narrow;
 pub mod release;
 pub mod session;
 pub mod watch;
--- a/crates/front/core/src/session.rs
+++ b/crates/front/core/src/session.rs
@@ -99,6 +99,8 @@
     pub made: u16,
     /// The offer it came with.
     pub repeat: Option<RepeatKey>,
+    /// Its title, while its client waits.
+    pub title: Option<Arc<str>>,
 }
 
 impl Session {
