A keeper's machine is a package of its own, with its state in parts

Topics, limits and placement are to be agreed on by the same keepers, and the machine lay in the package of leases. It moves to crates/fleet/group: Keeper with Raft, who waits (waiting.rs), and the replicated state made of parts (parts.rs), each a module that says how its commands are applied, what the leader does about time for it and who is told. The package of leases no longer depends on consensus. The keeper's engine is split into starting, forming, words and lines.

--- /dev/null
+++ b/crates/fleet/group/src/asked.rs
@@ -0,0 +1,46 @@
+//! What a keeper is asked, and what it wants done.
+
+use beechloft_consensus::{Input, LogPos, Message, Refused, Ticket};
+use beechloft_leases::{Event, Heard, Name, Request, Table};
+
+/// Whoever asked over one connection, as the shell names it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClientId(pub u64);
+
+/// What a keeper is asked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Asked {
+    /// Only time has passed.
+    Tick,
+    /// A word of another keeper.
+    Peer(Message),
+    /// A holder's request.
+    Request(ClientId, Request),
+    /// All grants, as of now.
+    List(ClientId),
+    /// All grants, as of now, and from then on each that is made or ends; of one task or of all.
+    Watch(ClientId, Option<Name>),
+    /// Whoever asked over this connection is gone.
+    Closed(ClientId),
+    /// Anything else for the log's machine: changes of members, the lead handed over.
+    Group(Input),
+}
+
+/// What a keeper wants done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KeeperOutput {
+    /// For another keeper.
+    Peer(Message),
+    /// For who asked for a lease.
+    Heard(ClientId, Heard),
+    /// All grants, for who asked for them: the table as of now.
+    Listed(ClientId, Table),
+    /// What has changed, for the log of this keeper.
+    Event(Event),
+    /// What has changed, for one who watches.
+    Told(ClientId, Event),
+    /// One who watches hears nothing here any more, and is to ask the keeper that leads: this one may be cut off.
+    Unwatched(ClientId),
+    /// What became of something for the log's machine.
+    Group(Ticket, Result<LogPos, Refused>),
+}
--- /dev/null
+++ b/crates/fleet/group/src/keeper.rs
@@ -0,0 +1,232 @@
+//! A keeper: a member of the group, with the replicated state and all who wait for it.
+
+use std::time::Duration;
+
+use beechloft_consensus::{
+    Index, Input, MemberId, Outputs, Payload, Raft, Refused, Released, Settings, Status, Stored, Term,
+};
+use beechloft_leases::{Drift, Table};
+
+use crate::asked::{Asked, KeeperOutput};
+use crate::command::Command;
+use crate::parts::{LeasesWait, Moment, State, Waits};
+use crate::planted::Fault;
+use crate::snapshot::StateError;
+use crate::waiting::Waiting;
+
+/// A snapshot is taken after so many entries.
+const SNAPSHOT_EVERY: u64 = 4096;
+
+/// A keeper.
+#[derive(Debug, Clone)]
+pub struct Keeper {
+    raft: Raft,
+    state: State,
+    drift: Drift,
+    applied: Index,
+    snapshot_at: Index,
+    waiting: Waiting,
+    /// What was turned away before the log was asked, to be told with the next outputs.
+    turned_away: Vec<Waits>,
+    /// The term that it leads in.
+    leads_in: Option<Term>,
+    now: Duration,
+    fault: Option<Fault>,
+}
+
+/// All that decides what it does next, but for what is drawn by chance.
+impl std::hash::Hash for Keeper {
+    fn hash<H: std::hash::Hasher>(&self, into: &mut H) {
+        (&self.raft, &self.state, self.applied, self.leads_in, self.now, &self.waiting).hash(into);
+    }
+}
+
+impl Keeper {
+    /// A keeper as its disk has it.
+    ///
+    /// # Errors
+    /// The snapshot can't be read.
+    pub fn new(
+        id: MemberId,
+        settings: Settings,
+        stored: Stored,
+        drift: Drift,
+        seed: u64,
+        now: Duration,
+    ) -> Result<Keeper, StateError> {
+        let raft = Raft::new(id, settings, stored, seed, now);
+        let at = raft.snapshot().map(|s| s.at.index).unwrap_or_default();
+        let state = raft.snapshot().map_or(Ok(State::default()), |s| State::read(&s.state))?;
+        Ok(Keeper {
+            raft,
+            state,
+            drift,
+            applied: at,
+            snapshot_at: at,
+            waiting: Waiting::new(),
+            turned_away: Vec::new(),
+            leads_in: None,
+            now,
+            fault: None,
+        })
+    }
+
+    /// Plants a fault.
+    #[cfg(feature = "planted")]
+    pub fn plant(&mut self, fault: impl Into<Fault>) {
+        let fault = fault.into();
+        self.fault = Some(fault);
+        self.state.plant(fault);
+    }
+
+    /// How its log's machine stands.
+    pub fn status(&self) -> Status {
+        self.raft.status()
+    }
+
+    /// The machine of its log, for checks.
+    pub fn raft(&self) -> &Raft {
+        &self.raft
+    }
+
+    /// Its table of leases, which may be behind.
+    pub fn table(&self) -> &Table {
+        self.state.leases.table()
+    }
+
+    /// Whether a grant runs out by then, as it has counted.
+    pub fn runs_out_by(&self, now: Duration) -> bool {
+        self.leads_in.is_some() && self.state.leases.runs_out_by(now)
+    }
+
+    /// When it wants to hear of the time next.
+    pub fn next_due(&self) -> Duration {
+        let of_parts = self.state.next_due().filter(|_| self.leads_in.is_some());
+        self.raft.next_due().min(of_parts.unwrap_or(Duration::MAX))
+    }
+
+    fn moment(&self) -> Moment {
+        Moment { now: self.now, drift: self.drift, leads: self.leads_in.is_some() }
+    }
+
+    /// Takes an input. What comes of it lies in `out`, and goes to [`Keeper::released`] once the disk has it.
+    pub fn handle(&mut self, now: Duration, asked: Asked, out: &mut Outputs) {
+        self.now = self.now.max(now);
+        match asked {
+            Asked::Tick => self.raft.handle(now, Input::Tick, out),
+            Asked::Peer(message) => self.raft.handle(now, Input::Message(message), out),
+            Asked::Request(client, request) => {
+                let waits = Waits::Leases(LeasesWait::Request(client, request.holder, request.seq));
+                let command = Command::Leases(beechloft_leases::Command::Request(request));
+                self.propose(&command, waits, out);
+            }
+            Asked::List(client) => self.read(Waits::Leases(LeasesWait::List(client)), out),
+            Asked::Watch(client, name) => {
+                let waits = Waits::Leases(LeasesWait::Watch(client));
+                if self.state.leases.watch(client, name) {
+                    self.read(waits, out);
+                } else {
+                    self.turned_away.push(waits);
+                }
+            }
+            Asked::Closed(client) => self.state.closed(client),
+            Asked::Group(input) => self.raft.handle(now, input, out),
+        }
+        self.lead();
+        self.due(out);
+        self.compact(out);
+    }
+
+    fn read(&mut self, waits: Waits, out: &mut Outputs) {
+        let ticket = self.waiting.wait(waits);
+        self.raft.handle(self.now, Input::Read(ticket), out);
+    }
+
+    fn propose(&mut self, command: &Command, waits: Waits, out: &mut Outputs) {
+        // Past the bound it is refused here, before the log is asked.
+        if self.waiting.is_full() {
+            return self.turned_away.push(waits);
+        }
+        let Some(bytes) = command.write() else { return self.turned_away.push(waits) };
+        let ticket = self.waiting.wait(waits);
+        self.raft.handle(self.now, Input::Propose(ticket, bytes.into()), out);
+    }
+
+    /// Sees whether it has begun to lead, or leads no more.
+    fn lead(&mut self) {
+        let term = self.raft.leads().then(|| self.raft.status().term);
+        if term == self.leads_in {
+            return;
+        }
+        self.leads_in = term;
+        self.waiting.forget_uncommitted();
+        self.state.lead(self.moment());
+    }
+
+    /// Has the log say what has become due.
+    fn due(&mut self, out: &mut Outputs) {
+        if self.leads_in.is_none() {
+            return;
+        }
+        for (command, waits) in self.state.due(self.now) {
+            self.propose(&command, waits, out);
+        }
+    }
+
+    fn compact(&mut self, out: &mut Outputs) {
+        if self.applied.0 >= self.snapshot_at.0 + SNAPSHOT_EVERY {
+            self.snapshot_at = self.applied;
+            let input = Input::Compact(self.applied, self.state.write().into());
+            self.raft.handle(self.now, input, out);
+        }
+    }
+
+    /// Takes what the disk has let go: applies what is committed, answers who asked.
+    ///
+    /// # Errors
+    /// Another keeper's snapshot can't be read: this keeper must stop.
+    pub fn released(&mut self, now: Duration, released: Released) -> Result<Vec<KeeperOutput>, StateError> {
+        self.now = self.now.max(now);
+        let Released { messages, restored, committed, taken, reads, members: _ } = released;
+        let mut out: Vec<KeeperOutput> = messages.into_iter().map(KeeperOutput::Peer).collect();
+        self.state.told(&mut out);
+        for waits in std::mem::take(&mut self.turned_away) {
+            self.state.refuse(waits, Refused::Busy, &mut out);
+        }
+        if let Some(snapshot) = restored {
+            self.state.restore(&snapshot.state, self.fault)?;
+            (self.applied, self.snapshot_at) = (snapshot.at.index, snapshot.at.index);
+        }
+        for (ticket, taken) in taken {
+            match (self.waiting.take(ticket), taken) {
+                (Some(waits), Ok(at)) => self.waiting.taken(at, waits),
+                (Some(waits), Err(why)) => self.state.refuse(waits, why, &mut out),
+                (None, taken) => out.push(KeeperOutput::Group(ticket, taken)),
+            }
+        }
+        for entry in committed {
+            if entry.at.index <= self.applied {
+                continue;
+            }
+            self.applied = entry.at.index;
+            let waits = self.waiting.committed(entry.at);
+            if let Payload::Command(bytes) = &entry.payload
+                && let Some(command) = Command::read(bytes)
+            {
+                let at = self.moment();
+                self.state.apply(at, command, waits, &mut out);
+            }
+        }
+        for (ticket, read) in reads {
+            match (self.waiting.take(ticket), read) {
+                (Some(waits), Ok(())) => self.state.read_for(waits, &mut out),
+                (Some(waits), Err(why)) => self.state.refuse(waits, why, &mut out),
+                (None, _) => {}
+            }
+        }
+        Ok(out)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/fleet/group/src/parts.rs
@@ -0,0 +1,145 @@
+//! The parts of the replicated state, and what each does at a keeper.
+
+use std::time::Duration;
+
+use beechloft_consensus::Refused;
+use beechloft_leases::Drift;
+
+use crate::asked::{ClientId, KeeperOutput};
+use crate::command::Command;
+use crate::planted::Fault;
+use crate::snapshot::StateError;
+
+mod leases;
+
+#[cfg(test)]
+pub(crate) use leases::MOST_WATCHERS;
+pub(crate) use leases::{Leases, LeasesWait};
+
+/// What a part goes by at a moment.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Moment {
+    /// This keeper's clock.
+    pub now: Duration,
+    /// How far clocks' rates may differ.
+    pub drift: Drift,
+    /// This keeper leads, as far as it knows.
+    pub leads: bool,
+}
+
+/// A part: a piece of the replicated state, what the keeper that leads does about time for it, and who is told.
+///
+/// What `apply` makes of the state must be the same at each keeper, whatever the moment: time comes into the state by entries
+/// alone, which the keeper that leads proposes when it has counted them due.
+pub(crate) trait Part {
+    /// What the log says to it.
+    type Command;
+    /// Who waits for what became of a command or a read.
+    type Waits;
+
+    /// Does a committed command, and tells who waits for it here and who watches.
+    fn apply(
+        &mut self,
+        at: Moment,
+        command: Self::Command,
+        waits: Option<Self::Waits>,
+        out: &mut Vec<KeeperOutput>,
+    );
+    /// A read may be answered: it sees all that was committed before it was asked.
+    fn read(&mut self, waits: Self::Waits, out: &mut Vec<KeeperOutput>);
+    /// A command or a read was not taken.
+    fn refuse(&mut self, waits: Self::Waits, why: Refused, out: &mut Vec<KeeperOutput>);
+    /// This keeper has begun to lead, in a new term perhaps, or leads no more (`at.leads`).
+    fn lead(&mut self, at: Moment);
+    /// When it wants to hear of the time next, while this keeper leads.
+    fn next_due(&self) -> Option<Duration>;
+    /// What is due by now, for the log.
+    fn due(&mut self, now: Duration) -> Vec<Self::Command>;
+    /// What is to be told whatever is released next.
+    fn told(&mut self, out: &mut Vec<KeeperOutput>);
+    /// Whoever asked over this connection is gone.
+    fn closed(&mut self, client: ClientId);
+}
+
+/// Who waits for what, by part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) enum Waits {
+    Leases(LeasesWait),
+}
+
+/// All parts at this keeper.
+#[derive(Debug, Clone, Hash, Default)]
+pub(crate) struct State {
+    pub leases: Leases,
+}
+
+impl State {
+    /// Reads a snapshot's; nothing at all is the empty state.
+    pub fn read(bytes: &[u8]) -> Result<State, StateError> {
+        Ok(State { leases: Leases::read(bytes)? })
+    }
+
+    /// The replicated part of it alone, which is the same at each keeper.
+    pub fn write(&self) -> Vec<u8> {
+        self.leases.table().write()
+    }
+
+    /// Takes the replicated state of a snapshot; who watches here goes on.
+    pub fn restore(&mut self, bytes: &[u8], fault: Option<Fault>) -> Result<(), StateError> {
+        self.leases.restore(bytes)?;
+        if let Some(fault) = fault {
+            self.plant(fault);
+        }
+        Ok(())
+    }
+
+    /// Plants a fault; without the feature `planted` nothing is.
+    pub fn plant(&mut self, fault: Fault) {
+        match fault {
+            Fault::Leases(fault) => self.leases.plant(fault),
+        }
+    }
+
+    pub fn apply(&mut self, at: Moment, command: Command, waits: Option<Waits>, out: &mut Vec<KeeperOutput>) {
+        match (command, waits) {
+            (Command::Leases(command), waits) => {
+                let waits = waits.map(|Waits::Leases(waits)| waits);
+                self.leases.apply(at, command, waits, out);
+            }
+        }
+    }
+
+    pub fn read_for(&mut self, waits: Waits, out: &mut Vec<KeeperOutput>) {
+        match waits {
+            Waits::Leases(waits) => self.leases.read(waits, out),
+        }
+    }
+
+    pub fn refuse(&mut self, waits: Waits, why: Refused, out: &mut Vec<KeeperOutput>) {
+        match waits {
+            Waits::Leases(waits) => self.leases.refuse(waits, why, out),
+        }
+    }
+
+    pub fn lead(&mut self, at: Moment) {
+        self.leases.lead(at);
+    }
+
+    pub fn next_due(&self) -> Option<Duration> {
+        [self.leases.next_due()].into_iter().flatten().min()
+    }
+
+    /// What is due by now, and who waits for it.
+    pub fn due(&mut self, now: Duration) -> Vec<(Command, Waits)> {
+        let leases = self.leases.due(now).into_iter();
+        leases.map(|c| (Command::Leases(c), Waits::Leases(LeasesWait::Expiry))).collect()
+    }
+
+    pub fn told(&mut self, out: &mut Vec<KeeperOutput>) {
+        self.leases.told(out);
+    }
+
+    pub fn closed(&mut self, client: ClientId) {
+        self.leases.closed(client);
+    }
+}
--- a/crates/fleet/leases/tests/explored.rs
+++ b/crates/fleet/group/tests/explored.rs
@@ -14,9 +14,9 @@
 
 use beechloft_consensus::{Body, MemberId, Membership, Message, Outputs, Settings, Stored, Term};
 use beechloft_explore::{Found, Limits, Model, Seen, explore};
+use beechloft_group::{Asked, ClientId, Keeper, KeeperOutput};
 use beechloft_leases::{
-    Asked, ClientId, Drift, Fault, Heard, Holder, HolderId, HolderInput, HolderOutput, Keeper, KeeperOutput,
-    Name, Request, Terms, Token,
+    Drift, Fault, Heard, Holder, HolderId, HolderInput, HolderOutput, Name, Request, Terms, Token,
 };
 use siphasher::sip128::SipHasher13;
 use support::Memory;
@@ -447,7 +447,7 @@
     }
 }
 
-/// Outside CI: `cargo test --release -p beechloft-leases --test explored -- --ignored --nocapture`.
+/// Outside CI: `cargo test --release -p beechloft-group --test explored -- --ignored --nocapture`.
 #[test]
 #[ignore = "millions of states, minutes"]
 fn no_two_may_act_at_once_in_any_order_far() {
--- a/crates/fleet/leases/tests/support/mod.rs
+++ b/crates/fleet/group/tests/support/mod.rs
@@ -9,9 +9,10 @@
 use beechloft_consensus::{
     Change, Disk, Input, MemberId, Membership, Message, Outputs, Save, Settings, Stored, Ticket,
 };
+use beechloft_group::{Asked, ClientId, Keeper, KeeperOutput};
 use beechloft_leases::{
-    Answer, Asked, ClientId, Drift, Fault, Heard, Holder, HolderId, HolderInput, HolderOutput, Keeper,
-    KeeperOutput, Name, Op, Request, Route, Terms, Token,
+    Answer, Drift, Fault, Heard, Holder, HolderId, HolderInput, HolderOutput, Name, Op, Request, Route,
+    Terms, Token,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -452,7 +453,7 @@
     fn told(&mut self, n: usize, heard: Heard) {
         if let Heard::NotLeader(leader) = &heard {
             let ids = self.keeper_ids();
-            let at = leader.and_then(|l| ids.iter().position(|i| *i == l));
+            let at = leader.and_then(|l| ids.iter().position(|i| i.0 == l.0));
             self.candidates[n].route.not_leader(at);
         } else {
             self.candidates[n].route.answered();
--- /dev/null
+++ b/crates/fleet/keeper/src/engine/forming.rs
@@ -0,0 +1,102 @@
+//! How the group comes together, and what an operator does about a keeper that was lost.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use beechloft_consensus::{
+    Change, Disk, Input, MemberId, Membership, Outputs, Save, Settings, Snapshot, Stored, Ticket,
+};
+use beechloft_group::{Asked, Keeper};
+use tracing::info;
+
+use super::{Keeping, StartError};
+use crate::links::ConnId;
+use crate::wire::Word;
+
+impl Keeping {
+    /// Removes a member that was lost with its disk, if the one that came up in its place has been met there. That one is let
+    /// in as a new keeper then, as it learns and votes.
+    pub(super) fn replace(&mut self, conn: ConnId, old: MemberId, new: MemberId, out: &mut Outputs) {
+        let status = self.keeper.status();
+        if status.leader != Some(self.id) {
+            let address = status.leader.and_then(|l| self.address_of(l)).map(|a| a.to_string());
+            return self.say(conn, &Word::NotLeader(address));
+        }
+        let no = |why: String| Word::Replacing(Err(why));
+        let Some(member) = status.members.get(old) else {
+            return self.say(conn, &no(format!("{old} is no member")));
+        };
+        let there = member.address.parse().ok().and_then(|a: SocketAddr| self.met.get(&a));
+        match there {
+            Some(met) if met.id == new && !met.formed => {}
+            Some(met) => {
+                let at = &member.address;
+                return self.say(conn, &no(format!("at {at} there is {}, not {new}", met.id)));
+            }
+            None => return self.say(conn, &no(format!("nobody has come up at {}", member.address))),
+        }
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        self.asked.insert(ticket, conn);
+        let change = Input::Change(ticket, Change::Remove(old));
+        self.keeper.handle((self.clock)(), Asked::Group(change), out);
+    }
+
+    /// A group that has not come together yet grants nothing: its founder alone would be a majority of one.
+    pub(super) fn serves(&self) -> bool {
+        self.keeper.status().members.voters().count() > self.set.keepers.len() / 2
+    }
+
+    /// Looks at who belongs to the group: founds it, once, and has new keepers learn and then vote.
+    pub(super) fn look(&mut self, now: Duration, out: &mut Outputs) -> Result<(), StartError> {
+        let status = self.keeper.status();
+        if status.members.iter().next().is_none() {
+            return self.found(now);
+        }
+        if status.leader != Some(self.id) {
+            return Ok(());
+        }
+        let taken: BTreeSet<&str> = status.members.iter().map(|(_, m)| m.address.as_str()).collect();
+        let learner = status.members.iter().find(|(_, m)| !m.voter).map(|(id, _)| id);
+        // One at a time: the next when the last votes.
+        let change = match learner {
+            Some(id) => Some(Change::Promote(id)),
+            None => self.met.iter().find_map(|(address, met)| {
+                let address = address.to_string();
+                // A keeper that has lost its disk is none until its old self is removed (`keeper replace`).
+                let new =
+                    !met.formed && !taken.contains(address.as_str()) && status.members.get(met.id).is_none();
+                new.then_some(Change::Learn(met.id, address))
+            }),
+        };
+        if let Some(change) = change {
+            self.tickets += 1;
+            self.keeper.handle(now, Asked::Group(Input::Change(Ticket(self.tickets), change)), out);
+        }
+        Ok(())
+    }
+
+    /// The first of the listed keepers founds the group, alone, when all others have said that they are new: one founder, so
+    /// that there are never two groups. If any other has been a member before, this one has lost its disk and must wait.
+    fn found(&mut self, now: Duration) -> Result<(), StartError> {
+        let first = self.set.keepers.iter().min() == Some(&self.address);
+        let others = self.set.keepers.iter().filter(|a| **a != self.address);
+        let all_new = others.into_iter().all(|a| self.met.get(a).is_some_and(|m| !m.formed));
+        if !first || !all_new {
+            return Ok(());
+        }
+        info!("founds the group");
+        let members = Membership::of([(self.id, self.address.to_string())]);
+        let stored = Stored::first(members);
+        let snapshot: Option<Snapshot> = stored.snapshot.clone();
+        self.disk.save(&Save { snapshot, ..Save::default() })?;
+        self.keeper = Keeper::new(self.id, Settings::default(), stored, self.set.drift, rand::random(), now)?;
+        Ok(())
+    }
+}
+
+/// Whether a disk has been a group's.
+pub(super) fn has_formed(stored: &Stored) -> bool {
+    stored.snapshot.is_some() || !stored.entries.is_empty()
+}
--- /dev/null
+++ b/crates/fleet/keeper/src/engine/lines.rs
@@ -0,0 +1,59 @@
+//! How a keeper stands and what it holds, for people.
+
+use std::sync::atomic::Ordering;
+
+use beechloft_consensus::{Member, MemberId};
+use beechloft_leases::{Event, Grant, Name, Table, Token};
+
+use super::Keeping;
+use crate::wire::{ChangeLine, LeaseLine, MemberLine, StatusLine};
+
+impl Keeping {
+    pub(super) fn status(&self) -> StatusLine {
+        let s = self.keeper.status();
+        let member = |(id, m): (MemberId, &Member)| MemberLine {
+            id: id.to_string(),
+            address: m.address.clone(),
+            voter: m.voter,
+        };
+        StatusLine {
+            id: s.id.to_string(),
+            role: format!("{:?}", s.role).to_lowercase(),
+            term: s.term.0,
+            leader: s.leader.map(|l| l.to_string()),
+            commit: s.commit.0,
+            last: s.last.index.0,
+            members: s.members.iter().map(member).collect(),
+            refused_words: self.conns.refused.load(Ordering::Relaxed),
+        }
+    }
+}
+
+/// What those who watch are told; nothing of a renewal.
+pub(super) fn change(event: &Event) -> Option<ChangeLine> {
+    let (name, token, what) = match event {
+        Event::Granted { name, token, .. } => (name, token, "granted"),
+        Event::Released(name, token) => (name, token, "released"),
+        Event::Expired(name, token) => (name, token, "expired"),
+        Event::Renewed(..) => return None,
+    };
+    let (holder, before) = match event {
+        Event::Granted { holder, before, .. } => (Some(holder.0), before.map(|t| t.0)),
+        _ => (None, None),
+    };
+    Some(ChangeLine { name: name.to_string(), token: token.0, what: what.to_owned(), holder, before })
+}
+
+/// All grants.
+pub(super) fn grants(table: &Table) -> Vec<LeaseLine> {
+    let line = |(name, places, token, g): (&Name, u16, Token, &Grant)| LeaseLine {
+        name: name.to_string(),
+        places,
+        place: g.place,
+        token: token.0,
+        holder: g.holder.0,
+        ttl_ms: g.ttl_ms,
+        renewals: g.renewals,
+    };
+    table.grants().map(line).collect()
+}
--- /dev/null
+++ b/crates/fleet/keeper/src/engine/words.rs
@@ -0,0 +1,103 @@
+//! Words that come in, and what goes out.
+
+use std::net::SocketAddr;
+
+use beechloft_consensus::{MemberId, Outputs, Refused};
+use beechloft_group::{Asked, ClientId, KeeperOutput};
+use beechloft_leases::{Event, Heard};
+use tracing::{info, warn};
+
+use super::{Keeping, Met, lines};
+use crate::links::{Came, ConnId};
+use crate::wire::{self, Word};
+
+impl Keeping {
+    pub(super) fn take(&mut self, came: Came, out: &mut Outputs) {
+        let now = (self.clock)();
+        let (conn, word) = match came {
+            Came::Word(conn, word) => (conn, word),
+            Came::Closed(conn) => return self.keeper.handle(now, Asked::Closed(ClientId(conn.0)), out),
+        };
+        let client = ClientId(conn.0);
+        match word {
+            Word::Hello { id, listen, formed } => {
+                if let Some(address) = listen.parse().ok().filter(|a| self.set.keepers.contains(a)) {
+                    self.met.insert(address, Met { id, formed });
+                }
+            }
+            Word::Peer(message) => self.keeper.handle(now, Asked::Peer(message), out),
+            Word::Ask(request) if self.serves() => {
+                self.keeper.handle(now, Asked::Request(client, request), out)
+            }
+            Word::List if self.serves() => self.keeper.handle(now, Asked::List(client), out),
+            Word::Watch(name) if self.serves() => self.keeper.handle(now, Asked::Watch(client, name), out),
+            Word::Ask(_) | Word::List | Word::Watch(_) => self.say(conn, &Word::Heard(Heard::Busy)),
+            Word::Status => self.say(conn, &Word::StatusIs(self.status())),
+            Word::Replace { old, new } => self.replace(conn, old, new, out),
+            Word::Members => {
+                let seen = self.members.as_ref().map(|m| m.seen());
+                self.say(conn, &Word::MembersAre(seen));
+            }
+            Word::MembersAre(_)
+            | Word::Changed(_)
+            | Word::Heard(_)
+            | Word::NotLeader(_)
+            | Word::Listed(_)
+            | Word::StatusIs(_)
+            | Word::Replacing(_) => {}
+        }
+    }
+
+    pub(super) fn say(&self, to: ConnId, word: &Word) {
+        if let Some(bytes) = wire::encode(self.set.number(), word) {
+            self.conns.say(to, bytes);
+        }
+    }
+
+    pub(super) fn address_of(&self, id: MemberId) -> Option<SocketAddr> {
+        let status = self.keeper.status();
+        let of_member = status.members.get(id).and_then(|m| m.address.parse().ok());
+        of_member.or_else(|| self.met.iter().find(|(_, m)| m.id == id).map(|(a, _)| *a))
+    }
+
+    pub(super) fn put_out(&mut self, output: KeeperOutput) {
+        match output {
+            KeeperOutput::Peer(message) => {
+                let link = self.address_of(message.to).and_then(|a| self.peers.get(&a));
+                if let (Some(link), Some(bytes)) =
+                    (link, wire::encode(self.set.number(), &Word::Peer(message)))
+                {
+                    link.say(bytes);
+                }
+            }
+            KeeperOutput::Heard(client, Heard::NotLeader(leader)) => {
+                let address = leader.and_then(|l| self.address_of(MemberId(l.0))).map(|a| a.to_string());
+                self.say(ConnId(client.0), &Word::NotLeader(address));
+            }
+            KeeperOutput::Heard(client, heard) => self.say(ConnId(client.0), &Word::Heard(heard)),
+            KeeperOutput::Listed(client, table) => {
+                self.say(ConnId(client.0), &Word::Listed(lines::grants(&table)))
+            }
+            KeeperOutput::Told(client, event) => {
+                if let Some(line) = lines::change(&event) {
+                    self.say(ConnId(client.0), &Word::Changed(line));
+                }
+            }
+            KeeperOutput::Unwatched(client) => self.conns.close(ConnId(client.0)),
+            KeeperOutput::Event(Event::Renewed(..)) => {}
+            KeeperOutput::Event(event) => info!(?event, "lease"),
+            KeeperOutput::Group(ticket, taken) if self.asked.contains_key(&ticket) => {
+                if let Some(conn) = self.asked.remove(&ticket) {
+                    let taken = taken.map(drop).map_err(|why| why.to_string());
+                    self.say(conn, &Word::Replacing(taken));
+                }
+            }
+            KeeperOutput::Group(_, Ok(at)) => info!(place = at.index.0, "a change of members is in the log"),
+            KeeperOutput::Group(_, Err(why)) => {
+                if !matches!(why, Refused::NotLeader(_)) {
+                    warn!("a change of members is not taken: {why}");
+                }
+            }
+        }
+    }
+}
--- a/crates/fleet/leases/src/lib.rs
+++ b/crates/fleet/leases/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A lease (Gray and Cheriton, "Leases: An Efficient Fault-Tolerant Mechanism for Distributed File Cache Consistency", SOSP
 //! 1989) is given for a time and renewed before it runs out. [`Table`] is the state that consensus replicates; it knows no
-//! time. [`Keeper`] is a member of the group with its table and, while it leads, the times at which grants run out.
+//! time: the keeper that leads (`beechloft_group`) counts the times at which grants run out.
 //! [`Holder`] asks, renews and hands out the [`Permit`] that whatever acts must look at right before each act. Each grant has a
 //! fencing [`Token`] that only rises; whatever is acted on refuses a lower one than it has seen.
 //!
@@ -12,7 +12,6 @@
 
 mod drift;
 mod holder;
-mod keeper;
 mod numbering;
 mod planted;
 mod route;
@@ -21,9 +20,10 @@
 
 pub use drift::Drift;
 pub use holder::{Holder, HolderInput, HolderOutput, Permit, Terms, TermsError};
-pub use keeper::{Asked, ClientId, Keeper, KeeperOutput};
 pub use numbering::{Numbering, Part};
 pub use planted::Fault;
 pub use route::Route;
 pub use table::{Event, Grant, Table, TableError};
-pub use words::{Answer, Command, Heard, HolderId, Name, NameError, Op, Request, Standing, Token, Unable};
+pub use words::{
+    Answer, Command, Heard, HolderId, KeeperId, Name, NameError, Op, Request, Standing, Token, Unable,
+};
--- a/crates/fleet/leases/src/words.rs
+++ b/crates/fleet/leases/src/words.rs
@@ -2,7 +2,6 @@
 
 use std::fmt;
 
-use beechloft_consensus::MemberId;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -49,6 +48,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct Token(pub u64);
 
+/// A keeper, as the keepers' log names it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct KeeperId(pub u64);
+
 /// What a holder wants.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Op {
@@ -162,7 +165,19 @@
         answer: Answer,
     },
     /// This keeper does not lead; who does, if it knows.
-    NotLeader(Option<MemberId>),
+    NotLeader(Option<KeeperId>),
     /// It can't take it now: again later.
     Busy,
 }
+
+impl Heard {
+    /// The answer to a request, if this is one.
+    pub fn answer_to(&self, holder: HolderId, seq: u64) -> Option<Answer> {
+        match self {
+            Heard::Answer { holder: whose, seq: of, answer } if (*whose, *of) == (holder, seq) => {
+                Some(*answer)
+            }
+            _ => None,
+        }
+    }
+}
