--- a/crates/cli/tests/fronts.rs
+++ b/crates/cli/tests/fronts.rs
@@ -11,7 +11,7 @@
 use beechloft_trouble::udp::{self, Mood};
 use rustix::process::Signal;
 use serde_json::Value;
-use support::{Process, beechloft, free_addresses, until};
+use support::{Process, beechloft, kept_addresses, until};
 
 struct Fleet {
     dir: tempfile::TempDir,
@@ -28,7 +28,7 @@
 
 impl Fleet {
     fn new(keepers: usize, fronts: usize, more: &str) -> Fleet {
-        let mut all = free_addresses(keepers + 2 * fronts);
+        let mut all = kept_addresses(keepers + 2 * fronts);
         let listens = all.split_off(keepers + fronts);
         let members = all.split_off(keepers);
         Fleet {
@@ -132,10 +132,23 @@
         lines.iter().filter(there).filter_map(text).collect()
     }
 
+    /// Who of these has ended by itself, and what it said last.
+    fn ended(&mut self, places: &[usize]) -> Option<String> {
+        let ended = |p: &mut Process| p.0.try_wait().ok().flatten();
+        let (place, status) =
+            places.iter().find_map(|p| Some((*p, self.processes.get_mut(p).and_then(ended)?)))?;
+        let said = std::fs::read_to_string(self.log(place)).unwrap_or_default();
+        let last: Vec<&str> = said.lines().rev().take(3).collect();
+        Some(format!("{place} has ended, {status}: {last:?}"))
+    }
+
     /// Waits until each of these sees just these.
-    fn see_each_other(&self, places: &[usize]) -> Duration {
+    fn see_each_other(&mut self, places: &[usize]) -> Duration {
         let wanted: BTreeSet<SocketAddr> = places.iter().map(|p| self.member(*p)).collect();
         until(|| {
+            if let Some(ended) = self.ended(places) {
+                panic!("{ended}");
+            }
             for place in places {
                 let seen = self.seen(*place);
                 if seen != wanted {
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -153,7 +153,7 @@
     let (dir, path) = folder();
     let bus = bus();
     let addr = bus.local_addr().expect("an address");
-    let keeper = support::free_addresses(1)[0];
+    let keeper = support::kept_addresses(1)[0];
     let file = |name: &str, more: &str| {
         let text = format!("fleet:\n  name: test\n  keepers: ['{keeper}']\n{more}");
         let path = dir.path().join(name);
--- a/crates/cli/tests/support/keepers.rs
+++ b/crates/cli/tests/support/keepers.rs
@@ -9,7 +9,7 @@
 use beechloft_trouble::{Relay, Way};
 use serde_json::Value;
 
-use super::{PATIENCE, Process, beechloft, free_addresses};
+use super::{PATIENCE, Process, beechloft, kept_addresses};
 
 /// Of the lease that candidates are after.
 pub const TTL_MS: u64 = 1_500;
@@ -30,7 +30,7 @@
 
     /// With a relay between each two keepers, and between each of so many candidates and each keeper.
     pub fn relayed(keepers: usize, relayed: usize) -> Fleet {
-        let addresses = free_addresses(keepers);
+        let addresses = kept_addresses(keepers);
         let dir = tempfile::tempdir().expect("a folder");
         let mut fleet =
             Fleet { dir, addresses, keepers: Vec::new(), candidates: Vec::new(), relays: BTreeMap::new() };
--- a/crates/cli/tests/support/mod.rs
+++ b/crates/cli/tests/support/mod.rs
@@ -3,11 +3,13 @@
 
 pub mod keepers;
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::os::unix::process::CommandExt;
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use beechloft_trouble::ports::Port;
 use rustix::process::{Pid, Signal, kill_process_group};
 
 /// Long enough for anything that is to happen.
@@ -43,11 +45,13 @@
     Command::new(env!("CARGO_BIN_EXE_beechloft"))
 }
 
-/// Ports that were free a moment ago.
-pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
-    let taken: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
-    taken.iter().map(|l| l.local_addr().expect("an address")).collect()
+/// Addresses that are kept for processes until the test ends, whether they run or not.
+pub fn kept_addresses(count: usize) -> Vec<SocketAddr> {
+    static KEPT: Mutex<Vec<Port>> = Mutex::new(Vec::new());
+    let ports = Port::draw_all(count).expect("ports");
+    let all = ports.iter().map(Port::address).collect();
+    KEPT.lock().expect("no test fails while it draws").extend(ports);
+    all
 }
 
 /// Waits until something holds; what is wrong if it does not.
--- a/crates/proof/day/src/fronts.rs
+++ b/crates/proof/day/src/fronts.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread;
@@ -11,6 +11,7 @@
 use beechloft_checker::{Recorder, What};
 use beechloft_http::client::Pool;
 use beechloft_http::{Method, Request};
+use beechloft_trouble::ports::Port;
 
 use crate::script::Day;
 
@@ -39,6 +40,7 @@
     number: u32,
     address: SocketAddr,
     sip: SocketAddr,
+    _ports: [Port; 2],
     program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
@@ -58,9 +60,9 @@
         fleet: Option<serde_json::Value>,
     ) -> io::Result<Self> {
         let Place { list, program, folder, seed, recorder } = *place;
-        // A port that is free now; the front takes it over, and takes it again after a restart.
-        let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
-        let sip = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+        // Kept for the front while it is down as well.
+        let ports = [Port::draw()?, Port::draw()?];
+        let [address, sip] = [ports[0].address(), ports[1].address()];
         let settings = folder.join(format!("front-{number}.yaml"));
         let zone = &day.fronts[number as usize].zone;
         let service: serde_json::Value = serde_json::from_str(&day.service_text)?;
@@ -85,7 +87,17 @@
         fs::write(&settings, serde_json::to_string_pretty(&text)?)?;
         let log = folder.join(format!("front-{number}.log"));
         let (program, recorder) = (program.to_owned(), recorder.clone());
-        Ok(FrontProcess { number, address, sip, program, settings, log, child: None, recorder })
+        Ok(FrontProcess {
+            number,
+            address,
+            sip,
+            _ports: ports,
+            program,
+            settings,
+            log,
+            child: None,
+            recorder,
+        })
     }
 
     /// Where it listens.
--- a/crates/proof/day/src/keepers.rs
+++ b/crates/proof/day/src/keepers.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -15,6 +15,7 @@
 use beechloft_config::Section;
 use beechloft_keeper::{FleetSettings, client};
 use beechloft_standin::resource::Resource;
+use beechloft_trouble::ports::Port;
 use beechloft_trouble::{Mood, Relay, Way};
 use rustix::process::{Pid, Signal, kill_process_group};
 use serde_json::{Value, json};
@@ -186,6 +187,7 @@
     program: PathBuf,
     folder: PathBuf,
     addresses: Vec<SocketAddr>,
+    _ports: Vec<Port>,
     keepers: Vec<Option<Group>>,
     candidates: Vec<Option<Group>>,
     ended_at: Vec<Option<Instant>>,
@@ -210,11 +212,8 @@
         folder: &Path,
         recorder: &Recorder,
     ) -> io::Result<Keepers> {
-        let free: Vec<TcpListener> =
-            (0..spec.count).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<io::Result<_>>()?;
-        let addresses: Vec<SocketAddr> =
-            free.iter().map(TcpListener::local_addr).collect::<io::Result<_>>()?;
-        drop(free);
+        let ports = Port::draw_all(spec.count as usize)?;
+        let addresses: Vec<SocketAddr> = ports.iter().map(Port::address).collect();
         let all = addresses.len() + spec.candidates as usize + fronts;
         let mut relays = BTreeMap::new();
         for from in 0..all {
@@ -234,6 +233,7 @@
             recorder: recorder.clone(),
             asks: FleetSettings::default(),
             addresses,
+            _ports: ports,
             chosen: BTreeMap::new(),
             over: false,
         };
--- a/crates/proof/trouble/src/lib.rs
+++ b/crates/proof/trouble/src/lib.rs
@@ -6,9 +6,11 @@
 //! system learns nothing either. Each direction has a reader, a bounded queue and a writer, so that a slow side holds up its own
 //! direction alone.
 //!
-//! [`udp`] does the like for datagrams, which may also be lost, come twice and overtake each other.
+//! [`udp`] does the like for datagrams, which may also be lost, come twice and overtake each other. [`ports`] keeps ports for
+//! processes that are to listen there.
 #![forbid(unsafe_code)]
 
+pub mod ports;
 pub mod udp;
 
 use std::io::{self, Read, Write};
