Rows go over the members' socket, if anything asks for them

Limits counted softly and verdicts both read what other fronts say; they need rows on sockets, not only in a machine.

Peers drives beechloft-spread beside its members: datagrams of a kind of their own, fronts of the roster as those asked, write_row and rows for readers.

--- a/crates/fleet/keeper/src/peers.rs
+++ b/crates/fleet/keeper/src/peers.rs
@@ -12,6 +12,7 @@
 use tracing::{debug, info};
 
 use crate::links::{Came, Conns};
+use crate::rows::{self, RowSeen, Rows};
 use crate::settings::FleetSettings;
 use crate::wire::{self, SeenLine, Word};
 
@@ -22,6 +23,8 @@
 
 struct Shared {
     swim: Mutex<Swim>,
+    /// Rows that fronts spread, if anything asks for them.
+    rows: Option<Rows>,
     socket: UdpSocket,
     set: FleetSettings,
     clock: Box<dyn Fn() -> Duration + Send + Sync>,
@@ -47,11 +50,13 @@
         let clock = Box::new(set.clock());
         let about = About { address, zone: set.zone.clone(), kind };
         let id = MemberId(rand::random());
+        let rows = set.spread.filter(|_| kind == Kind::Front);
+        let rows = rows.map(|spread| Rows::new(id, set.zone.to_string(), spread, clock()));
         let swim = Mutex::new(Swim::new(id, about, set.seeds.clone(), rand::random(), clock()));
         info!(%id, %address, zone = %set.zone, "member is up");
         let (end, refused) = (AtomicBool::new(false), AtomicU64::new(0));
         let fronts = AtomicU32::new(u32::from(kind == Kind::Front));
-        let shared = Arc::new(Shared { swim, socket, set: set.clone(), clock, end, refused, fronts });
+        let shared = Arc::new(Shared { swim, rows, socket, set: set.clone(), clock, end, refused, fronts });
         let its = Arc::clone(&shared);
         thread::Builder::new().name("members".into()).stack_size(256 << 10).spawn(move || its.run())?;
         Ok(Peers { shared })
@@ -90,6 +95,45 @@
         self.shared.fronts.load(Ordering::Relaxed)
     }
 
+    /// The life of this process.
+    pub fn id(&self) -> MemberId {
+        self.shared.swim().id()
+    }
+
+    /// The time that rows and members go by.
+    pub fn now(&self) -> Duration {
+        (self.shared.clock)()
+    }
+
+    /// Writes a section of this front's row, which others know within [`beechloft_spread::Settings::staleness`].
+    ///
+    /// # Errors
+    /// The row would be too long; it stays as it was.
+    pub fn write_row(
+        &self,
+        kind: beechloft_spread::Kind,
+        bytes: Vec<u8>,
+    ) -> Result<(), beechloft_spread::TooLong> {
+        self.shared.rows.as_ref().map_or(Ok(()), |r| r.write((self.shared.clock)(), kind, bytes))
+    }
+
+    /// This front's number, for its row.
+    pub fn number_row(&self, number: Option<u16>) {
+        if let Some(rows) = &self.shared.rows {
+            rows.number((self.shared.clock)(), number);
+        }
+    }
+
+    /// What all rows that are known say of a matter, this front's own among them.
+    pub fn rows(&self, kind: beechloft_spread::Kind) -> Vec<RowSeen> {
+        self.shared.rows.as_ref().map(|r| r.seen((self.shared.clock)(), kind)).unwrap_or_default()
+    }
+
+    /// What happened to rows so far.
+    pub fn row_counts(&self) -> Option<beechloft_spread::Counts> {
+        self.shared.rows.as_ref().map(Rows::counts)
+    }
+
     /// Tells some others that this process ends.
     pub fn leave(&self) {
         self.shared.handle(Input::Leave);
@@ -110,7 +154,8 @@
     fn run(&self) {
         let mut buffer = [0; 2 * wire::MOST_DATAGRAM];
         while !self.end.load(Ordering::Relaxed) {
-            let due = self.swim().next_due().saturating_sub((self.clock)());
+            let due = self.rows.as_ref().map_or(Duration::MAX, Rows::next_due).min(self.swim().next_due());
+            let due = due.saturating_sub((self.clock)());
             // A time-out of nought would mean none at all.
             let wait = due.clamp(Duration::from_millis(1), LOOK);
             let _ = self.socket.set_read_timeout(Some(wait));
@@ -119,10 +164,42 @@
                 // Nothing came, or an earlier packet found nobody.
                 Err(_) => self.handle(Input::Tick),
             }
+            self.spread();
+        }
+    }
+
+    /// A round of the rows, if one is due.
+    fn spread(&self) {
+        let Some(rows) = &self.rows else { return };
+        let now = (self.clock)();
+        if now >= rows.next_due() {
+            let out = rows.handle(now, beechloft_spread::Input::Tick);
+            self.send_rows(out);
+        }
+    }
+
+    fn send_rows(&self, out: Vec<(SocketAddr, beechloft_spread::Packet)>) {
+        for (to, packet) in out {
+            if let Some(bytes) = rows::datagram(self.set.number(), &packet) {
+                let _ = self.socket.send_to(&bytes, self.set.reach_member(to));
+            }
         }
     }
 
     fn take(&self, bytes: &[u8], from: SocketAddr) {
+        if let Some(rows) = self.rows.as_ref().filter(|_| bytes.starts_with(&rows::MAGIC)) {
+            match rows::read_datagram(self.set.number(), bytes) {
+                Ok(packet) => {
+                    let heard = beechloft_spread::Input::Heard(self.set.behind(from), packet);
+                    self.send_rows(rows.handle((self.clock)(), heard));
+                }
+                Err(why) => {
+                    self.refused.fetch_add(1, Ordering::Relaxed);
+                    debug!(%from, "{why}; it is dropped");
+                }
+            }
+            return;
+        }
         match wire::read_datagram(self.set.number(), bytes) {
             Ok(packet) => self.handle(Input::Heard(self.set.behind(from), packet)),
             Err(why) => {
@@ -134,6 +211,7 @@
 
     fn handle(&self, input: Input) {
         // What is sent goes out after the lock is let go: a socket may take its time.
+        let mut for_rows = Vec::new();
         let outputs = {
             let mut swim = self.swim();
             let outputs = swim.handle((self.clock)(), input);
@@ -141,9 +219,13 @@
                 let fronts = |m: &&Member| m.life.is_there() && m.about.kind == Kind::Front;
                 let count = swim.roster().iter().map(|m| m.1).filter(fronts).count();
                 self.fronts.store(count as u32, Ordering::Relaxed);
+                if let Some(rows) = &self.rows {
+                    for_rows = rows.peers((self.clock)(), swim.roster());
+                }
             }
             outputs
         };
+        self.send_rows(for_rows);
         for output in outputs {
             match output {
                 Output::Send(to, packet) => self.send(to, &packet),
--- /dev/null
+++ b/crates/fleet/keeper/src/rows.rs
@@ -0,0 +1,134 @@
+//! Rows of `beechloft_spread` on the members' socket: their own kind of datagram, and the way to them for whoever writes and reads.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use beechloft_members::{Kind as MemberKind, MemberId, Roster};
+use beechloft_spread::{Counts, Input, Kind, Output, Packet, Peer, Settings, Spread, TooLong};
+
+use crate::wire::{self, WireError};
+
+/// Begins a datagram of rows, so that members of a version without them refuse it.
+pub(crate) const MAGIC: [u8; 4] = *b"blro";
+
+/// The bytes of a packet of rows; none: past the bound, which no machine's packet is.
+pub fn datagram(fleet: u64, packet: &Packet) -> Option<Vec<u8>> {
+    wire::framed(MAGIC, fleet, packet, wire::MOST_DATAGRAM - wire::HEAD)
+}
+
+/// Reads a packet of rows, which is all of a datagram.
+///
+/// # Errors
+/// Whatever is said in [`WireError`]; it is dropped then.
+pub fn read_datagram(fleet: u64, mut bytes: &[u8]) -> Result<Packet, WireError> {
+    let packet = wire::unframed(MAGIC, fleet, &mut bytes)?;
+    if bytes.is_empty() { Ok(packet) } else { Err(WireError::Nonsense) }
+}
+
+/// A row, for whoever reads it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RowSeen {
+    /// Whose.
+    pub life: MemberId,
+    /// Its number among the fronts, as it says.
+    pub number: Option<u16>,
+    /// Its zone by the roster; empty if it is no member any more.
+    pub zone: String,
+    /// Its version.
+    pub version: u64,
+    /// How old it is at most; nought for the own row.
+    pub age: Duration,
+    /// What it says of the matter that was asked for.
+    pub bytes: Vec<u8>,
+}
+
+/// The rows of this process.
+pub(crate) struct Rows {
+    spread: Mutex<Spread>,
+    zone: String,
+}
+
+impl Rows {
+    pub(crate) fn new(id: MemberId, zone: String, set: Settings, now: Duration) -> Rows {
+        Rows { spread: Mutex::new(Spread::new(id, set, rand::random(), now)), zone }
+    }
+
+    fn spread(&self) -> MutexGuard<'_, Spread> {
+        self.spread.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn next_due(&self) -> Duration {
+        self.spread().next_due()
+    }
+
+    /// What is to be sent where.
+    pub(crate) fn handle(&self, now: Duration, input: Input) -> Vec<(SocketAddr, Packet)> {
+        let outputs = self.spread().handle(now, input);
+        outputs.into_iter().map(|Output::Send(to, packet)| (to, packet)).collect()
+    }
+
+    /// Whom rows are spread among: the fronts that the roster has there.
+    pub(crate) fn peers(&self, now: Duration, roster: &Roster) -> Vec<(SocketAddr, Packet)> {
+        let own = self.spread().id();
+        let front = |id: &MemberId, m: &beechloft_members::Member| {
+            *id != own && m.life.is_there() && m.about.kind == MemberKind::Front
+        };
+        let fronts = roster.iter().filter(|(id, m)| front(id, m));
+        let peers = fronts.map(|(id, m)| Peer { id, address: m.about.address, zone: m.about.zone.clone() });
+        self.handle(now, Input::Peers(peers.collect()))
+    }
+
+    pub(crate) fn write(&self, now: Duration, kind: Kind, bytes: Vec<u8>) -> Result<(), TooLong> {
+        self.spread().write(now, kind, bytes)
+    }
+
+    pub(crate) fn number(&self, now: Duration, number: Option<u16>) {
+        self.spread().number(now, number);
+    }
+
+    pub(crate) fn seen(&self, now: Duration, kind: Kind) -> Vec<RowSeen> {
+        let spread = self.spread();
+        let zone = |life| {
+            if life == spread.id() {
+                return self.zone.clone();
+            }
+            spread.peer(life).map(|p| p.zone.to_string()).unwrap_or_default()
+        };
+        let rows = spread.rows(now).filter_map(|r| {
+            let bytes = r.section(kind)?.to_vec();
+            let (life, number, version, age) = (r.life, r.number, r.version, r.age);
+            Some(RowSeen { life, number, zone: zone(life), version, age, bytes })
+        });
+        rows.collect()
+    }
+
+    pub(crate) fn counts(&self) -> Counts {
+        self.spread().counts()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use beechloft_spread::Said;
+
+    #[test]
+    fn a_packet_of_rows_is_read_as_it_was_written_and_nothing_else_is() {
+        let said = Said::Compare { seq: u64::MAX, parts: vec![[255; 8]; 32] };
+        let packet = Packet { from: MemberId(7), to: MemberId(8), said };
+        let bytes = datagram(9, &packet).expect("short");
+        assert_eq!(read_datagram(9, &bytes).expect("sound"), packet);
+        assert!(matches!(read_datagram(8, &bytes), Err(WireError::Fleet)));
+        // It is no packet of members, nor is one of theirs a packet of rows.
+        assert!(matches!(wire::read_datagram(9, &bytes), Err(WireError::Version)));
+        for bit in 0..bytes.len() * 8 {
+            let mut bad = bytes.clone();
+            bad[bit / 8] ^= 1 << (bit % 8);
+            assert!(read_datagram(9, &bad).is_err(), "bit {bit}");
+        }
+        for cut in 0..bytes.len() {
+            assert!(read_datagram(9, &bytes[..cut]).is_err(), "{cut}");
+        }
+    }
+}
--- a/crates/fleet/keeper/src/settings.rs
+++ b/crates/fleet/keeper/src/settings.rs
@@ -35,6 +35,8 @@
     pub number: Option<Terms>,
     /// How fronts restart in turn, if they do.
     pub restart: Option<Restart>,
+    /// How fronts spread rows, if anything that is asked for needs them.
+    pub spread: Option<beechloft_spread::Settings>,
     /// For tests: this process's clock runs at this rate.
     pub test_clock_rate: f64,
     /// For tests: keepers that are reached by way of another address.
@@ -134,6 +136,7 @@
         drift,
         number: number(s, drift),
         restart: if s.has("restart") { restart(&s.section("restart"), drift) } else { None },
+        spread: None,
         test_clock_rate: s.number("test_clock_rate", 0.5..=2.0).unwrap_or(1.0),
         test_via: via(s, "test_via"),
         test_udp_via: via(s, "test_udp_via"),
--- a/crates/fleet/keeper/src/wire.rs
+++ b/crates/fleet/keeper/src/wire.rs
@@ -15,7 +15,7 @@
 pub const MOST_DATAGRAM: usize = 1_432;
 const MAGIC: [u8; 4] = *b"blft";
 const VERSION: u16 = 1;
-const HEAD: usize = 22;
+pub(crate) const HEAD: usize = 22;
 
 /// A grant, for people.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -182,12 +182,12 @@
 
 /// The bytes of a word; none: past the bound.
 pub fn encode(fleet: u64, word: &Word) -> Option<Vec<u8>> {
-    framed(fleet, word, MOST)
+    framed(MAGIC, fleet, word, MOST)
 }
 
 /// The bytes of a packet between members; none: past the bound, which no machine's packet is.
 pub fn datagram(fleet: u64, packet: &Packet) -> Option<Vec<u8>> {
-    framed(fleet, packet, MOST_DATAGRAM - HEAD)
+    framed(MAGIC, fleet, packet, MOST_DATAGRAM - HEAD)
 }
 
 /// Reads a packet, which is all of a datagram.
@@ -195,14 +195,14 @@
 /// # Errors
 /// Whatever is said in [`WireError`]; it is dropped then.
 pub fn read_datagram(fleet: u64, mut bytes: &[u8]) -> Result<Packet, WireError> {
-    let packet = unframed(fleet, &mut bytes)?;
+    let packet = unframed(MAGIC, fleet, &mut bytes)?;
     if bytes.is_empty() { Ok(packet) } else { Err(WireError::Nonsense) }
 }
 
-fn framed(fleet: u64, what: &impl Serialize, most: usize) -> Option<Vec<u8>> {
+pub(crate) fn framed(magic: [u8; 4], fleet: u64, what: &impl Serialize, most: usize) -> Option<Vec<u8>> {
     let body = postcard::to_allocvec(what).ok().filter(|b| b.len() <= most)?;
     let mut out = Vec::with_capacity(HEAD + body.len());
-    out.extend_from_slice(&MAGIC);
+    out.extend_from_slice(&magic);
     out.extend_from_slice(&VERSION.to_be_bytes());
     out.extend_from_slice(&fleet.to_be_bytes());
     out.extend_from_slice(&(body.len() as u32).to_be_bytes());
@@ -216,14 +216,18 @@
 /// # Errors
 /// Whatever is said in [`WireError`]; the connection is of no more use then.
 pub fn read(fleet: u64, from: &mut impl Read) -> Result<Word, WireError> {
-    unframed(fleet, from)
+    unframed(MAGIC, fleet, from)
 }
 
-fn unframed<T: DeserializeOwned>(fleet: u64, from: &mut impl Read) -> Result<T, WireError> {
+pub(crate) fn unframed<T: DeserializeOwned>(
+    magic: [u8; 4],
+    fleet: u64,
+    from: &mut impl Read,
+) -> Result<T, WireError> {
     let mut head = [0; HEAD];
     from.read_exact(&mut head)?;
     let part = |at: usize, n: usize| head[at..at + n].iter().fold(0u64, |v, b| (v << 8) | u64::from(*b));
-    if head[..4] != MAGIC || part(4, 2) != u64::from(VERSION) {
+    if head[..4] != magic || part(4, 2) != u64::from(VERSION) {
         return Err(WireError::Version);
     }
     if part(6, 8) != fleet {
