--- a/crates/fleet/topic/src/chunks.rs
+++ b/crates/fleet/topic/src/chunks.rs
@@ -12,6 +12,8 @@
 
 use crate::bits::Bits;
 use crate::log::{Layout, Log, Slot};
+use crate::message::Message;
+use crate::planted::Fault;
 use crate::segment::Segment;
 use crate::topic::{Parts, Topic};
 use crate::topics::Topics;
@@ -111,6 +113,9 @@
             let (active, live) = topic.log.active();
             segments.push((active.name(), live.clone()));
             chunks.push(Chunk { name: active.name(), bytes: active.bytes().clone() });
+            if topic.planted(Fault::LiveForgotten) {
+                forget_live(topic, &mut segments);
+            }
             let written = Written { parts: topic.parts(), head: topic.head(), segments };
             topics.insert(name.clone(), written);
         }
@@ -143,6 +148,24 @@
     }
 }
 
+/// A planted fault: what is live is told from the order of all records that are there.
+fn forget_live(topic: &Topic, segments: &mut [(ChunkName, Bits)]) {
+    let mut last = BTreeMap::new();
+    for message in topic.log.walk(Offset(0), true) {
+        last.insert(message.key().to_vec(), message);
+    }
+    let live = |m: &Message| {
+        let latest = last.get(m.key()).is_some_and(|l| l.offset == m.offset);
+        latest && !(m.body.is_tombstone() && m.offset < topic.horizon())
+    };
+    let mut all = topic.log.walk(Offset(0), true);
+    for (_, bits) in segments {
+        let mut fresh = Bits::default();
+        (0..bits.len()).for_each(|_| fresh.push(all.next().is_some_and(|m| live(&m))));
+        *bits = fresh;
+    }
+}
+
 fn read_topic<'a>(
     name: &Name,
     written: Written,
--- a/crates/fleet/topic/src/lib.rs
+++ b/crates/fleet/topic/src/lib.rs
@@ -42,5 +42,6 @@
 pub use topics::Topics;
 pub use words::{
     Epoch, Expect, Key, MOST_KEY, MOST_VALUE, Offset, PublisherId, Record, Refusal, Session, Terms,
-    TopicAnswer, TopicCommand, TopicEvent, TopicHeard, TopicOp, TopicRequest, Value, WordError, Writers,
+    TopicAnswer, TopicAsk, TopicCommand, TopicEvent, TopicHeard, TopicOp, TopicRequest, Value, WordError,
+    Writers,
 };
--- a/crates/fleet/topic/src/publisher.rs
+++ b/crates/fleet/topic/src/publisher.rs
@@ -10,7 +10,7 @@
 
 use crate::sessions::WINDOW;
 use crate::words::{
-    Epoch, Expect, Offset, PublisherId, Record, Refusal, Session, TopicAnswer, TopicHeard, TopicOp,
+    Epoch, Expect, Offset, PublisherId, Record, Refusal, Session, TopicAnswer, TopicAsk, TopicHeard, TopicOp,
     TopicRequest, Value,
 };
 
@@ -244,14 +244,22 @@
         if heard.publisher != self.id {
             return;
         }
-        match (self.state, heard.answer) {
-            (State::Beginning, TopicAnswer::Began(session)) if heard.seq == 0 => {
-                self.state = State::Open { session, first: 1, sent: 0 };
-                self.heard_of();
+        match (self.state, heard.ask, heard.answer) {
+            // Of this epoch's and no other's: messages numbered anew under an old session would be taken for old ones.
+            (State::Beginning, TopicAsk::Session(epoch), answer) if epoch == self.right.epoch() => {
+                match answer {
+                    TopicAnswer::Began(session) => {
+                        self.state = State::Open { session, first: 1, sent: 0 };
+                        self.heard_of();
+                    }
+                    TopicAnswer::Refused(why) => self.refused_all(why, out),
+                    TopicAnswer::Written(_) => {}
+                }
             }
-            (State::Beginning, TopicAnswer::Refused(why)) if heard.seq == 0 => self.refused_all(why, out),
-            (State::Open { session, first, sent }, answer) if session == heard.session && heard.seq > 0 => {
-                self.answered(first, sent, heard.seq, answer, out);
+            (State::Open { session, first, sent }, TopicAsk::Message(asked, seq), answer)
+                if session == asked =>
+            {
+                self.answered(first, sent, seq, answer, out);
             }
             _ => {}
         }
--- a/crates/fleet/topic/src/subscriber.rs
+++ b/crates/fleet/topic/src/subscriber.rs
@@ -76,7 +76,7 @@
     Leave(u64),
     /// A key has a value, or another one.
     Changed(Message),
-    /// A key has none any more, for all that is known at this offset.
+    /// A key has none any more: it is deleted by the message at this offset, or by one at or before it.
     Gone(Key, Offset),
     /// It has the latest of each key as of this offset, without it. Told again after it has fallen behind.
     CaughtUp(Offset),
@@ -445,9 +445,9 @@
         if self.planted(Fault::VanishedKept) {
             return;
         }
-        let pass = self.pass;
+        let (pass, by) = (self.pass, Offset(to.0.saturating_sub(1)));
         for (key, _) in self.keys.extract_if(.., |_, held| held.pass != pass) {
-            out.push(SubscriberOutput::Gone(key, to));
+            out.push(SubscriberOutput::Gone(key, by));
         }
     }
 }
--- a/crates/fleet/topic/src/topic.rs
+++ b/crates/fleet/topic/src/topic.rs
@@ -10,8 +10,8 @@
 use crate::planted::Fault;
 use crate::sessions::{Seen, Sessions};
 use crate::words::{
-    Epoch, Expect, Key, MOST_BYTES, MOST_KEYS, Offset, PublisherId, RETENTION_MS, Record, Refusal, Session,
-    Terms, TopicAnswer, Value,
+    Epoch, Expect, KEY_COST, Key, MOST_BYTES, MOST_KEYS, Offset, PublisherId, RETENTION_MS, Record, Refusal,
+    Session, Terms, TopicAnswer, Value,
 };
 
 /// Deletions that one move of the horizon forgets at most; a further one goes on from there.
@@ -22,7 +22,7 @@
 struct Latest {
     offset: Offset,
     tombstone: bool,
-    /// Bytes of key and value.
+    /// Bytes of key and value, and [`KEY_COST`].
     size: usize,
 }
 
@@ -46,7 +46,7 @@
     index: HashMap<Key, Latest>,
     /// Deletions that are remembered, by place.
     tombstones: BTreeMap<Offset, Key>,
-    /// Bytes of keys and latest values.
+    /// The sum of their sizes.
     bytes: u64,
     pub(crate) log: Log,
     fault: Option<Fault>,
@@ -103,7 +103,7 @@
         let mut topic = Topic { horizon, sessions, ..Topic::new(life, terms, log.layout) };
         for message in log.walk(Offset(0), false) {
             let Some(key) = Option::<Key>::from(&message.body) else { return Err("a key makes no sense") };
-            let (tombstone, size) = (message.body.is_tombstone(), message.body.size());
+            let (tombstone, size) = (message.body.is_tombstone(), message.body.size() + KEY_COST);
             if tombstone && message.offset < horizon {
                 return Err("it remembers a deletion below its horizon");
             }
@@ -175,7 +175,7 @@
         self.index.len() - self.tombstones.len()
     }
 
-    /// Bytes of keys and latest values.
+    /// Bytes of keys and latest values, 16 for each key added.
     pub fn bytes(&self) -> u64 {
         self.bytes
     }
@@ -246,7 +246,8 @@
         if !fits {
             return Err(Refusal::Other(stands));
         }
-        let size = record.key.bytes().len() + record.value.as_ref().map_or(0, |v| Value::bytes(v).len());
+        let value = record.value.as_ref().map_or(0, |v| Value::bytes(v).len());
+        let size = record.key.bytes().len() + value + KEY_COST;
         let old = before.map_or(0, |l| l.size);
         if record.value.is_none() {
             stands.ok_or(Refusal::NoKey)?;
--- a/crates/fleet/topic/src/topics.rs
+++ b/crates/fleet/topic/src/topics.rs
@@ -14,8 +14,6 @@
 
 /// Topics at most.
 const MOST_TOPICS: usize = 64;
-/// Bytes of keys and latest values in all topics at most.
-const MOST_ALL: u64 = 2 * MOST_BYTES;
 /// Bytes of work for one topic before the next one's turn.
 const TURN: usize = 16 << 10;
 /// Bytes of work that a look at a topic with nothing to clean counts as.
@@ -120,7 +118,7 @@
 
     fn ask(&mut self, request: &TopicRequest) -> (TopicAnswer, Option<TopicEvent>) {
         let TopicRequest { publisher, topic: name, op } = request;
-        let room = MOST_ALL.saturating_sub(self.topics.values().map(Topic::bytes).sum());
+        let room = MOST_BYTES.saturating_sub(self.topics.values().map(Topic::bytes).sum());
         let Some(topic) = self.topics.get_mut(name) else {
             return (TopicAnswer::Refused(Refusal::NoTopic), None);
         };
--- a/crates/fleet/topic/src/words.rs
+++ b/crates/fleet/topic/src/words.rs
@@ -14,8 +14,11 @@
 pub const MOST_VALUE: usize = 64 << 10;
 /// Keys of one topic at most, deletions that are remembered counted.
 pub const MOST_KEYS: u32 = 1 << 20;
-/// Bytes of one topic at most, keys and latest values.
-pub const MOST_BYTES: u64 = 256 << 20;
+/// Bytes of one topic and of all topics at most: keys, latest values, and [`KEY_COST`] for each. With what is overtaken and not
+/// cleaned yet that stays within what a keeper's snapshot may have.
+pub const MOST_BYTES: u64 = 96 << 20;
+/// What each key counts beside its bytes and those of its latest value.
+pub const KEY_COST: usize = 16;
 /// The shortest and the longest time for which deletions are remembered, milliseconds.
 pub const RETENTION_MS: std::ops::RangeInclusive<u32> = 1_000..=30 * 86_400_000;
 
@@ -206,7 +209,7 @@
     pub retention_ms: u32,
     /// Keys at most, deletions that are remembered counted.
     pub keys: u32,
-    /// Bytes of keys and latest values at most.
+    /// Bytes of keys and latest values at most, 16 for each key added.
     pub bytes: u64,
 }
 
@@ -248,12 +251,21 @@
     pub op: TopicOp,
 }
 
+/// Names a request among all of its publisher's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum TopicAsk {
+    /// For a session of this epoch. A late answer to one of an epoch before must not pass for it.
+    Session(Epoch),
+    /// For a message written, by this session and number.
+    Message(Session, u64),
+}
+
 impl TopicRequest {
-    /// The number by which its answer is matched; nought for a session.
-    pub fn seq(&self) -> u64 {
+    /// What its answer is matched by.
+    pub fn ask(&self) -> TopicAsk {
         match self.op {
-            TopicOp::Begin { .. } => 0,
-            TopicOp::Publish { seq, .. } => seq,
+            TopicOp::Begin { epoch } => TopicAsk::Session(epoch),
+            TopicOp::Publish { session, seq, .. } => TopicAsk::Message(session, seq),
         }
     }
 }
@@ -335,10 +347,8 @@
 pub struct TopicHeard {
     /// Whose request.
     pub publisher: PublisherId,
-    /// By which session; nought for a session that is asked for.
-    pub session: Session,
-    /// Its number; nought for a session.
-    pub seq: u64,
+    /// Which of its requests.
+    pub ask: TopicAsk,
     /// What became of it.
     pub answer: TopicAnswer,
 }
@@ -346,11 +356,7 @@
 impl TopicHeard {
     /// The answer to a request.
     pub fn to(request: &TopicRequest, answer: TopicAnswer) -> TopicHeard {
-        let session = match request.op {
-            TopicOp::Begin { .. } => Session::default(),
-            TopicOp::Publish { session, .. } => session,
-        };
-        TopicHeard { publisher: request.publisher, session, seq: request.seq(), answer }
+        TopicHeard { publisher: request.publisher, ask: request.ask(), answer }
     }
 }
 
