The decision module as a folder of small files, no decision changed

src/choice.rs (736 non-blank lines) was one file; an auditor and whoever changes one concern read all of it. It is src/choice/ now: one struct `Choice`, a file for each concern (list, request, placing, attempts, trust, pace, rungs, reports, estimates, probes), tuned values beside what goes by them. Methods are private to their file unless another file of the folder calls them.

The package's tests pass.

--- /dev/null
+++ b/src/choice/attempts.rs
@@ -0,0 +1,53 @@
+//! Attempts: how many, until when, and inside which budget and seats.
+
+use super::*;
+
+const FIRST_SHARE: f64 = 0.45; // part of the time left to the aim for an attempt that another may follow
+const LEAST_TRY: Micros = Micros(100_000); // with less time than this left to the aim, no further attempt
+
+impl Choice {
+    pub(super) fn send(&mut self, id: SessionId, server: ServerId, rung: Rung) {
+        if self.sessions.get(&id).is_some_and(|s| !s.tried.is_empty()) {
+            self.extra.note(self.now, self.set.budget_window());
+        }
+        let more = self.budget_left();
+        let Some(s) = self.sessions.get_mut(&id) else { return };
+        s.tried.push(server);
+        let last = !more || s.tried.len() >= self.set.limits.max_attempts as usize;
+        let left = s.aim - self.now;
+        let wait = if last { left } else { Micros::from_secs(left.secs() * FIRST_SHARE) };
+        (s.at, s.rung) = (Some(server), rung);
+        s.ran.push((server, self.now));
+        self.out.push(Action::SetRung(id, rung));
+        self.out.push(Action::SetUp(id, server, self.now + wait));
+        if let Some(t) = self.servers.get_mut(&server) {
+            t.out += 1;
+            self.trials -= if t.strikes > 0 { self.trials.min(1.0) } else { 0.0 };
+            t.sent.note(self.now, self.set.cold.span);
+        }
+        self.book(id, true);
+    }
+
+    /// Whether one more attempt is allowed by time, count, budget and the class's effect.
+    pub(super) fn may_try(&self, s: &Session) -> bool {
+        let safe = match self.set.class(s.req.class).effect {
+            Effect::Repeatable => true,
+            Effect::Keyed { window, .. } => s.ran.iter().all(|r| self.now - r.1 < window),
+            Effect::Once => s.ran.is_empty(),
+        };
+        let further = s.aim - self.now > LEAST_TRY && s.tried.len() < self.set.limits.max_attempts as usize;
+        if s.tried.is_empty() { self.now < s.aim } else { safe && further && self.budget_left() }
+    }
+
+    /// Whether one further attempt stays inside the budget.
+    fn budget_left(&self) -> bool {
+        let Some(b) = self.set.budget else { return true };
+        let taken = self.taken.inside(self.now, b.window) as f64;
+        let extra = self.extra.within(self.now, b.window) as f64;
+        extra + 1.0 <= b.free + b.share * taken
+    }
+
+    pub(super) fn seats_taken(&self, req: &Request) -> bool {
+        self.set.class(req.class).seats.is_some_and(|n| self.books.seats(req) >= n as usize)
+    }
+}
