Limits on the front's side of the sockets: settings, the limiter, surveys of boxes

`fleet.limits` declares limits, each fault named with line and key; `beechloft check` prints what they promise. A thread speaks for the front's shares with the keepers, another asks boxes now and then for the tags of their sessions and tells the ledger what lost fronts left. A front that is told to end closes its account with what it leaves. Fronts that take calls are left out of surveys, as calls carry no tag.

--- a/crates/cli/src/among.rs
+++ b/crates/cli/src/among.rs
@@ -7,14 +7,21 @@
 use std::time::Duration;
 
 use beechloft_core::api::Numbered;
-use beechloft_keeper::{Agent, FleetSettings, Keeping, Peers};
+use beechloft_front::Boxes;
+use beechloft_keeper::{Agent, FleetSettings, Keeping, Limiter, Peers};
 use beechloft_leases::Part;
+use beechloft_limits::Gate;
 use beechloft_members::Kind;
 
+/// How long a front waits until what it leaves playing is in the keepers' log; after that its whole share stays counted for it.
+const CLOSE_WITHIN: Duration = Duration::from_secs(1);
+
 /// What a front has of its fleet.
 pub struct Among {
     agent: Arc<Agent>,
     peers: Option<Arc<Peers>>,
+    /// Limits that hold for all fronts, if its settings ask for any.
+    limiter: Option<Limiter>,
     /// A front may be a keeper besides, on a thread of its own.
     keeping: Option<(Arc<AtomicBool>, JoinHandle<()>)>,
 }
@@ -42,7 +49,9 @@
         } else {
             (Among::member(set)?, None)
         };
-        Ok(Among { agent: Arc::new(Agent::start(set, span)?), peers, keeping })
+        let limits = set.limits.as_ref();
+        let limiter = limits.map(|limits| Limiter::start(set, limits, peers.clone())).transpose()?;
+        Ok(Among { agent: Arc::new(Agent::start(set, span)?), peers, limiter, keeping })
     }
 
     /// As a member, if its settings name seeds.
@@ -85,8 +94,24 @@
         self.agent.has_turn()
     }
 
+    /// What admits by limits that hold for all fronts, if there are any.
+    pub fn gate(&self) -> Option<Gate> {
+        self.limiter.as_ref().map(Limiter::gate)
+    }
+
+    /// Has the boxes asked now and then what lost fronts left there.
+    ///
+    /// # Errors
+    /// There is no thread.
+    pub fn survey(&self, boxes: Boxes) -> io::Result<()> {
+        self.limiter.as_ref().map_or(Ok(()), |l| l.survey(Box::new(move || boxes.tags())))
+    }
+
     /// Tells others that it ends, and ends its keeper between two saves.
     pub fn leave(&mut self) {
+        if let Some(limiter) = self.limiter.take() {
+            limiter.close(CLOSE_WITHIN);
+        }
         if let Some(peers) = &self.peers {
             peers.leave();
         }
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -5,8 +5,9 @@
 use std::time::{Duration, Instant};
 
 use beechloft_config::{FrontSettings, Section, reader};
-use beechloft_front::Front;
-use beechloft_keeper::FleetSettings;
+use beechloft_front::{Fleet, Front};
+use beechloft_keeper::{FleetSettings, Known};
+use beechloft_limits::bounds;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -23,7 +24,12 @@
     let front = FrontSettings::of(top);
     let fleet = top.has("fleet").then(|| {
         let section = top.section("fleet");
-        let fleet = FleetSettings::of(&section, Some(&front.service.zones));
+        let known = Known { customers: &front.service.tenants, classes: &front.service.classes };
+        let mut fleet = FleetSettings::among(&section, &front.service.zones, known);
+        if let Some(limits) = &mut fleet.limits {
+            // Calls carry no tag: what a lost front of calls left can't be asked of boxes.
+            limits.tagged = front.sip.is_none();
+        }
         if fleet.number.is_some() && front.numbered {
             section.fault("number", "it comes by lease; front.number and front.of say something else");
         }
@@ -55,13 +61,18 @@
         Err(e) => return fail(1, e),
     };
     let started = match &among {
-        Some(among) => Front::start_among(settings, among.numbers()),
+        Some(among) => {
+            Front::start_in(settings, Fleet { numbers: Some(among.numbers()), gate: among.gate() })
+        }
         None => Front::start(settings, None),
     };
     let front = match started {
         Ok(front) => front,
         Err(e) => return fail(1, format_args!("{listen}: {e}")),
     };
+    if let Some(Err(e)) = among.as_ref().map(|a| a.survey(front.boxes())) {
+        return fail(1, e);
+    }
     signals.forever().next();
     if let Some(among) = &among {
         wait_for_turn(among, &mut signals);
@@ -94,17 +105,31 @@
         Ok(text) => text,
         Err(e) => return fail(2, format_args!("{}: {e}", file.display())),
     };
-    let faults =
-        if day { beechloft_day::parse(&text, 1).err() } else { reader::read(&text, read_sections).err() };
-    match faults {
-        Some(faults) => faulty(file, &faults.0),
-        None => {
+    let read = if day {
+        beechloft_day::parse(&text, 1).map(|_| None)
+    } else {
+        reader::read(&text, read_sections).map(|(_, fleet)| fleet)
+    };
+    match read {
+        Err(faults) => faulty(file, &faults.0),
+        Ok(fleet) => {
             println!("{}: sound", file.display());
+            promises(fleet.as_ref());
             ExitCode::SUCCESS
         }
     }
 }
 
+/// What the limits of a file promise, worked out from it.
+fn promises(fleet: Option<&FleetSettings>) {
+    let Some((fleet, limits)) = fleet.and_then(|f| Some((f, f.limits.as_ref()?))) else { return };
+    for definition in &limits.definitions {
+        for line in bounds::lines(definition, &limits.rules, fleet.drift) {
+            println!("limit {}: {line}", definition.name);
+        }
+    }
+}
+
 fn faulty(file: &Path, faults: &[beechloft_config::Fault]) -> ExitCode {
     for fault in faults {
         eprintln!("{}:{fault}", file.display());
--- a/crates/fleet/keeper/src/client.rs
+++ b/crates/fleet/keeper/src/client.rs
@@ -154,11 +154,16 @@
 
     /// Sends a request; what can't be sent is lost, as on any network.
     pub fn send(&mut self, request: Request) {
+        self.say(&Word::Ask(request));
+    }
+
+    /// Says a word to the keeper that leads, as far as is known; what can't be sent is lost, as on any network.
+    pub fn say(&mut self, word: &Word) {
         let at = self.route.take();
         if self.conn.as_ref().is_none_or(|c| c.0 != at) {
             self.conn = self.open(at);
         }
-        let bytes = wire::encode(self.set.number(), &Word::Ask(request));
+        let bytes = wire::encode(self.set.number(), word);
         if let (Some((_, stream)), Some(bytes)) = (&mut self.conn, bytes)
             && stream.write_all(&bytes).is_err()
         {
@@ -188,18 +193,22 @@
         Some((at, stream))
     }
 
-    /// What a keeper has said, if one says something by then.
+    /// What a keeper has said to a holder, if one says something by then.
     pub fn hear(&mut self, within: Duration) -> Option<HolderInput> {
-        match self.heard.recv_timeout(within).ok()? {
-            Word::Heard(heard) => {
-                self.route.answered();
-                Some(HolderInput::Heard(heard))
-            }
-            Word::NotLeader(leader) => {
-                self.route.not_leader(place(&self.set, leader.as_deref()));
-                Some(HolderInput::Heard(Heard::NotLeader(None)))
-            }
+        match self.hear_word(within)? {
+            Word::Heard(heard) => Some(HolderInput::Heard(heard)),
+            Word::NotLeader(_) => Some(HolderInput::Heard(Heard::NotLeader(None))),
             _ => None,
         }
     }
+
+    /// What a keeper has said, if one says something by then.
+    pub fn hear_word(&mut self, within: Duration) -> Option<Word> {
+        let word = self.heard.recv_timeout(within).ok()?;
+        match &word {
+            Word::NotLeader(leader) => self.route.not_leader(place(&self.set, leader.as_deref())),
+            _ => self.route.answered(),
+        }
+        Some(word)
+    }
 }
--- a/crates/fleet/keeper/src/lib.rs
+++ b/crates/fleet/keeper/src/lib.rs
@@ -17,6 +17,7 @@
 mod agent;
 pub mod client;
 mod engine;
+mod limiter;
 mod links;
 mod peers;
 mod rows;
@@ -26,7 +27,8 @@
 
 pub use agent::Agent;
 pub use engine::{Keeping, StartError};
+pub use limiter::Limiter;
 pub use peers::Peers;
 pub use rows::RowSeen;
-pub use settings::{FleetSettings, Restart};
+pub use settings::{FleetSettings, Known, LimitsSettings, Restart};
 pub use store::{LogStore, OpenError};
--- a/crates/fleet/keeper/src/settings.rs
+++ b/crates/fleet/keeper/src/settings.rs
@@ -9,6 +9,10 @@
 use beechloft_leases::{Drift, Name, Terms};
 use beechloft_members::Zone;
 
+mod limits;
+
+pub use limits::{Known, LimitsSettings};
+
 /// Keepers at most.
 const MOST_KEEPERS: usize = 9;
 /// Seeds at most.
@@ -37,6 +41,8 @@
     pub restart: Option<Restart>,
     /// How fronts spread rows, if anything that is asked for needs them.
     pub spread: Option<beechloft_spread::Settings>,
+    /// Limits that hold for all fronts, if there are any.
+    pub limits: Option<LimitsSettings>,
     /// For tests: this process's clock runs at this rate.
     pub test_clock_rate: f64,
     /// For tests: keepers that are reached by way of another address.
@@ -62,7 +68,12 @@
 
     /// Reads the section of a file that says more than this; `zones` are those that the rest of it names.
     pub fn of(section: &Section<'_>, zones: Option<&[String]>) -> FleetSettings {
-        fleet(section, zones)
+        fleet(section, zones, None)
+    }
+
+    /// The same, of a file that names customers and classes too.
+    pub fn among(section: &Section<'_>, zones: &[String], known: Known<'_>) -> FleetSettings {
+        fleet(section, Some(zones), Some(known))
     }
 
     /// Whether this process is a keeper: it has a folder, and its address is one of theirs.
@@ -98,7 +109,7 @@
     }
 }
 
-fn fleet(s: &Section<'_>, zones: Option<&[String]>) -> FleetSettings {
+fn fleet(s: &Section<'_>, zones: Option<&[String]>, known: Option<Known<'_>>) -> FleetSettings {
     let name = s.needed_text("name");
     if name.is_empty() || name.len() > 64 {
         s.fault("name", "1 to 64 bytes are needed");
@@ -137,6 +148,7 @@
         number: number(s, drift),
         restart: if s.has("restart") { restart(&s.section("restart"), drift) } else { None },
         spread: None,
+        limits: s.has("limits").then(|| limits::limits(&s.section("limits"), drift, known)),
         test_clock_rate: s.number("test_clock_rate", 0.5..=2.0).unwrap_or(1.0),
         test_via: via(s, "test_via"),
         test_udp_via: via(s, "test_udp_via"),
--- a/crates/fleet/keeper/src/wire.rs
+++ b/crates/fleet/keeper/src/wire.rs
@@ -128,6 +128,10 @@
     Members,
     /// These; none: it is no member itself, as its settings name no seeds.
     MembersAre(Option<Vec<SeenLine>>),
+    /// A front's request of the ledger of limits.
+    Limit(beechloft_limits::Request),
+    /// What became of it.
+    LimitHeard(beechloft_limits::Heard),
 }
 
 /// Why a word could not be read.
--- a/crates/fleet/limits/src/front.rs
+++ b/crates/fleet/limits/src/front.rs
@@ -34,6 +34,8 @@
     pub rules: Rules,
     /// How far clocks' rates may differ.
     pub drift: Drift,
+    /// Each of its sessions carries a tag by which boxes can say what is left of them.
+    pub tagged: bool,
     /// For what is drawn by chance.
     pub seed: u64,
 }
@@ -307,7 +309,7 @@
             slot.bucket.set(self.now, 0, 0);
             slot.unsay();
         }
-        let new = self.new_out(Op::Open { ttl_ms: self.set.rules.ttl_ms });
+        let new = self.new_out(Op::Open { ttl_ms: self.set.rules.ttl_ms, tagged: self.set.tagged });
         out.push(self.send(&new));
         self.state = State::Opening(new);
         // Limits may have changed meanwhile; its settings may be news to a ledger that began anew.
@@ -361,7 +363,7 @@
             State::Opening(mut of) if now >= of.again_at => {
                 // After some tries a new one is made: what counts is when it was made.
                 if of.tries >= 4 {
-                    of = self.new_out(Op::Open { ttl_ms: self.set.rules.ttl_ms });
+                    of = self.new_out(Op::Open { ttl_ms: self.set.rules.ttl_ms, tagged: self.set.tagged });
                     out.push(self.send(&of));
                 } else {
                     self.copy(&mut of, out);
--- a/crates/fleet/limits/src/ledger.rs
+++ b/crates/fleet/limits/src/ledger.rs
@@ -83,7 +83,7 @@
 
     fn operate(&mut self, front: FrontId, op: &Op, events: &mut Vec<Event>) -> Result<Answer, Unable> {
         match op {
-            Op::Open { ttl_ms } => self.open(front, *ttl_ms, events),
+            Op::Open { ttl_ms, tagged } => self.open(front, *ttl_ms, *tagged, events),
             Op::Settle { account, lines } => {
                 self.own(front, *account)?;
                 if lines.len() > MOST_LINES {
@@ -122,7 +122,7 @@
                 Ok(Answer::Declared)
             }
             Op::Orphans => {
-                let settled = self.orphans.iter().filter(|(_, o)| self.is_settled(o));
+                let settled = self.orphans.iter().filter(|(_, o)| o.tagged && self.is_settled(o));
                 Ok(Answer::Orphans(settled.take(MOST_LINES).map(|(id, o)| (*id, o.front)).collect()))
             }
         }
@@ -140,7 +140,13 @@
         }
     }
 
-    fn open(&mut self, front: FrontId, ttl_ms: u32, events: &mut Vec<Event>) -> Result<Answer, Unable> {
+    fn open(
+        &mut self,
+        front: FrontId,
+        ttl_ms: u32,
+        tagged: bool,
+        events: &mut Vec<Event>,
+    ) -> Result<Answer, Unable> {
         if !TTL_MS.contains(&ttl_ms) {
             return Err(Unable::Time);
         }
@@ -158,7 +164,7 @@
             shares = account.shares;
             events.push(Event::Ended(old, front, None));
         }
-        self.accounts.insert(id, Account { front, ttl_ms, renewals: 0, shares });
+        self.accounts.insert(id, Account { front, ttl_ms, tagged, renewals: 0, shares });
         self.by_front.insert(front, id);
         // The same life is back. What it had left is its own again; what it does not use it will give back.
         let own: Vec<OrphanId> =
@@ -239,8 +245,8 @@
     /// An account is over. What it held stays counted, but for rates: nothing of them outlives their front.
     fn end(&mut self, id: AccountId, left: Option<BTreeMap<Claim, u64>>, events: &mut Vec<Event>) {
         let Some(account) = self.accounts.get(&id) else { return };
-        let (front, claims): (FrontId, Vec<Claim>) =
-            (account.front, account.shares.keys().cloned().collect());
+        let (front, tagged) = (account.front, account.tagged);
+        let claims: Vec<Claim> = account.shares.keys().cloned().collect();
         let mut units = BTreeMap::new();
         for claim in claims {
             let share = self.share_of(id, &claim);
@@ -263,7 +269,7 @@
         let orphan = (!units.is_empty()).then(|| {
             self.next += 1;
             let orphan = OrphanId(self.next);
-            self.orphans.insert(orphan, Orphan { front, units, aged_ms: 0 });
+            self.orphans.insert(orphan, Orphan { front, units, tagged, aged_ms: 0 });
             orphan
         });
         events.push(Event::Ended(id, front, orphan));
@@ -307,7 +313,7 @@
     ) -> Result<Answer, Unable> {
         let orphan = self.orphans.get(&id).ok_or(Unable::NoOrphan)?;
         // Before its time some of its set-ups may have been on their way when boxes were asked.
-        if !self.is_settled(orphan) {
+        if !orphan.tagged || !self.is_settled(orphan) {
             return Err(Unable::NoOrphan);
         }
         let left: BTreeMap<&Claim, u64> = left.iter().map(|(c, n)| (c, *n)).collect();
--- a/crates/fleet/limits/src/ledger/state.rs
+++ b/crates/fleet/limits/src/ledger/state.rs
@@ -15,6 +15,7 @@
 pub(super) struct Account {
     pub(super) front: FrontId,
     pub(super) ttl_ms: u32,
+    pub(super) tagged: bool,
     pub(super) renewals: u64,
     pub(super) shares: BTreeMap<Claim, Share>,
 }
@@ -26,6 +27,8 @@
     pub front: FrontId,
     /// How much of what.
     pub units: BTreeMap<Claim, u64>,
+    /// Boxes can say what is left of it.
+    pub tagged: bool,
     /// True time that has passed at least since its account ended, as leaders have counted, milliseconds.
     pub aged_ms: u64,
 }
--- a/crates/fleet/limits/src/words.rs
+++ b/crates/fleet/limits/src/words.rs
@@ -133,6 +133,8 @@
     Open {
         /// For so long each time.
         ttl_ms: u32,
+        /// Boxes can say what it left: each of its sessions carries a tag.
+        tagged: bool,
     },
     /// The account for as long again, and these shares as said.
     Settle {
--- a/crates/fleet/limits/tests/support/mod.rs
+++ b/crates/fleet/limits/tests/support/mod.rs
@@ -181,7 +181,7 @@
     fn host(&mut self) -> Host {
         self.lives += 1;
         let id = FrontId(self.lives);
-        let set = FrontSettings { rules: self.rules, drift: self.drift, seed: self.lives };
+        let set = FrontSettings { rules: self.rules, drift: self.drift, tagged: true, seed: self.lives };
         let mut front = Front::new(id, set);
         if let Some(fault) = self.fault {
             front.plant(fault);
--- a/crates/front/daemon/src/lib.rs
+++ b/crates/front/daemon/src/lib.rs
@@ -88,14 +88,6 @@
         Front::begin(settings, listener, false, Fleet::default())
     }
 
-    /// The same, as one of a fleet that tells it its number.
-    ///
-    /// # Errors
-    /// No socket or no thread.
-    pub fn start_among(settings: FrontSettings, numbers: Numbers) -> io::Result<Front> {
-        Front::begin(settings, None, false, Fleet { numbers: Some(numbers), gate: None })
-    }
-
     /// The same, with all that a fleet gives it.
     ///
     /// # Errors
--- a/crates/proof/standin/src/boxes/serve.rs
+++ b/crates/proof/standin/src/boxes/serve.rs
@@ -43,7 +43,8 @@
         if self.topples() {
             return Reply::HangUp;
         }
-        match self.serve(title, publishes, limit, &offer, link.socket) {
+        let tag = request.field(header::HeaderName::from_static(boxes::TAG));
+        match self.serve(title, publishes, limit, &offer, tag, link.socket) {
             Ok(reply) => reply,
             Err(Gone) => {
                 self.recorder.note(What::Dropped { server, offer });
@@ -58,6 +59,7 @@
         publishes: bool,
         limit: Option<f64>,
         offer: &str,
+        tag: Option<&str>,
         socket: &TcpStream,
     ) -> Result<Reply, Gone> {
         let server = self.spec.id;
@@ -113,6 +115,7 @@
                 rates_kb: rates.clone(),
                 rate_kb: fitting.or(rates.first().copied()).unwrap_or(0.0),
                 expires: Instant::now() + Duration::from_millis(media::EXPIRES_MS + 1000),
+                tag: tag.map(str::to_owned),
             };
             let boot = state.boot;
             (state.sessions.add(boot, session), credentials)
@@ -253,6 +256,10 @@
                 let report = this.lock().reported;
                 Response::new(StatusCode::OK).body(load::BODY, load::write(&report))
             }
+            (&Method::GET, boxes::TAGS_PATH) => {
+                let tags = serde_json::to_vec(&this.lock().sessions.tags()).unwrap_or_default();
+                Response::new(StatusCode::OK).body("application/json", tags)
+            }
             (&Method::DELETE, path) => {
                 if this.free(path, false) {
                     Response::new(StatusCode::OK)
--- a/crates/proof/standin/src/boxes/sip.rs
+++ b/crates/proof/standin/src/boxes/sip.rs
@@ -351,6 +351,7 @@
                 rate_kb: fitting.or(rates.first().copied()).unwrap_or(0.0),
                 rates_kb: rates,
                 expires: expires + STREAMLESS,
+                tag: None,
             };
             let boot = state.boot;
             (state.sessions.add(boot, session), boot)
--- a/crates/proof/standin/src/sessions.rs
+++ b/crates/proof/standin/src/sessions.rs
@@ -20,6 +20,8 @@
     pub rate_kb: f64,
     /// Without consent by then it is freed.
     pub expires: Instant,
+    /// What its front gave to be kept with it.
+    pub tag: Option<String>,
 }
 
 /// All sessions of a box, by path.
@@ -87,6 +89,15 @@
         self.by_path.iter().filter(|(_, s)| s.expires <= now).map(|(p, _)| p.clone()).collect()
     }
 
+    /// How many have which tag.
+    pub fn tags(&self) -> BTreeMap<&str, u64> {
+        let mut all = BTreeMap::new();
+        for tag in self.by_path.values().filter_map(|s| s.tag.as_deref()) {
+            *all.entry(tag).or_default() += 1;
+        }
+        all
+    }
+
     /// How many there are.
     pub fn len(&self) -> usize {
         self.by_path.len()
