--- a/crates/base/store/src/frame.rs
+++ b/crates/base/store/src/frame.rs
@@ -18,6 +18,8 @@
 //! | 21 | 4 | CRC-32 of the generation's number, the 21 bytes before, and the payload |
 //! | 25 | n | operations (postcard) |
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -43,8 +45,8 @@
     pub table: Table,
     /// Of which key.
     pub key: Vec<u8>,
-    /// Its value from now on; none: it is removed.
-    pub value: Option<Vec<u8>>,
+    /// Its value from now on; none: it is removed. Shared with the state that it goes into.
+    pub value: Option<Arc<[u8]>>,
 }
 
 /// What a frame is.
--- a/crates/base/store/src/lib.rs
+++ b/crates/base/store/src/lib.rs
@@ -19,4 +19,4 @@
 pub use recovery::Note;
 pub use typed::{Key, Record, TypedError};
 
-pub use store::{Batch, Compaction, Options, Store, StoreError, View, generation_of};
+pub use store::{Batch, Compaction, Options, Store, StoreError, View, Written, generation_of};
--- a/crates/base/store/src/recovery.rs
+++ b/crates/base/store/src/recovery.rs
@@ -115,7 +115,7 @@
 pub fn apply(state: &mut State, ops: Vec<Op>) {
     for Op { table, key, value } in ops {
         match value {
-            Some(value) => state.insert((table, key), value.into()),
+            Some(value) => state.insert((table, key), value),
             None => state.remove(&(table, key)),
         };
     }
--- a/crates/base/store/src/store.rs
+++ b/crates/base/store/src/store.rs
@@ -54,7 +54,12 @@
 impl Batch {
     /// Gives a key a value.
     pub fn put(&mut self, table: Table, key: impl Into<Vec<u8>>, value: impl Into<Vec<u8>>) -> &mut Self {
-        self.0.push(Op { table, key: key.into(), value: Some(value.into()) });
+        self.put_shared(table, key, value.into().into())
+    }
+
+    /// The same with a value that is held elsewhere too: there is one copy of it in memory.
+    pub fn put_shared(&mut self, table: Table, key: impl Into<Vec<u8>>, value: Arc<[u8]>) -> &mut Self {
+        self.0.push(Op { table, key: key.into(), value: Some(value) });
         self
     }
 
@@ -111,7 +116,7 @@
         let op = |((table, key), value): (&(Table, Vec<u8>), &Arc<[u8]>)| Op {
             table: *table,
             key: key.clone(),
-            value: Some(value.to_vec()),
+            value: Some(value.clone()),
         };
         self.state.iter().map(op).collect()
     }
--- a/crates/fleet/consensus/src/follower.rs
+++ b/crates/fleet/consensus/src/follower.rs
@@ -7,6 +7,7 @@
 use crate::outputs::Outputs;
 use crate::planted::Fault;
 use crate::raft::{Incoming, Raft, Role};
+use crate::rope::Rope;
 use crate::types::{Entry, Index, LogPos, MemberId, Snapshot};
 
 impl Raft {
@@ -121,8 +122,12 @@
         if offset == have && coming.state.len() + part.len() <= bound {
             coming.state.extend_from_slice(part);
             if last {
-                let state = std::mem::take(&mut coming.state).into();
+                let state = Rope::of_sent(&std::mem::take(&mut coming.state));
                 *incoming = None;
+                let Some(state) = state else {
+                    // All of it came and it is no state: it is asked for from its start.
+                    return self.say(from, Body::Installing { at, offset: 0, round }, out);
+                };
                 self.replace(Snapshot { at, members, state }, out);
                 let verdict = Verdict::Matches(self.commit);
                 return self.say(from, Body::Appended { verdict, round }, out);
--- a/crates/fleet/consensus/src/leader.rs
+++ b/crates/fleet/consensus/src/leader.rs
@@ -136,15 +136,16 @@
                     // A newer one was taken meanwhile: from its start.
                     (*at, *offset) = (s.at, 0);
                 }
-                let from = usize::try_from(*offset).unwrap_or(usize::MAX).min(s.state.len());
-                let to = (from + chunk_bytes).min(s.state.len());
+                let length = s.state.sent_length();
+                let from = usize::try_from(*offset).unwrap_or(usize::MAX).min(length);
+                let part = s.state.sent_part(from, chunk_bytes);
                 *sent = Some(now);
                 Body::Install {
                     at: s.at,
                     members: s.members.clone(),
                     offset: from as u64,
-                    part: Arc::from(&s.state[from..to]),
-                    last: to == s.state.len(),
+                    last: from + part.len() == length,
+                    part: part.into(),
                     round,
                 }
             }
--- a/crates/fleet/consensus/src/lib.rs
+++ b/crates/fleet/consensus/src/lib.rs
@@ -24,6 +24,7 @@
 mod planted;
 mod progress;
 mod raft;
+mod rope;
 mod types;
 
 pub use log::Stored;
@@ -32,4 +33,5 @@
 pub use outputs::{Disk, Hard, Outputs, Reads, Released, Save};
 pub use planted::Fault;
 pub use raft::{Input, Raft, RoleName, Status};
+pub use rope::{Chunk, ChunkName, MOST_CHUNK, MOST_CHUNKS, Rope};
 pub use types::{Entry, Index, LogPos, MemberId, Payload, Refused, Settings, Snapshot, Term, Ticket};
--- a/crates/fleet/consensus/src/log.rs
+++ b/crates/fleet/consensus/src/log.rs
@@ -4,6 +4,7 @@
 
 use crate::membership::Membership;
 use crate::outputs::{Hard, Save};
+use crate::rope::Rope;
 use crate::types::{Entry, Index, LogPos, Payload, Snapshot, Term};
 
 /// What a member's disk holds.
@@ -20,7 +21,7 @@
 impl Stored {
     /// The start of one of the first members.
     pub fn first(members: Membership) -> Stored {
-        let snapshot = Snapshot { at: LogPos::default(), members, state: std::sync::Arc::from([]) };
+        let snapshot = Snapshot { at: LogPos::default(), members, state: Rope::default() };
         Stored { snapshot: Some(snapshot), ..Stored::default() }
     }
 
@@ -42,21 +43,38 @@
     }
 }
 
-#[derive(Debug, Clone, Hash)]
+#[derive(Debug, Clone)]
 pub(crate) struct Log {
     /// The last entry that is not here any more.
     base: LogPos,
     entries: VecDeque<Entry>,
+    /// Of each entry, the bytes of all up to it that ever were here; and of those that are not any more. So that bytes past a
+    /// place are known without counting, as each proposal asks for them.
+    sums: VecDeque<usize>,
+    gone: usize,
     pub snapshot: Option<Snapshot>,
     /// Members as entries name them, by place, behind those of the snapshot.
     members: VecDeque<(Index, Membership)>,
 }
 
+/// What it says, whatever it once held.
+impl std::hash::Hash for Log {
+    fn hash<H: std::hash::Hasher>(&self, into: &mut H) {
+        (self.base, &self.entries, &self.snapshot, &self.members).hash(into);
+    }
+}
+
 impl Log {
     pub fn restore(stored: Stored) -> Log {
         let at = stored.snapshot.as_ref().map(|s| s.at).unwrap_or_default();
-        let mut log =
-            Log { base: at, entries: VecDeque::new(), snapshot: stored.snapshot, members: VecDeque::new() };
+        let mut log = Log {
+            base: at,
+            entries: VecDeque::new(),
+            sums: VecDeque::new(),
+            gone: 0,
+            snapshot: stored.snapshot,
+            members: VecDeque::new(),
+        };
         // What the snapshot has may lie behind it too, for members that are late.
         if let Some(first) = stored.entries.first()
             && first.at.index <= at.index
@@ -76,9 +94,20 @@
         if let Payload::Members(m) = &entry.payload {
             self.members.push_back((entry.at.index, m.clone()));
         }
+        self.sums.push_back(self.sum() + entry.size());
         self.entries.push_back(entry);
     }
 
+    /// Bytes of all entries that ever were here, in their order.
+    fn sum(&self) -> usize {
+        self.sums.back().copied().unwrap_or(self.gone)
+    }
+
+    fn pop_front(&mut self) {
+        self.entries.pop_front();
+        self.gone = self.sums.pop_front().unwrap_or(self.gone);
+    }
+
     pub fn last(&self) -> LogPos {
         self.entries.back().map_or(self.base, |e| e.at)
     }
@@ -127,13 +156,17 @@
 
     /// Bytes of entries past a place.
     pub fn bytes_after(&self, index: Index) -> usize {
-        self.entries.iter().rev().take_while(|e| e.at.index > index).map(Entry::size).sum()
+        let through = index.0.checked_sub(self.first().0).and_then(|at| usize::try_from(at).ok());
+        // Past the last: nothing; before the first: all that is here.
+        let before = through.map_or(self.gone, |at| self.sums.get(at).copied().unwrap_or(self.sum()));
+        self.sum() - before
     }
 
     /// Lets go of entries from a place on.
     pub fn cut(&mut self, from: Index) {
         while self.entries.back().is_some_and(|e| e.at.index >= from) {
             self.entries.pop_back();
+            self.sums.pop_back();
         }
         while self.members.back().is_some_and(|m| m.0 >= from) {
             self.members.pop_back();
@@ -152,12 +185,17 @@
         of_entry.or_else(|| self.snapshot.as_ref().map(|s| s.members.clone())).unwrap_or_default()
     }
 
-    /// Takes a snapshot of what is here, and keeps so many entries behind it; through which entries were let go.
-    pub fn compact(&mut self, snapshot: Snapshot, kept: u64) -> Index {
-        let through = Index(snapshot.at.index.0.saturating_sub(kept)).max(self.base.index);
+    /// Takes a snapshot of what is here, and keeps so many entries behind it, of so many bytes at most; through which entries
+    /// were let go.
+    pub fn compact(&mut self, snapshot: Snapshot, kept: u64, kept_bytes: usize) -> Index {
+        let at = snapshot.at.index;
+        let mut through = Index(at.0.saturating_sub(kept)).max(self.base.index);
+        while through < at && self.bytes_after(through) - self.bytes_after(at) > kept_bytes {
+            through = through.next();
+        }
         let term = self.term_at(through).unwrap_or_default();
         while self.entries.front().is_some_and(|e| e.at.index <= through) {
-            self.entries.pop_front();
+            self.pop_front();
         }
         self.base = LogPos { term, index: through };
         self.members.retain(|m| m.0 > snapshot.at.index);
@@ -169,9 +207,11 @@
     pub fn install(&mut self, snapshot: Snapshot) -> bool {
         let goes_on = self.term_at(snapshot.at.index) == Some(snapshot.at.term);
         if goes_on {
-            self.compact(snapshot, 0);
+            self.compact(snapshot, 0, 0);
         } else {
+            self.gone = self.sum();
             self.entries.clear();
+            self.sums.clear();
             self.members.clear();
             self.base = snapshot.at;
             self.snapshot = Some(snapshot);
--- a/crates/fleet/consensus/src/raft.rs
+++ b/crates/fleet/consensus/src/raft.rs
@@ -11,7 +11,8 @@
 use crate::message::{Body, Message};
 use crate::outputs::{Hard, Outputs};
 use crate::planted::Fault;
-use crate::progress::Progress;
+use crate::progress::{Flow, Progress};
+use crate::rope::Rope;
 use crate::types::{Entry, Index, LogPos, MemberId, Payload, Refused, Settings, Snapshot, Term, Ticket};
 
 /// What a member hears.
@@ -29,8 +30,8 @@
     Read(Ticket),
     /// The lead is to go to this member.
     HandOver(MemberId),
-    /// The replicated state up to a place that was applied.
-    Compact(Index, std::sync::Arc<[u8]>),
+    /// The replicated state up to a place that was applied. Whether one is wanted is said by [`Raft::may_compact`].
+    Compact(Index, Rope),
 }
 
 /// A read that waits for a quorum to hear of a round.
@@ -370,12 +371,27 @@
         self.commit = to;
     }
 
-    fn compact(&mut self, index: Index, state: std::sync::Arc<[u8]>, out: &mut Outputs) {
+    /// Bytes of its log past its newest snapshot.
+    pub fn log_bytes(&self) -> usize {
+        self.log.bytes_after(self.log.snapshot.as_ref().map_or(Index(0), |s| s.at.index))
+    }
+
+    /// Whether a snapshot may be taken now. Not while a leader sends one to a member, for as long as it can put up with it: that
+    /// member would have to begin anew.
+    pub fn may_compact(&self) -> bool {
+        let sends = match &self.role {
+            Role::Leader(l) => l.others.values().any(|p| matches!(p.flow, Flow::Snapshot { .. })),
+            _ => false,
+        };
+        !sends || self.log_bytes() > self.set.held_bytes
+    }
+
+    fn compact(&mut self, index: Index, state: Rope, out: &mut Outputs) {
         let newer = self.log.snapshot.as_ref().is_none_or(|s| s.at.index < index);
         let (true, true, Some(term)) = (newer, index <= self.commit, self.log.term_at(index)) else { return };
         let at = LogPos { term, index };
         let snapshot = Snapshot { at, members: self.log.members_at(index), state };
         out.save.snapshot = Some(snapshot.clone());
-        out.save.drop_through = Some(self.log.compact(snapshot, self.set.kept_entries));
+        out.save.drop_through = Some(self.log.compact(snapshot, self.set.kept_entries, self.set.kept_bytes));
     }
 }
--- a/crates/fleet/consensus/src/types.rs
+++ b/crates/fleet/consensus/src/types.rs
@@ -8,6 +8,7 @@
 use thiserror::Error;
 
 use crate::membership::Membership;
+use crate::rope::Rope;
 
 macro_rules! number {
     ($($(#[$doc:meta])* $name:ident),* $(,)?) => {$(
@@ -87,14 +88,14 @@
 }
 
 /// The replicated state up to an entry.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Snapshot {
     /// The last entry that is in it.
     pub at: LogPos,
     /// The members as of that entry.
     pub members: Membership,
     /// The state, not read here.
-    pub state: Arc<[u8]>,
+    pub state: Rope,
 }
 
 /// Times and bounds of a member.
@@ -115,10 +116,16 @@
     pub uncommitted_bytes: usize,
     /// Bytes of one proposal.
     pub proposal_bytes: usize,
-    /// Bytes of a snapshot that a member takes.
+    /// Bytes of a snapshot that a member takes. Whatever makes the state keeps it under this: a member whose disk was lost could
+    /// never be replaced otherwise.
     pub snapshot_bytes: usize,
     /// Entries kept behind a snapshot, for members that are a little late.
     pub kept_entries: u64,
+    /// Bytes of them at most.
+    pub kept_bytes: usize,
+    /// Bytes of the log past its newest snapshot that a leader puts up with while a member is being sent that snapshot. Guards
+    /// against a member that is never done, as a newer snapshot comes each time before it has the last one.
+    pub held_bytes: usize,
     /// Reads that wait for their round.
     pub reads: usize,
 }
@@ -132,9 +139,11 @@
             chunk_bytes: 64 << 10,
             window: 16,
             uncommitted_bytes: 1 << 20,
-            proposal_bytes: 32 << 10,
-            snapshot_bytes: 16 << 20,
+            proposal_bytes: 72 << 10,
+            snapshot_bytes: 200 << 20,
             kept_entries: 256,
+            kept_bytes: 4 << 20,
+            held_bytes: 32 << 20,
             reads: 1024,
         }
     }
--- a/crates/fleet/consensus/tests/support/mod.rs
+++ b/crates/fleet/consensus/tests/support/mod.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use beechloft_consensus::{
-    Change, Disk, Entry, Fault, Index, Input, LogPos, MemberId, Membership, Message, Outputs, Payload, Raft,
-    Released, Save, Settings, Stored, Term, Ticket,
+    Change, Chunk, Disk, Entry, Fault, Index, Input, LogPos, MemberId, Membership, Message, Outputs, Payload,
+    Raft, Released, Rope, Save, Settings, Stored, Term, Ticket,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -381,7 +381,9 @@
     pub fn compact(&mut self, id: MemberId) {
         let Some(host) = self.hosts.get(&id) else { return };
         let (applied, state) = (host.applied, host.state.to_be_bytes());
-        self.hear(id, Input::Compact(applied, state.into()));
+        // In two pieces, of which one changes each time.
+        let state = [Chunk::new(&b"state"[..]), Chunk::new(state.to_vec())].to_vec();
+        self.hear(id, Input::Compact(applied, Rope::new(state)));
     }
 
     /// Members as the newest leader has them.
@@ -413,6 +415,7 @@
     (state ^ of ^ (term.0 << 32) ^ index.0).wrapping_mul(0x0100_0000_01b3)
 }
 
-fn state_of(bytes: &[u8]) -> u64 {
-    bytes.try_into().map_or(0, u64::from_be_bytes)
+fn state_of(state: &Rope) -> u64 {
+    let bytes = state.gather();
+    bytes.strip_prefix(b"state").and_then(|b| b.try_into().ok()).map_or(0, u64::from_be_bytes)
 }
--- a/crates/fleet/keeper/src/store.rs
+++ b/crates/fleet/keeper/src/store.rs
@@ -1,17 +1,30 @@
 //! A keeper's log, snapshot, vote and identity in a store of the project's own.
 
+use std::collections::BTreeSet;
+use std::fs::File;
 use std::path::Path;
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
 
-use beechloft_consensus::{Disk, Entry, Hard, MemberId, Save, Snapshot, Stored};
+use beechloft_consensus::{
+    Chunk, ChunkName, Disk, Entry, Hard, LogPos, MemberId, Membership, Rope, Save, Snapshot, Stored,
+};
 use beechloft_store::fs::Disk as Folder;
-use beechloft_store::{Batch, Options, Store, StoreError, Table};
+use beechloft_store::{Batch, Options, Store, StoreError, Table, View, Written};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 const IDENTITY: Table = Table(1);
 const HARD: Table = Table(2);
 const ENTRIES: Table = Table(3);
-const SNAPSHOT: Table = Table(4);
+/// A snapshot in one piece, as versions before had it. It is read, and goes when the next one comes.
+const WHOLE: Table = Table(4);
+/// The snapshot: where it stands, its members, and the names of its pieces in order.
+const SNAPSHOT: Table = Table(5);
+/// The pieces of the snapshot by name.
+const CHUNKS: Table = Table(6);
+/// A state of up to so many bytes is compacted at once, a larger one beside what goes on.
+const AT_ONCE: usize = 1 << 20;
 const ONE: &[u8] = b"1";
 
 /// Whose folder it is: drawn with it, so that an emptied folder is another member.
@@ -21,6 +34,22 @@
     member: u64,
 }
 
+/// A snapshot as versions before had it.
+#[derive(Debug, Deserialize)]
+struct Whole {
+    at: LogPos,
+    members: Membership,
+    state: Vec<u8>,
+}
+
+/// A snapshot but for its pieces.
+#[derive(Debug, Serialize, Deserialize)]
+struct Head {
+    at: LogPos,
+    members: Membership,
+    chunks: Vec<([u8; 32], u32)>,
+}
+
 /// Why a folder can't be used. Nothing in it was changed.
 #[derive(Debug, Error)]
 pub enum OpenError {
@@ -38,9 +67,25 @@
     Unreadable(&'static str),
 }
 
+/// A compaction that is written on a thread of its own.
+type Compacting = JoinHandle<Result<Written<File>, StoreError>>;
+
 /// A keeper's disk.
 pub struct LogStore {
     store: Store<Folder>,
+    folder: Folder,
+    /// Pieces of the snapshot that are there.
+    chunks: BTreeSet<ChunkName>,
+    compacting: Option<Compacting>,
+}
+
+/// Its thread writes into the folder, which may be opened again after this.
+impl Drop for LogStore {
+    fn drop(&mut self) {
+        if let Some(thread) = self.compacting.take() {
+            let _ = thread.join();
+        }
+    }
 }
 
 fn read<T: for<'a> Deserialize<'a>>(bytes: &[u8], what: &'static str) -> Result<T, OpenError> {
@@ -58,7 +103,8 @@
     /// # Errors
     /// Another fleet's, in use, damaged or unreadable; then nothing in it was changed.
     pub fn open(folder: &Path, fleet: &str) -> Result<(LogStore, MemberId, Stored), OpenError> {
-        let (mut store, _) = Store::open(Folder::open(folder)?, Options::default())?;
+        let folder = Folder::open(folder)?;
+        let (mut store, _) = Store::open(folder.clone(), Options::default())?;
         let view = store.view();
         let identity: Identity = match view.get(IDENTITY, ONE) {
             Some(text) => read(&text, "the member's identity")?,
@@ -80,7 +126,7 @@
             term: beechloft_consensus::Term(term),
             vote: vote.map(MemberId),
         });
-        let snapshot = view.get(SNAPSHOT, ONE).map(|b| read::<Snapshot>(&b, "the snapshot")).transpose()?;
+        let snapshot = snapshot(&view)?;
         let mut entries: Vec<Entry> = Vec::new();
         for (_, value) in view.table(ENTRIES) {
             let entry: Entry = read(value, "an entry")?;
@@ -89,8 +135,64 @@
             }
             entries.push(entry);
         }
-        Ok((LogStore { store }, MemberId(identity.member), Stored { hard, snapshot, entries }))
+        let chunks = view.table(CHUNKS).filter_map(|(key, _)| ChunkName::of_key(key)).collect();
+        let disk = LogStore { store, folder, chunks, compacting: None };
+        Ok((disk, MemberId(identity.member), Stored { hard, snapshot, entries }))
+    }
+
+    /// Puts a snapshot in place of the last one. Pieces that both have stay as they are.
+    fn put_snapshot(&mut self, snapshot: &Snapshot, batch: &mut Batch) {
+        let mut named = BTreeSet::new();
+        let names = snapshot.state.chunks().iter().map(|c| (c.name().hash, c.name().length)).collect();
+        for chunk in snapshot.state.chunks() {
+            let name = chunk.name();
+            if named.insert(name) && !self.chunks.contains(&name) {
+                batch.put_shared(CHUNKS, name.key(), Arc::clone(chunk.bytes()));
+            }
+        }
+        for gone in self.chunks.difference(&named) {
+            batch.remove(CHUNKS, gone.key());
+        }
+        let head = Head { at: snapshot.at, members: snapshot.members.clone(), chunks: names };
+        batch.put(SNAPSHOT, ONE, bytes(&head)).remove(WHOLE, ONE);
+        self.chunks = named;
+    }
+
+    /// Has the log begin anew where it has become long. Guards against a leader that is silent for as long as a large state
+    /// takes to be written, and loses the lead by it.
+    fn compact(&mut self) -> Result<(), StoreError> {
+        if let Some(thread) = self.compacting.take_if(|t| t.is_finished()) {
+            let written = thread.join().map_err(|_| StoreError::Stopped("write a generation"))??;
+            return self.store.finish(written);
+        }
+        if self.compacting.is_some() || !self.store.wants_compaction() {
+            return Ok(());
+        }
+        let size: usize = self.chunks.iter().map(|c| c.length as usize).sum();
+        if size <= AT_ONCE {
+            return self.store.compact();
+        }
+        let (compaction, folder) = (self.store.compaction()?, self.folder.clone());
+        let thread = thread::Builder::new().name("compacts".into()).spawn(move || compaction.write(&folder));
+        self.compacting = Some(thread.map_err(|error| StoreError::Io { what: "start a thread", error })?);
+        Ok(())
+    }
+}
+
+fn snapshot(view: &View) -> Result<Option<Snapshot>, OpenError> {
+    if let Some(whole) = view.get(WHOLE, ONE) {
+        let Whole { at, members, state } = read(&whole, "the snapshot")?;
+        return Ok(Some(Snapshot { at, members, state: Rope::whole(state) }));
+    }
+    let Some(head) = view.get(SNAPSHOT, ONE) else { return Ok(None) };
+    let Head { at, members, chunks } = read(&head, "the snapshot")?;
+    let mut state = Vec::with_capacity(chunks.len());
+    for (hash, length) in chunks {
+        let name = ChunkName { hash, length };
+        let chunk = view.get(CHUNKS, &name.key()).map(Chunk::new).filter(|c| c.name() == name);
+        state.push(chunk.ok_or(OpenError::Unreadable("a piece of the snapshot"))?);
     }
+    Ok(Some(Snapshot { at, members, state: Rope::new(state) }))
 }
 
 impl Disk for LogStore {
@@ -103,7 +205,7 @@
             batch.put(HARD, ONE, bytes(&(hard.term.0, hard.vote.map(|v| v.0))));
         }
         if let Some(snapshot) = &save.snapshot {
-            batch.put(SNAPSHOT, ONE, bytes(snapshot));
+            self.put_snapshot(snapshot, &mut batch);
         }
         if save.drop_through.is_some() || save.cut_from.is_some() {
             let gone = |index: u64| {
@@ -120,59 +222,9 @@
         }
         self.store.write(batch)?;
         self.store.sync()?;
-        if self.store.wants_compaction() {
-            self.store.compact()?;
-        }
-        Ok(())
+        self.compact()
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use beechloft_consensus::{Index, LogPos, Membership, Payload, Term};
-
-    fn entry(index: u64, term: u64) -> Entry {
-        let at = LogPos { term: Term(term), index: Index(index) };
-        Entry { at, payload: Payload::Command(vec![index as u8].into()) }
-    }
-
-    #[test]
-    fn what_was_saved_is_there_again_and_anothers_folder_is_refused() {
-        let dir = tempfile::tempdir().expect("a folder");
-        let (mut log, id, stored) = LogStore::open(dir.path(), "market").expect("it opens");
-        assert_eq!(stored, Stored::default());
-        let mut expected = Stored::default();
-        let saves = [
-            Save { hard: Some(Hard { term: Term(3), vote: Some(MemberId(7)) }), ..Save::default() },
-            Save { entries: (1..6).map(|i| entry(i, 3)).collect(), ..Save::default() },
-            Save { cut_from: Some(Index(4)), entries: vec![entry(4, 4)], ..Save::default() },
-            Save {
-                snapshot: Some(Snapshot {
-                    at: LogPos { term: Term(3), index: Index(2) },
-                    members: Membership::of([(MemberId(1), "a".into())]),
-                    state: vec![1, 2].into(),
-                }),
-                drop_through: Some(Index(2)),
-                ..Save::default()
-            },
-        ];
-        for save in &saves {
-            log.save(save).expect("saved");
-            expected.apply(save);
-        }
-        drop(log);
-        let (log, again, stored) = LogStore::open(dir.path(), "market").expect("it opens");
-        assert_eq!((again, stored), (id, expected));
-        assert!(matches!(LogStore::open(dir.path(), "market"), Err(OpenError::Store(StoreError::Locked))));
-        drop(log);
-        let other = LogStore::open(dir.path(), "other").err().expect("refused");
-        assert_eq!(other.to_string(), "the folder belongs to the fleet 'market'");
-        let fresh = tempfile::tempdir().expect("a folder");
-        assert_ne!(
-            LogStore::open(fresh.path(), "market").expect("it opens").1,
-            id,
-            "an emptied folder is another"
-        );
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/fleet/keeper/src/store/tests.rs
@@ -0,0 +1,172 @@
+use std::path::PathBuf;
+
+use beechloft_consensus::{Index, Payload, Term};
+
+use super::*;
+
+fn entry(index: u64, term: u64) -> Entry {
+    let at = LogPos { term: Term(term), index: Index(index) };
+    Entry { at, payload: Payload::Command(vec![index as u8].into()) }
+}
+
+fn snapshot(index: u64, pieces: &[&str]) -> Snapshot {
+    let chunks: Vec<Chunk> = pieces.iter().map(|p| Chunk::new(p.as_bytes())).collect();
+    Snapshot {
+        at: LogPos { term: Term(3), index: Index(index) },
+        members: Membership::of([(MemberId(1), "a".into())]),
+        state: Rope::new(chunks),
+    }
+}
+
+fn saves() -> Vec<Save> {
+    let with = |index, pieces: &[&str]| Save {
+        snapshot: Some(snapshot(index, pieces)),
+        drop_through: Some(Index(index)),
+        entries: vec![entry(index + 4, 4)],
+        ..Save::default()
+    };
+    vec![
+        Save { hard: Some(Hard { term: Term(3), vote: Some(MemberId(7)) }), ..Save::default() },
+        Save { entries: (1..6).map(|i| entry(i, 3)).collect(), ..Save::default() },
+        Save { cut_from: Some(Index(4)), entries: vec![entry(4, 4), entry(5, 4)], ..Save::default() },
+        with(2, &["first", "same", "gone", "same"]),
+        with(3, &["second", "same", "new"]),
+        // The same again, and one of none.
+        with(4, &["second", "same", "new"]),
+        with(5, &[]),
+    ]
+}
+
+#[test]
+fn what_was_saved_is_there_again_and_anothers_folder_is_refused() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let (mut log, id, stored) = LogStore::open(dir.path(), "market").expect("it opens");
+    assert_eq!(stored, Stored::default());
+    let mut expected = Stored::default();
+    for save in saves() {
+        log.save(&save).expect("saved");
+        expected.apply(&save);
+    }
+    drop(log);
+    let (log, again, stored) = LogStore::open(dir.path(), "market").expect("it opens");
+    assert_eq!((again, stored), (id, expected));
+    assert!(matches!(LogStore::open(dir.path(), "market"), Err(OpenError::Store(StoreError::Locked))));
+    drop(log);
+    let other = LogStore::open(dir.path(), "other").err().expect("refused");
+    assert_eq!(other.to_string(), "the folder belongs to the fleet 'market'");
+    let fresh = tempfile::tempdir().expect("a folder");
+    assert_ne!(
+        LogStore::open(fresh.path(), "market").expect("it opens").1,
+        id,
+        "an emptied folder is another"
+    );
+}
+
+/// The file of the newest generation.
+fn newest(folder: &Path) -> PathBuf {
+    let all = std::fs::read_dir(folder).expect("a folder").flatten().map(|e| e.path());
+    all.filter(|p| p.extension().is_some_and(|e| e == "log")).max().expect("a generation")
+}
+
+/// Power goes at any byte of what is written around snapshots in pieces: what is found is what some save made, whole, and not
+/// an earlier one than the last that was synced.
+#[test]
+fn cut_at_any_byte_it_is_what_some_save_made_and_never_a_mixture() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let (mut log, _, _) = LogStore::open(dir.path(), "market").expect("it opens");
+    let length = || newest(dir.path()).metadata().expect("it is there").len() as usize;
+    let (mut made, mut stored) = (vec![(length(), Stored::default())], Stored::default());
+    for save in saves() {
+        log.save(&save).expect("saved");
+        stored.apply(&save);
+        made.push((length(), stored.clone()));
+    }
+    drop(log);
+    let file = newest(dir.path());
+    let (name, bytes) = (file.file_name().expect("a name"), std::fs::read(&file).expect("read"));
+    let mut found = Vec::new();
+    for cut in made[0].0..=bytes.len() {
+        let copy = tempfile::tempdir().expect("a folder");
+        std::fs::write(copy.path().join(name), &bytes[..cut]).expect("written");
+        let (_, _, there) = LogStore::open(copy.path(), "market").unwrap_or_else(|e| panic!("{cut}: {e}"));
+        let last = made.iter().rposition(|(end, _)| *end <= cut).expect("the first");
+        assert_eq!(there, made[last].1, "cut at {cut}");
+        found.push(last);
+    }
+    found.dedup();
+    assert_eq!(found, (0..made.len()).collect::<Vec<_>>(), "each save was found once");
+}
+
+#[test]
+fn pieces_that_the_last_snapshot_has_are_not_written_again_and_those_that_none_has_go() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let (mut log, _, _) = LogStore::open(dir.path(), "market").expect("it opens");
+    let large: Vec<String> = (0..8).map(|n| n.to_string().repeat(4_000)).collect();
+    let mut length = newest(dir.path()).metadata().expect("it is there").len();
+    let mut wrote = |log: &mut LogStore, index: u64, pieces: &[&str]| {
+        let save = Save { snapshot: Some(snapshot(index, pieces)), ..Save::default() };
+        log.save(&save).expect("saved");
+        let now = newest(dir.path()).metadata().expect("it is there").len();
+        now - std::mem::replace(&mut length, now)
+    };
+    let all: Vec<&str> = large.iter().map(String::as_str).collect();
+    assert!(wrote(&mut log, 1, &all) > 32_000);
+    let less = wrote(&mut log, 2, &[all[1], all[0], "more"]);
+    assert!(less < 1_000, "{less} bytes for a snapshot that adds four");
+    assert_eq!(log.store.view().table(CHUNKS).count(), 3);
+    assert!(wrote(&mut log, 3, &all[..3]) > 4_000);
+}
+
+/// As the version before wrote it: tables 1 to 4, the state in one piece.
+#[test]
+fn a_folder_of_the_version_before_is_read_and_gone_on_with() {
+    #[derive(Serialize)]
+    struct Before {
+        at: LogPos,
+        members: Membership,
+        state: Vec<u8>,
+    }
+    let dir = tempfile::tempdir().expect("a folder");
+    let new = snapshot(2, &["whole"]);
+    let (mut log, _, _) = LogStore::open(dir.path(), "market").expect("it opens");
+    let before = Before { at: new.at, members: new.members.clone(), state: b"whole".to_vec() };
+    let mut batch = Batch::default();
+    batch.put(WHOLE, ONE, bytes(&before));
+    log.store.write(batch).expect("written");
+    drop(log);
+    let (mut log, _, stored) = LogStore::open(dir.path(), "market").expect("it opens");
+    assert_eq!(stored.snapshot, Some(new));
+    let next = snapshot(3, &["a", "b"]);
+    log.save(&Save { snapshot: Some(next.clone()), ..Save::default() }).expect("saved");
+    drop(log);
+    let (_, _, stored) = LogStore::open(dir.path(), "market").expect("it opens");
+    assert_eq!(stored.snapshot, Some(next));
+}
+
+/// A large state is compacted beside what is saved meanwhile, and nothing of that is lost.
+#[test]
+fn a_large_state_is_compacted_beside_saves() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let (mut log, id, _) = LogStore::open(dir.path(), "market").expect("it opens");
+    let large: Vec<String> = (0..40).map(|n| format!("{n} ").repeat(20_000)).collect();
+    let pieces: Vec<&str> = large.iter().map(String::as_str).collect();
+    let mut expected = Stored::default();
+    let (mut index, mut threads) = (5u64, 0);
+    while log.store.generation() < 3 {
+        index += 1;
+        let save = Save {
+            snapshot: index.is_multiple_of(7).then(|| snapshot(index - 1, &pieces[(index % 5) as usize..])),
+            drop_through: index.is_multiple_of(7).then_some(Index(index - 1)),
+            entries: vec![entry(index, 3)],
+            ..Save::default()
+        };
+        log.save(&save).expect("saved");
+        expected.apply(&save);
+        threads += u64::from(log.compacting.is_some());
+        assert!(index < 1_000_000, "it is never compacted");
+    }
+    assert!(threads > 0, "none was beside");
+    drop(log);
+    let (_, again, stored) = LogStore::open(dir.path(), "market").expect("it opens");
+    assert_eq!((again, stored), (id, expected));
+}
