Topics are part of what keepers agree on, and any keeper serves them on sockets

Publishers' requests go through the keepers' log by whichever keeper leads; settings (`fleet.topics`, none by default) name the topics that there are to be, and the leader has the log say so. Each keeper serves subscribers from what it has applied, up to 640, with how far that is and for how long it has heard no leader: a subscription has no queue there, it is asked for more when its connection has room for it (four words) and its subscriber allows it, 512 KiB a turn for all, and what is told to many is made once. A publisher and a follower for processes, each on a thread of its own, go to another keeper when one is silent, behind or cut off. `fleet status` shows topics.

--- a/crates/cli/src/fleet.rs
+++ b/crates/cli/src/fleet.rs
@@ -249,16 +249,7 @@
             println!("{}", serde_json::json!({"keeper": keeper.to_string(), "status": status}));
         } else {
             match status {
-                Some(s) => println!(
-                    "{keeper}  {}  {}  term {}  committed {} of {}  voters {} of {}",
-                    s.id,
-                    s.role,
-                    s.term,
-                    s.commit,
-                    s.last,
-                    s.members.iter().filter(|m| m.voter).count(),
-                    s.members.len()
-                ),
+                Some(s) => print_status(keeper, &s),
                 None => println!("{keeper}  not reached"),
             }
         }
@@ -266,6 +257,25 @@
     if reached * 2 > set.keepers.len() { ExitCode::SUCCESS } else { ExitCode::from(1) }
 }
 
+fn print_status(keeper: &std::net::SocketAddr, s: &StatusLine) {
+    let voters = s.members.iter().filter(|m| m.voter).count();
+    println!(
+        "{keeper}  {}  {}  term {}  committed {} of {}  voters {voters} of {}",
+        s.id,
+        s.role,
+        s.term,
+        s.commit,
+        s.last,
+        s.members.len()
+    );
+    for t in &s.topics {
+        println!(
+            "    topic {}  head {}  horizon {}  keys {}  bytes {} (held {})  subscribers {}  behind {} ms at most",
+            t.name, t.head, t.horizon, t.keys, t.bytes, t.held_bytes, t.subscribers, s.silent_ms
+        );
+    }
+}
+
 /// Runs one of `lease`'s.
 pub fn lease(command: &Lease) -> ExitCode {
     match command {
--- a/crates/fleet/group/src/asked.rs
+++ b/crates/fleet/group/src/asked.rs
@@ -2,6 +2,7 @@
 
 use beechloft_consensus::{Input, LogPos, Message, Refused, Ticket};
 use beechloft_leases::{Event, Heard, Name, Request, Table};
+use beechloft_topic::{PublisherId, TopicEvent, TopicHeard, TopicRequest};
 
 /// Whoever asked over one connection, as the shell names it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -20,6 +21,10 @@
     List(ClientId),
     /// All grants, as of now, and from then on each that is made or ends; of one task or of all.
     Watch(ClientId, Option<Name>),
+    /// A publisher's request.
+    Publish(ClientId, TopicRequest),
+    /// There is to be a topic, or it is to have other terms: drawn life, name, terms. Nobody hears of it but by the log.
+    Declare(u64, Name, beechloft_topic::Terms),
     /// Whoever asked over this connection is gone.
     Closed(ClientId),
     /// Anything else for the log's machine: changes of members, the lead handed over.
@@ -41,6 +46,12 @@
     Told(ClientId, Event),
     /// One who watches hears nothing here any more, and is to ask the keeper that leads: this one may be cut off.
     Unwatched(ClientId),
+    /// For a publisher.
+    TopicHeard(ClientId, TopicHeard),
+    /// A publisher's request was not taken: this keeper does not lead, or has too much to do.
+    NotPublished(ClientId, PublisherId, Refused),
+    /// What has changed with the topics.
+    TopicEvent(TopicEvent),
     /// What became of something for the log's machine.
     Group(Ticket, Result<LogPos, Refused>),
 }
--- a/crates/fleet/group/src/keeper.rs
+++ b/crates/fleet/group/src/keeper.rs
@@ -6,16 +6,21 @@
     Index, Input, MemberId, Outputs, Payload, Raft, Refused, Released, Settings, Status, Stored, Term,
 };
 use beechloft_leases::{Drift, Table};
+use beechloft_topic::{Session, TopicCommand, TopicOp, Topics};
 
 use crate::asked::{Asked, KeeperOutput};
 use crate::command::Command;
-use crate::parts::{LeasesWait, Moment, State, Waits};
+use crate::parts::{LeasesWait, Moment, State, TopicsWait, Waits};
 use crate::planted::Fault;
 use crate::snapshot::StateError;
 use crate::waiting::Waiting;
 
-/// A snapshot is taken after so many entries.
-const SNAPSHOT_EVERY: u64 = 4096;
+/// A snapshot is taken when the log past the last one is as long as the state was then (dissertation, section 5.1.2): so the disk
+/// is written at most about twice for each byte, and a start reads at most about twice the state. Between these bounds, bytes: a
+/// small state is not written for every few entries, and a start never goes through more log than this.
+const LOG_BYTES: std::ops::RangeInclusive<usize> = 256 << 10..=16 << 20;
+/// ... and after so many entries: those that say little are short, and a start goes through each of them.
+const LOG_ENTRIES: u64 = 16_384;
 
 /// A keeper.
 #[derive(Debug, Clone)]
@@ -94,6 +99,27 @@
         self.state.leases.table()
     }
 
+    /// Its topics, which may be behind.
+    pub fn topics(&self) -> &Topics {
+        self.state.topics.topics()
+    }
+
+    /// The last entry that is in its state.
+    pub fn applied(&self) -> Index {
+        self.applied
+    }
+
+    /// For how long it has not heard from a leader; a leader hears itself.
+    pub fn silent(&self) -> Duration {
+        self.raft.unheard().unwrap_or_default()
+    }
+
+    /// Has the topics' cleaners work, in a bounded step; whether there is more to do. Not for the log: each keeper cleans for
+    /// itself, and what it promises stays the same.
+    pub fn clean(&mut self) -> bool {
+        self.state.topics.clean()
+    }
+
     /// Whether a grant runs out by then, as it has counted.
     pub fn runs_out_by(&self, now: Duration) -> bool {
         self.leads_in.is_some() && self.state.leases.runs_out_by(now)
@@ -129,6 +155,19 @@
                     self.turned_away.push(waits);
                 }
             }
+            Asked::Publish(client, request) => {
+                let session = match request.op {
+                    TopicOp::Publish { session, .. } => session,
+                    TopicOp::Begin { .. } => Session::default(),
+                };
+                let waits = TopicsWait::Publish(client, request.publisher, session, request.seq());
+                let command = Command::Topics(TopicCommand::Ask(request));
+                self.propose(&command, Waits::Topics(waits), out);
+            }
+            Asked::Declare(life, topic, terms) => {
+                let command = Command::Topics(TopicCommand::Declare { topic, life, terms });
+                self.propose(&command, Waits::Topics(TopicsWait::Nobody), out);
+            }
             Asked::Closed(client) => self.state.closed(client),
             Asked::Group(input) => self.raft.handle(now, input, out),
         }
@@ -174,9 +213,12 @@
     }
 
     fn compact(&mut self, out: &mut Outputs) {
-        if self.applied.0 >= self.snapshot_at.0 + SNAPSHOT_EVERY {
+        let state = self.raft.snapshot().map_or(0, |s| s.state.bytes());
+        let long = self.raft.log_bytes() >= state.clamp(*LOG_BYTES.start(), *LOG_BYTES.end());
+        let many = self.applied.0 >= self.snapshot_at.0 + LOG_ENTRIES;
+        if (long || many) && self.applied > self.snapshot_at && self.raft.may_compact() {
             self.snapshot_at = self.applied;
-            let input = Input::Compact(self.applied, self.state.write().into());
+            let input = Input::Compact(self.applied, self.state.write());
             self.raft.handle(self.now, input, out);
         }
     }
--- a/crates/fleet/group/src/parts.rs
+++ b/crates/fleet/group/src/parts.rs
@@ -2,19 +2,21 @@
 
 use std::time::Duration;
 
-use beechloft_consensus::Refused;
+use beechloft_consensus::{Chunk, Refused, Rope};
 use beechloft_leases::Drift;
 
 use crate::asked::{ClientId, KeeperOutput};
-use crate::command::Command;
+use crate::command::{Command, tag};
 use crate::planted::Fault;
-use crate::snapshot::StateError;
+use crate::snapshot::{self, StateError};
 
 mod leases;
+mod topics;
 
 #[cfg(test)]
 pub(crate) use leases::MOST_WATCHERS;
 pub(crate) use leases::{Leases, LeasesWait};
+pub(crate) use topics::{KeyedLogs, TopicsWait};
 
 /// What a part goes by at a moment.
 #[derive(Debug, Clone, Copy)]
@@ -65,28 +67,39 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(crate) enum Waits {
     Leases(LeasesWait),
+    Topics(TopicsWait),
 }
 
 /// All parts at this keeper.
 #[derive(Debug, Clone, Hash, Default)]
 pub(crate) struct State {
     pub leases: Leases,
+    pub topics: KeyedLogs,
 }
 
 impl State {
     /// Reads a snapshot's; nothing at all is the empty state.
-    pub fn read(bytes: &[u8]) -> Result<State, StateError> {
-        Ok(State { leases: Leases::read(bytes)? })
+    pub fn read(state: &Rope) -> Result<State, StateError> {
+        let mut read = State::default();
+        read.restore(state, None)?;
+        Ok(read)
     }
 
-    /// The replicated part of it alone, which is the same at each keeper.
-    pub fn write(&self) -> Vec<u8> {
-        self.leases.table().write()
+    /// The replicated part of it alone.
+    pub fn write(&self) -> Rope {
+        let leases = vec![Chunk::new(self.leases.table().write())];
+        snapshot::write([(tag::LEASES, leases), (tag::TOPICS, self.topics.write())])
     }
 
     /// Takes the replicated state of a snapshot; who watches here goes on.
-    pub fn restore(&mut self, bytes: &[u8], fault: Option<Fault>) -> Result<(), StateError> {
-        self.leases.restore(bytes)?;
+    pub fn restore(&mut self, state: &Rope, fault: Option<Fault>) -> Result<(), StateError> {
+        let parts = snapshot::read(state, tag::LEASES)?;
+        let of = |tag| parts.iter().find(|(t, _)| *t == tag).map_or(&[][..], |(_, chunks)| chunks);
+        if let Some((unknown, _)) = parts.iter().find(|(t, _)| ![tag::LEASES, tag::TOPICS].contains(t)) {
+            return Err(StateError::Unknown(*unknown));
+        }
+        self.leases.restore(of(tag::LEASES).first().map_or(&[][..], |c| c.bytes()))?;
+        self.topics.restore(of(tag::TOPICS))?;
         if let Some(fault) = fault {
             self.plant(fault);
         }
@@ -97,49 +110,67 @@
     pub fn plant(&mut self, fault: Fault) {
         match fault {
             Fault::Leases(fault) => self.leases.plant(fault),
+            Fault::Topics(fault) => self.topics.plant(fault),
         }
     }
 
     pub fn apply(&mut self, at: Moment, command: Command, waits: Option<Waits>, out: &mut Vec<KeeperOutput>) {
-        match (command, waits) {
-            (Command::Leases(command), waits) => {
-                let waits = waits.map(|Waits::Leases(waits)| waits);
+        match command {
+            Command::Leases(command) => {
+                let waits = match waits {
+                    Some(Waits::Leases(waits)) => Some(waits),
+                    _ => None,
+                };
                 self.leases.apply(at, command, waits, out);
             }
+            Command::Topics(command) => {
+                let waits = match waits {
+                    Some(Waits::Topics(waits)) => Some(waits),
+                    _ => None,
+                };
+                self.topics.apply(at, command, waits, out);
+            }
         }
     }
 
     pub fn read_for(&mut self, waits: Waits, out: &mut Vec<KeeperOutput>) {
         match waits {
             Waits::Leases(waits) => self.leases.read(waits, out),
+            Waits::Topics(waits) => self.topics.read(waits, out),
         }
     }
 
     pub fn refuse(&mut self, waits: Waits, why: Refused, out: &mut Vec<KeeperOutput>) {
         match waits {
             Waits::Leases(waits) => self.leases.refuse(waits, why, out),
+            Waits::Topics(waits) => self.topics.refuse(waits, why, out),
         }
     }
 
     pub fn lead(&mut self, at: Moment) {
         self.leases.lead(at);
+        self.topics.lead(at);
     }
 
     pub fn next_due(&self) -> Option<Duration> {
-        [self.leases.next_due()].into_iter().flatten().min()
+        [self.leases.next_due(), self.topics.next_due()].into_iter().flatten().min()
     }
 
     /// What is due by now, and who waits for it.
     pub fn due(&mut self, now: Duration) -> Vec<(Command, Waits)> {
         let leases = self.leases.due(now).into_iter();
-        leases.map(|c| (Command::Leases(c), Waits::Leases(LeasesWait::Expiry))).collect()
+        let leases = leases.map(|c| (Command::Leases(c), Waits::Leases(LeasesWait::Expiry)));
+        let topics = self.topics.due(now).into_iter();
+        leases.chain(topics.map(|c| (Command::Topics(c), Waits::Topics(TopicsWait::Nobody)))).collect()
     }
 
     pub fn told(&mut self, out: &mut Vec<KeeperOutput>) {
         self.leases.told(out);
+        self.topics.told(out);
     }
 
     pub fn closed(&mut self, client: ClientId) {
         self.leases.closed(client);
+        self.topics.closed(client);
     }
 }
--- a/crates/fleet/group/src/parts/leases.rs
+++ b/crates/fleet/group/src/parts/leases.rs
@@ -70,10 +70,6 @@
 }
 
 impl Leases {
-    pub fn read(bytes: &[u8]) -> Result<Leases, TableError> {
-        Ok(Leases { table: Table::read(bytes)?, ..Leases::default() })
-    }
-
     pub fn restore(&mut self, bytes: &[u8]) -> Result<(), TableError> {
         self.table = Table::read(bytes)?;
         Ok(())
--- a/crates/fleet/group/src/planted.rs
+++ b/crates/fleet/group/src/planted.rs
@@ -5,6 +5,8 @@
 pub enum Fault {
     /// Of the leases.
     Leases(beechloft_leases::Fault),
+    /// Of the topics.
+    Topics(beechloft_topic::Fault),
 }
 
 impl From<beechloft_leases::Fault> for Fault {
@@ -12,3 +14,9 @@
         Fault::Leases(fault)
     }
 }
+
+impl From<beechloft_topic::Fault> for Fault {
+    fn from(fault: beechloft_topic::Fault) -> Fault {
+        Fault::Topics(fault)
+    }
+}
--- a/crates/fleet/group/tests/support/mod.rs
+++ b/crates/fleet/group/tests/support/mod.rs
@@ -322,6 +322,9 @@
                 | KeeperOutput::Event(_)
                 | KeeperOutput::Told(..)
                 | KeeperOutput::Unwatched(_)
+                | KeeperOutput::TopicHeard(..)
+                | KeeperOutput::NotPublished(..)
+                | KeeperOutput::TopicEvent(_)
                 | KeeperOutput::Group(..) => {}
             }
         }
--- a/crates/fleet/keeper/src/engine.rs
+++ b/crates/fleet/keeper/src/engine.rs
@@ -21,16 +21,21 @@
 mod errors;
 mod forming;
 mod lines;
+mod serving;
 mod words;
 
 pub use errors::StartError;
 use forming::has_formed;
+use serving::Serving;
 
 /// Words taken before one commit.
 const A_TURN: usize = 256;
 /// From one look at who belongs to the group to the next.
 const LOOK: Duration = Duration::from_millis(250);
 
+/// From one step of the topics' cleaners to the next while nothing comes.
+const CLEANS: Duration = Duration::from_millis(2);
+
 /// What other keepers have said of themselves.
 #[derive(Debug, Clone, Copy)]
 struct Met {
@@ -59,6 +64,9 @@
     clock: Box<dyn Fn() -> Duration + Send>,
     /// As a member, if its settings name seeds.
     members: Option<Arc<Peers>>,
+    serving: Serving,
+    /// There is more for the topics' cleaners to do.
+    unclean: bool,
 }
 
 impl Keeping {
@@ -126,6 +134,8 @@
             asked: BTreeMap::new(),
             clock,
             members,
+            serving: Serving::default(),
+            unclean: false,
         })
     }
 
@@ -140,7 +150,10 @@
     /// The disk, or a snapshot that is no table: it must not go on.
     pub fn run(&mut self) -> Result<(), StartError> {
         while !self.end.load(Ordering::Relaxed) {
-            let due = self.keeper.next_due().min(self.look_at).saturating_sub((self.clock)());
+            let due = self.keeper.next_due().min(self.look_at).min(self.serving.next_due());
+            let due = due.saturating_sub((self.clock)());
+            // With nothing else to do the cleaners go on.
+            let due = if self.unclean { due.min(CLEANS) } else { due };
             let mut out = Outputs::default();
             match self.came.recv_timeout(due.min(Duration::from_millis(100))) {
                 Ok(came) => {
@@ -164,6 +177,8 @@
             for output in self.keeper.released((self.clock)(), released)? {
                 self.put_out(output);
             }
+            self.unclean = self.keeper.clean();
+            self.serving.serve((self.clock)(), &self.keeper, &self.conns, self.set.number());
             let formed = self.keeper.status().members.iter().next().is_some();
             *self.formed.lock().unwrap_or_else(PoisonError::into_inner) |= formed;
         }
--- a/crates/fleet/keeper/src/engine/forming.rs
+++ b/crates/fleet/keeper/src/engine/forming.rs
@@ -8,10 +8,12 @@
     Change, Disk, Input, MemberId, Membership, Outputs, Save, Settings, Snapshot, Stored, Ticket,
 };
 use beechloft_group::{Asked, Keeper};
+use beechloft_topic::Topic;
 use tracing::info;
 
 use super::{Keeping, StartError};
 use crate::links::ConnId;
+use crate::settings::TopicSpec;
 use crate::wire::Word;
 
 impl Keeping {
@@ -57,6 +59,7 @@
         if status.leader != Some(self.id) {
             return Ok(());
         }
+        self.declare(now, out);
         let taken: BTreeSet<&str> = status.members.iter().map(|(_, m)| m.address.as_str()).collect();
         let learner = status.members.iter().find(|(_, m)| !m.voter).map(|(id, _)| id);
         // One at a time: the next when the last votes.
@@ -77,6 +80,19 @@
         Ok(())
     }
 
+    /// Has the log say which topics there are to be, where it does not: the settings of the keeper that leads say so.
+    fn declare(&mut self, now: Duration, out: &mut Outputs) {
+        if !self.serves() {
+            return;
+        }
+        let there = |spec: &TopicSpec| self.keeper.topics().topic(&spec.name).map(Topic::terms);
+        let lacking = self.set.topics.iter().filter(|spec| there(spec) != Some(spec.terms));
+        let lacking: Vec<TopicSpec> = lacking.cloned().collect();
+        for TopicSpec { name, terms } in lacking {
+            self.keeper.handle(now, Asked::Declare(rand::random(), name, terms), out);
+        }
+    }
+
     /// The first of the listed keepers founds the group, alone, when all others have said that they are new: one founder, so
     /// that there are never two groups. If any other has been a member before, this one has lost its disk and must wait.
     fn found(&mut self, now: Duration) -> Result<(), StartError> {
--- a/crates/fleet/keeper/src/engine/lines.rs
+++ b/crates/fleet/keeper/src/engine/lines.rs
@@ -4,9 +4,10 @@
 
 use beechloft_consensus::{Member, MemberId};
 use beechloft_leases::{Event, Grant, Name, Table, Token};
+use beechloft_topic::Topic;
 
 use super::Keeping;
-use crate::wire::{ChangeLine, LeaseLine, MemberLine, StatusLine};
+use crate::wire::{ChangeLine, LeaseLine, MemberLine, StatusLine, TopicLine};
 
 impl Keeping {
     pub(super) fn status(&self) -> StatusLine {
@@ -25,6 +26,21 @@
             last: s.last.index.0,
             members: s.members.iter().map(member).collect(),
             refused_words: self.conns.refused.load(Ordering::Relaxed),
+            silent_ms: self.keeper.silent().as_millis() as u64,
+            told_bytes: self.serving.told_bytes,
+            topics: self.keeper.topics().all().map(|(name, topic)| self.topic(name, topic)).collect(),
+        }
+    }
+
+    fn topic(&self, name: &Name, topic: &Topic) -> TopicLine {
+        TopicLine {
+            name: name.to_string(),
+            head: topic.head().0,
+            horizon: topic.horizon().0,
+            keys: topic.keys() as u64,
+            bytes: topic.bytes(),
+            held_bytes: topic.held_bytes(),
+            subscribers: self.serving.of(name) as u64,
         }
     }
 }
--- a/crates/fleet/keeper/src/engine/words.rs
+++ b/crates/fleet/keeper/src/engine/words.rs
@@ -5,6 +5,7 @@
 use beechloft_consensus::{MemberId, Outputs, Refused};
 use beechloft_group::{Asked, ClientId, KeeperOutput};
 use beechloft_leases::{Event, Heard};
+use beechloft_topic::TopicEvent;
 use tracing::{info, warn};
 
 use super::{Keeping, Met, lines};
@@ -16,7 +17,10 @@
         let now = (self.clock)();
         let (conn, word) = match came {
             Came::Word(conn, word) => (conn, word),
-            Came::Closed(conn) => return self.keeper.handle(now, Asked::Closed(ClientId(conn.0)), out),
+            Came::Closed(conn) => {
+                self.serving.closed(conn);
+                return self.keeper.handle(now, Asked::Closed(ClientId(conn.0)), out);
+            }
         };
         let client = ClientId(conn.0);
         match word {
@@ -31,7 +35,18 @@
             }
             Word::List if self.serves() => self.keeper.handle(now, Asked::List(client), out),
             Word::Watch(name) if self.serves() => self.keeper.handle(now, Asked::Watch(client, name), out),
-            Word::Ask(_) | Word::List | Word::Watch(_) => self.say(conn, &Word::Heard(Heard::Busy)),
+            Word::Publish(request) if self.serves() => {
+                self.keeper.handle(now, Asked::Publish(client, request), out)
+            }
+            Word::Subscribe { feed, topic, from, allow } if self.serves() => {
+                if let Err(busy) = self.serving.subscribe(conn, (feed, topic), from, allow, now) {
+                    self.say(conn, &Word::Heard(busy));
+                }
+            }
+            Word::Allow { feed, total } => self.serving.allow(conn, feed, total, now),
+            Word::Ask(_) | Word::List | Word::Watch(_) | Word::Publish(_) | Word::Subscribe { .. } => {
+                self.say(conn, &Word::Heard(Heard::Busy))
+            }
             Word::Status => self.say(conn, &Word::StatusIs(self.status())),
             Word::Replace { old, new } => self.replace(conn, old, new, out),
             Word::Members => {
@@ -44,6 +59,8 @@
             | Word::NotLeader(_)
             | Word::Listed(_)
             | Word::StatusIs(_)
+            | Word::TopicHeard(_)
+            | Word::Told(_)
             | Word::Replacing(_) => {}
         }
     }
@@ -83,6 +100,20 @@
                     self.say(ConnId(client.0), &Word::Changed(line));
                 }
             }
+            KeeperOutput::TopicHeard(client, heard) => self.say(ConnId(client.0), &Word::TopicHeard(heard)),
+            KeeperOutput::NotPublished(client, _, Refused::NotLeader(leader)) => {
+                let address = leader.and_then(|l| self.address_of(l)).map(|a| a.to_string());
+                self.say(ConnId(client.0), &Word::NotLeader(address));
+            }
+            KeeperOutput::NotPublished(client, ..) => {
+                self.say(ConnId(client.0), &Word::Heard(Heard::Busy));
+            }
+            KeeperOutput::TopicEvent(event) => {
+                self.serving.changed((self.clock)());
+                if !matches!(event, TopicEvent::Appended(..)) {
+                    info!(?event, "topic");
+                }
+            }
             KeeperOutput::Unwatched(client) => self.conns.close(ConnId(client.0)),
             KeeperOutput::Event(Event::Renewed(..)) => {}
             KeeperOutput::Event(event) => info!(?event, "lease"),
--- a/crates/fleet/keeper/src/lib.rs
+++ b/crates/fleet/keeper/src/lib.rs
@@ -10,6 +10,8 @@
 //!
 //! [`Agent`] is what a front asks of the fleet: its number, and its turn to restart.
 //!
+//! [`topics`] has what processes publish and follow topics by; a keeper serves them from what it has applied.
+//!
 //! Peers listen on an address of their own, meant for a private network: there is no sign-in. A word for another fleet, of
 //! another version, too long or with a wrong checksum costs its connection, and is counted.
 #![forbid(unsafe_code)]
@@ -21,10 +23,11 @@
 mod peers;
 mod settings;
 mod store;
+pub mod topics;
 pub mod wire;
 
 pub use agent::Agent;
 pub use engine::{Keeping, StartError};
 pub use peers::Peers;
-pub use settings::{FleetSettings, Restart};
+pub use settings::{FleetSettings, Restart, TopicSpec};
 pub use store::{LogStore, OpenError};
--- a/crates/fleet/keeper/src/links.rs
+++ b/crates/fleet/keeper/src/links.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Whether fewer words than this wait for a connection.
+    pub fn has_room(&self, conn: ConnId, words: usize) -> bool {
+        self.queues().get(&conn.0).is_some_and(|(queue, _)| queue.len() < words)
+    }
+
     /// Closes a connection once what is queued for it has gone out, or its time to be written is over.
     pub fn close(&self, conn: ConnId) {
         if let Some((_, stream)) = self.queues().remove(&conn.0) {
--- a/crates/fleet/keeper/src/settings.rs
+++ b/crates/fleet/keeper/src/settings.rs
@@ -9,6 +9,10 @@
 use beechloft_leases::{Drift, Name, Terms};
 use beechloft_members::Zone;
 
+mod topics;
+
+pub use topics::TopicSpec;
+
 /// Keepers at most.
 const MOST_KEEPERS: usize = 9;
 /// Seeds at most.
@@ -35,6 +39,8 @@
     pub number: Option<Terms>,
     /// How fronts restart in turn, if they do.
     pub restart: Option<Restart>,
+    /// Topics that there are to be, by the keepers' settings.
+    pub topics: Vec<TopicSpec>,
     /// For tests: this process's clock runs at this rate.
     pub test_clock_rate: f64,
     /// For tests: keepers that are reached by way of another address.
@@ -134,6 +140,7 @@
         drift,
         number: number(s, drift),
         restart: if s.has("restart") { restart(&s.section("restart"), drift) } else { None },
+        topics: topics::read(s),
         test_clock_rate: s.number("test_clock_rate", 0.5..=2.0).unwrap_or(1.0),
         test_via: via(s, "test_via"),
         test_udp_via: via(s, "test_udp_via"),
@@ -212,7 +219,7 @@
         let text = "fleet:\n  name: market\n  listen: 127.0.0.1:7000\n  keepers: ['127.0.0.1:7000', '127.0.0.1:7001', '127.0.0.1:7002']\n  store: /tmp/x\n  drift_ppm: 200\n";
         let read = FleetSettings::read(text).expect("sound");
         assert_eq!((read.keepers.len(), read.name.as_str(), read.test_clock_rate), (3, "market", 1.0));
-        let bad = "fleet:\n  keepers: ['127.0.0.1:7000', '127.0.0.1:7000', 'x', '127.0.0.1:7002']\n  drift_ppm: 99999\n  seed: 3\n  zones: [a, b]\n  zone: c\n  seeds: ['127.0.0.1:1', y]\n  number: lease\n  number_ttl_ms: 460\n  restart:\n    at_least: 1\n    back_ms: 100\n";
+        let bad = "fleet:\n  keepers: ['127.0.0.1:7000', '127.0.0.1:7000', 'x', '127.0.0.1:7002']\n  drift_ppm: 99999\n  seed: 3\n  zones: [a, b]\n  zone: c\n  seeds: ['127.0.0.1:1', y]\n  number: lease\n  number_ttl_ms: 460\n  restart:\n    at_least: 1\n    back_ms: 100\n  topics:\n    - name: limits\n      retention_ms: 1\n      bytes: 60000000\n    - name: limits\n      bytes: 60000000\n    - name: a b\n      bytes: 1\n";
         let faults = FleetSettings::read(bad).expect_err("faulty").to_string();
         let all = [
             "name",
@@ -227,6 +234,10 @@
             "at_least: unknown key",
             "at_most: missing",
             "back_ms: 100 ms leave",
+            "topics[0].retention_ms",
+            "topics[1].name: limits is there twice",
+            "topics[2].name: a name has 1 to 96 letters",
+            "topics: 120000000 bytes together are more than 100663296",
         ];
         for said in all {
             assert!(faults.contains(said), "{said} is not in {faults}");
--- a/crates/fleet/keeper/src/wire.rs
+++ b/crates/fleet/keeper/src/wire.rs
@@ -5,6 +5,7 @@
 use beechloft_consensus::{MemberId, Message};
 use beechloft_leases::{Heard, Name, Request};
 use beechloft_members::Packet;
+use beechloft_topic::{Position, Said, Told, TopicHeard, TopicRequest};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -14,7 +15,8 @@
 /// Bytes of a datagram between members, head and all.
 pub const MOST_DATAGRAM: usize = 1_432;
 const MAGIC: [u8; 4] = *b"blft";
-const VERSION: u16 = 1;
+/// 2: snapshots go from keeper to keeper in pieces, and the log has topics.
+const VERSION: u16 = 2;
 const HEAD: usize = 22;
 
 /// A grant, for people.
@@ -81,6 +83,31 @@
     pub members: Vec<MemberLine>,
     /// Connections dropped for words that could not be read.
     pub refused_words: u64,
+    /// For how long it has not heard from a leader, milliseconds.
+    pub silent_ms: u64,
+    /// Bytes told to subscribers.
+    pub told_bytes: u64,
+    /// The topics as far as it has applied them.
+    pub topics: Vec<TopicLine>,
+}
+
+/// A topic at a keeper, for people.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TopicLine {
+    /// Its name.
+    pub name: String,
+    /// The offset that the next message gets.
+    pub head: u64,
+    /// Deletions below it are not remembered.
+    pub horizon: u64,
+    /// Keys that have a value.
+    pub keys: u64,
+    /// Bytes of keys and latest values.
+    pub bytes: u64,
+    /// Bytes that this keeper holds for them.
+    pub held_bytes: u64,
+    /// Subscribers at this keeper.
+    pub subscribers: u64,
 }
 
 /// A word.
@@ -128,6 +155,30 @@
     Members,
     /// These; none: it is no member itself, as its settings name no seeds.
     MembersAre(Option<Vec<SeenLine>>),
+    /// A publisher's request.
+    Publish(TopicRequest),
+    /// What became of it.
+    TopicHeard(TopicHeard),
+    /// The latest of each key of a topic, please, and then each message; in place of what this connection asked for before.
+    Subscribe {
+        /// The number of the subscription.
+        feed: u64,
+        /// Of which topic.
+        topic: Name,
+        /// How far the subscriber is.
+        from: Option<Position>,
+        /// Bytes that it may be told.
+        allow: u64,
+    },
+    /// So many bytes in all may be told.
+    Allow {
+        /// To this subscription.
+        feed: u64,
+        /// From its first on.
+        total: u64,
+    },
+    /// What a subscription is told.
+    Told(Told),
 }
 
 /// Why a word could not be read.
@@ -199,8 +250,29 @@
     if bytes.is_empty() { Ok(packet) } else { Err(WireError::Nonsense) }
 }
 
+/// What a subscription is told, as it stands in a word; the same for all that are told the same.
+pub(crate) fn said(said: &Said) -> Vec<u8> {
+    // Values that have a length beforehand always have bytes.
+    postcard::to_allocvec(said).unwrap_or_default()
+}
+
+/// The bytes of [`Word::Told`] with what [`said`] made: feed, applied and silence come before it.
+pub(crate) fn told(fleet: u64, (feed, applied, silent_ms): (u64, u64, u32), said: &[u8]) -> Vec<u8> {
+    let still = Word::Told(Told { feed, applied, silent_ms, said: Said::Still });
+    let mut body = postcard::to_allocvec(&still).unwrap_or_default();
+    // The last byte says that nothing is said: it is the number of the kind.
+    body.pop();
+    body.extend_from_slice(said);
+    head(fleet, body)
+}
+
 fn framed(fleet: u64, what: &impl Serialize, most: usize) -> Option<Vec<u8>> {
     let body = postcard::to_allocvec(what).ok().filter(|b| b.len() <= most)?;
+    Some(head(fleet, body))
+}
+
+/// A body behind its head.
+fn head(fleet: u64, body: Vec<u8>) -> Vec<u8> {
     let mut out = Vec::with_capacity(HEAD + body.len());
     out.extend_from_slice(&MAGIC);
     out.extend_from_slice(&VERSION.to_be_bytes());
@@ -208,7 +280,7 @@
     out.extend_from_slice(&(body.len() as u32).to_be_bytes());
     out.extend_from_slice(&crc32fast::hash(&body).to_be_bytes());
     out.extend_from_slice(&body);
-    Some(out)
+    out
 }
 
 /// Reads a word.
@@ -245,6 +317,18 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn what_is_made_once_for_many_is_read_as_any_word_is() {
+        use beechloft_topic::Offset;
+        for what in [Said::Still, Said::Behind { head: Offset(9) }, Said::Anew { life: 1, base: Offset(300) }]
+        {
+            let bytes = told(9, (7, 300, 1_000), &said(&what));
+            let word = Word::Told(Told { feed: 7, applied: 300, silent_ms: 1_000, said: what });
+            assert_eq!(Some(&bytes), encode(9, &word).as_ref());
+            assert_eq!(read(9, &mut &bytes[..]).expect("sound"), word);
+        }
+    }
+
     #[test]
     fn a_word_is_read_as_it_was_written_and_nothing_else_is() {
         let word = Word::Hello { id: MemberId(7), listen: "127.0.0.1:1".into(), formed: true };
