A topic's record is judged, and stand-ins write and follow one on real keepers

Stand-ins: a writer with keys of its own and a reader, on the publisher and follower of crates/fleet/keeper. A publisher no longer counts a keeper that it has asked nothing yet as silent: it left the leader that was named to it before its next copy went out, and found it again by chance alone.

--- a/crates/cli/tests/support/keepers.rs
+++ b/crates/cli/tests/support/keepers.rs
@@ -19,6 +19,8 @@
     pub addresses: Vec<SocketAddr>,
     pub keepers: Vec<Option<Process>>,
     pub candidates: Vec<Process>,
+    /// More lines of the keepers' section.
+    pub more: String,
     /// Between each two: who opens the connection (keepers first, then candidates) and the keeper that it leads to.
     pub relays: BTreeMap<(usize, usize), Relay>,
 }
@@ -30,10 +32,21 @@
 
     /// With a relay between each two keepers, and between each of so many candidates and each keeper.
     pub fn relayed(keepers: usize, relayed: usize) -> Fleet {
+        Fleet::with(keepers, relayed, "")
+    }
+
+    /// The same with more lines in the keepers' section.
+    pub fn with(keepers: usize, relayed: usize, more: &str) -> Fleet {
         let addresses = kept_addresses(keepers);
         let dir = tempfile::tempdir().expect("a folder");
-        let mut fleet =
-            Fleet { dir, addresses, keepers: Vec::new(), candidates: Vec::new(), relays: BTreeMap::new() };
+        let mut fleet = Fleet {
+            dir,
+            addresses,
+            keepers: Vec::new(),
+            candidates: Vec::new(),
+            more: more.to_owned(),
+            relays: BTreeMap::new(),
+        };
         // All keepers that are to be, and as many candidates as any test has.
         for from in 0..keepers + relayed {
             for to in (0..keepers).filter(|to| relayed > 0 && *to != from) {
@@ -66,6 +79,7 @@
         text += &format!("  test_via: [{}]\n", via.join(", "));
         if let Some(n) = keeper {
             text += &format!("  listen: {}\n  store: {}\n", self.addresses[n], self.folder(n).display());
+            text += &self.more;
         }
         let path = self.dir.path().join(from.map_or("asks.yaml".into(), |n| format!("p{n}.yaml")));
         std::fs::write(&path, text).expect("written");
--- a/crates/fleet/keeper/src/topics/publisher.rs
+++ b/crates/fleet/keeper/src/topics/publisher.rs
@@ -197,7 +197,8 @@
             }
         };
         outputs.extend(self.machine.handle((self.clock)(), input));
-        if self.machine.waiting() > 0 {
+        // One that was come to and was asked nothing yet is not silent.
+        if self.conn.is_some() && self.machine.waiting() > 0 {
             self.unheard_since.get_or_insert_with(Instant::now);
         }
     }
--- a/crates/proof/checker/src/lib.rs
+++ b/crates/proof/checker/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod check;
 pub mod report;
+pub mod topic;
 pub mod trace;
 
 pub use check::{Rules, check};
--- a/crates/proof/standin/src/lib.rs
+++ b/crates/proof/standin/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod player;
 pub mod resource;
 mod sessions;
+pub mod topic;
 pub mod trunk;
