--- a/crates/cli/tests/topic_figures.rs
+++ b/crates/cli/tests/topic_figures.rs
@@ -45,7 +45,12 @@
 }
 
 /// Publishes so many messages over keys by one publisher, with so many out at most; how long each took.
-fn publish(set: &FleetSettings, messages: u64, keys: impl Fn(u64) -> u64, out_at_most: usize) -> Vec<Duration> {
+fn publish(
+    set: &FleetSettings,
+    messages: u64,
+    keys: impl Fn(u64) -> u64,
+    out_at_most: usize,
+) -> Vec<Duration> {
     let publisher = publisher(set);
     let (mut out, mut took, mut sent) = (BTreeMap::new(), Vec::new(), 0);
     while sent < messages || !out.is_empty() {
@@ -107,7 +112,12 @@
         let began = Instant::now();
         let each = 1_000_000 / 8 / publishers;
         let took: Vec<Duration> = std::thread::scope(|scope| {
-            let one = |p: u64| scope.spawn({ let set = &set; move || publish(set, each, |n| (p * 131 + n) % 10_000, out) });
+            let one = |p: u64| {
+                scope.spawn({
+                    let set = &set;
+                    move || publish(set, each, |n| (p * 131 + n) % 10_000, out)
+                })
+            };
             let all: Vec<_> = (0..publishers).map(one).collect();
             all.into_iter().flat_map(|t| t.join().expect("it ends")).collect()
         });
@@ -156,9 +166,7 @@
         }
         let before = resident(&fleet, leader);
         let followers: Vec<Follower> = (0..300)
-            .map(|_| {
-                Follower::start(&of, name(), SubscriberSettings::default(), |_| {}).expect("it starts")
-            })
+            .map(|_| Follower::start(&of, name(), SubscriberSettings::default(), |_| {}).expect("it starts"))
             .collect();
         let complete = |f: &Follower| f.look(|s| s.complete_to());
         while followers.iter().any(|f| complete(f).is_none()) {
@@ -172,7 +180,9 @@
             publisher.publish(record(sent % 1_000, &[b'v'; 100]), Expect::Anything);
             while publisher.settled().try_recv().is_ok() {}
             sent += 1;
-            std::thread::sleep((began + Duration::from_millis(10 * sent)).saturating_duration_since(Instant::now()));
+            std::thread::sleep(
+                (began + Duration::from_millis(10 * sent)).saturating_duration_since(Instant::now()),
+            );
         }
         let seconds = began.elapsed().as_secs_f64();
         std::thread::sleep(Duration::from_millis(300));
--- a/crates/fleet/group/src/keeper.rs
+++ b/crates/fleet/group/src/keeper.rs
@@ -6,7 +6,7 @@
     Index, Input, MemberId, Outputs, Payload, Raft, Refused, Released, Settings, Status, Stored, Term,
 };
 use beechloft_leases::{Drift, Table};
-use beechloft_topic::{Session, TopicCommand, TopicOp, Topics};
+use beechloft_topic::{TopicCommand, Topics};
 
 use crate::asked::{Asked, KeeperOutput};
 use crate::command::Command;
@@ -156,11 +156,7 @@
                 }
             }
             Asked::Publish(client, request) => {
-                let session = match request.op {
-                    TopicOp::Publish { session, .. } => session,
-                    TopicOp::Begin { .. } => Session::default(),
-                };
-                let waits = TopicsWait::Publish(client, request.publisher, session, request.seq());
+                let waits = TopicsWait::Publish(client, request.publisher, request.ask());
                 let command = Command::Topics(TopicCommand::Ask(request));
                 self.propose(&command, Waits::Topics(waits), out);
             }
--- a/crates/fleet/group/src/parts/topics.rs
+++ b/crates/fleet/group/src/parts/topics.rs
@@ -4,7 +4,7 @@
 
 use beechloft_consensus::{Chunk, ChunkName, Refused};
 use beechloft_topic::{
-    ChunkError, Fault, Layout, PublisherId, Retention, Session, TopicCommand, TopicHeard, Topics,
+    ChunkError, Fault, Layout, PublisherId, Retention, TopicAsk, TopicCommand, TopicHeard, Topics,
 };
 
 use super::{Moment, Part};
@@ -13,8 +13,8 @@
 /// Who waits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(crate) enum TopicsWait {
-    /// For a publisher's request, by its session and number.
-    Publish(ClientId, PublisherId, Session, u64),
+    /// For a publisher's request, by what its answer is matched by.
+    Publish(ClientId, PublisherId, TopicAsk),
     /// Nobody: what the keeper itself put into the log.
     Nobody,
 }
@@ -109,8 +109,8 @@
             self.to_clean += size(request);
         }
         let (answer, event) = self.topics.apply(&command);
-        if let (Some(TopicsWait::Publish(client, publisher, session, seq)), Some(answer)) = (waits, answer) {
-            let heard = TopicHeard { publisher, session, seq, answer };
+        if let (Some(TopicsWait::Publish(client, publisher, ask)), Some(answer)) = (waits, answer) {
+            let heard = TopicHeard { publisher, ask, answer };
             out.push(KeeperOutput::TopicHeard(client, heard));
         }
         if let Some(event) = event {
--- a/crates/fleet/keeper/src/settings.rs
+++ b/crates/fleet/keeper/src/settings.rs
@@ -41,6 +41,8 @@
     pub restart: Option<Restart>,
     /// Topics that there are to be, by the keepers' settings.
     pub topics: Vec<TopicSpec>,
+    /// How fronts spread rows, if anything that is asked for needs them.
+    pub spread: Option<beechloft_spread::Settings>,
     /// For tests: this process's clock runs at this rate.
     pub test_clock_rate: f64,
     /// For tests: keepers that are reached by way of another address.
@@ -141,6 +143,7 @@
         number: number(s, drift),
         restart: if s.has("restart") { restart(&s.section("restart"), drift) } else { None },
         topics: topics::read(s),
+        spread: None,
         test_clock_rate: s.number("test_clock_rate", 0.5..=2.0).unwrap_or(1.0),
         test_via: via(s, "test_via"),
         test_udp_via: via(s, "test_udp_via"),
