--- a/crates/fleet/placement/src/front/mod.rs
+++ b/crates/fleet/placement/src/front/mod.rs
@@ -155,6 +155,11 @@
         Duration::from_millis(u64::from(self.ttl_ms))
     }
 
+    /// Which front's.
+    pub fn front(&self) -> FrontId {
+        self.front
+    }
+
     /// Whether it may place now. `now` is read after all else, right before the act.
     pub fn has_right(&self, now: Duration) -> bool {
         now < self.until && !self.stopped
--- a/crates/fleet/placement/src/state/narrow.rs
+++ b/crates/fleet/placement/src/state/narrow.rs
@@ -57,21 +57,14 @@
         self.turn(shard, at, CopyState::Draining { order }, events)
     }
 
-    /// Whether the grace of a copy that drains is over.
-    pub fn grace_over(&self, shard: &ShardId, at: BoxId) -> bool {
-        let since = self.copy(shard, at).map_or(u64::MAX, |c| c.since);
-        self.clock >= since.saturating_add(self.rules.grace_ms) || self.planted(Fault::NoGrace)
-    }
-
     pub(super) fn delete(
         &mut self,
         shard: &ShardId,
         at: BoxId,
-        idle: Option<Order>,
+        order: Order,
         events: &mut Vec<Event>,
     ) -> Option<()> {
-        let CopyState::Draining { order } = self.copy(shard, at)?.state else { return None };
-        if idle != Some(order) && !self.grace_over(shard, at) {
+        if self.copy(shard, at)?.state != (CopyState::Draining { order }) {
             return None;
         }
         let order = self.next_order();
@@ -96,7 +89,11 @@
         });
         // A pin that is removed stays until all of it is gone, wherever it lies.
         let rest = if pin.removing { pin.copies.len() } else { left.count() };
-        self.all_have(pin.told) && rest == 0
+        let stray = |(at, of): &(BoxId, ShardId)| {
+            let zone = self.inventory.boxes.get(at).map(|b| &b.zone);
+            of == shard && self.is_up(*at) && zone.is_some_and(|z| !stays(z))
+        };
+        self.all_have(pin.told) && rest == 0 && !self.strays.keys().any(stray)
     }
 
     pub(super) fn over(&mut self, shard: &ShardId, events: &mut Vec<Event>) -> Option<()> {
--- a/crates/fleet/placement/src/state/steps.rs
+++ b/crates/fleet/placement/src/state/steps.rs
@@ -31,7 +31,7 @@
             Step::Stray { shard, at } => self.stray(shard, *at),
             Step::Narrow(shard) => self.narrow(shard, events),
             Step::Drain { shard, at } => self.drain(shard, *at, events),
-            Step::Delete { shard, at, idle } => self.delete(shard, *at, *idle, events),
+            Step::Delete { shard, at, order } => self.delete(shard, *at, *order, events),
             Step::Gone { shard, at, order } => self.gone(shard, *at, *order, events),
             Step::Replace(shard) => self.replace(shard, events),
             Step::Lend(shard, region) => self.lend(shard, region, events),
--- a/crates/fleet/placement/src/words/commands.rs
+++ b/crates/fleet/placement/src/words/commands.rs
@@ -101,7 +101,7 @@
 }
 
 /// Why a copy failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Failure {
     /// The box has no room, whatever its line says.
     Full,
@@ -116,7 +116,7 @@
 }
 
 /// Where a copy is read from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Source {
     /// Where the customer's content came in.
     Origin,
@@ -125,7 +125,7 @@
 }
 
 /// A step of the work, done by the holder of the lease. Each says what it expects to find, and does nothing if that is not so.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Step {
     /// The log's clock stands there, milliseconds. It never goes back, and never runs ahead of true time by more than the drift.
     Clock(u64),
@@ -216,8 +216,9 @@
         shard: ShardId,
         /// Where.
         at: BoxId,
-        /// The box has said, to this order, that nothing plays; none: the grace is over.
-        idle: Option<Order>,
+        /// By this order its box was told to drain. Whoever proposes this has heard from it that nothing plays, or has counted the grace
+        /// since it saw that order in the state.
+        order: Order,
     },
     /// It is gone.
     Gone {
--- a/crates/fleet/placement/src/worker/again.rs
+++ b/crates/fleet/placement/src/worker/again.rs
@@ -1,7 +1,7 @@
 //! When the same is said again: at first at once, then after waits that double and differ, so that what is lost is made good and what
 //! can't be done now does not fill the log.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::RngExt;
@@ -11,13 +11,13 @@
 use crate::words::names::{BoxId, Order};
 
 /// What is said.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) enum What {
     Step(Step),
     Order(BoxId, Order),
 }
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Hash)]
 struct Again {
     at: Duration,
     tries: u32,
@@ -25,9 +25,9 @@
 }
 
 /// What was said, and when it is to be said again. What a sweep does not want any more is forgotten by the next.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Hash)]
 pub(super) struct Agains {
-    all: HashMap<What, Again>,
+    all: BTreeMap<What, Again>,
     sweep: u64,
 }
 
--- a/crates/fleet/placement/src/worker/mod.rs
+++ b/crates/fleet/placement/src/worker/mod.rs
@@ -14,7 +14,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::state::{Placements, Presence};
+use crate::planted::Fault;
+use crate::state::{CopyState, Placements, Presence};
 use crate::words::commands::{Command, Step};
 use crate::words::names::*;
 use crate::words::orders::{News, Said, Tell};
@@ -63,7 +64,7 @@
 }
 
 /// What is known of a box since it began.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Hash)]
 struct Seen {
     heard: Option<Duration>,
     looked: Option<Duration>,
@@ -71,7 +72,7 @@
 }
 
 /// What it does under one token.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Hash)]
 struct Held {
     token: Token,
     since: Duration,
@@ -88,8 +89,19 @@
     /// What boxes have said of orders.
     news: BTreeMap<(BoxId, ShardId), (Order, News)>,
     agains: Agains,
+    /// Copies that drain, by the order to: when their grace is over by this worker's clock.
+    graces: BTreeMap<Order, Duration>,
+    counted: Duration,
     swept: Option<Duration>,
     rng: ChaCha8Rng,
+    fault: Option<Fault>,
+}
+
+/// All that decides what it does next, but for what is drawn by chance.
+impl std::hash::Hash for Worker {
+    fn hash<H: std::hash::Hasher>(&self, into: &mut H) {
+        (&self.held, &self.boxes, &self.news, &self.agains, &self.graces, self.swept).hash(into);
+    }
 }
 
 impl Worker {
@@ -101,11 +113,24 @@
             boxes: BTreeMap::new(),
             news: BTreeMap::new(),
             agains: Agains::default(),
+            graces: BTreeMap::new(),
+            counted: Duration::ZERO,
             swept: None,
             rng: ChaCha8Rng::seed_from_u64(seed),
+            fault: None,
         }
     }
 
+    /// Plants a fault.
+    #[cfg(feature = "planted")]
+    pub fn plant(&mut self, fault: Fault) {
+        self.fault = Some(fault);
+    }
+
+    fn planted(&self, fault: Fault) -> bool {
+        cfg!(feature = "planted") && self.fault == Some(fault)
+    }
+
     /// When it wants to hear of the time next, while it holds the lease.
     pub fn next_due(&self) -> Option<Duration> {
         self.held?;
@@ -142,6 +167,7 @@
             self.boxes.clear();
             self.news.clear();
             self.agains = Agains::default();
+            self.graces.clear();
             self.swept = None;
         }
         if self.swept.is_some_and(|at| now < at + self.set.sweep) {
@@ -160,6 +186,27 @@
         })
     }
 
+    /// Counts graces from when each drain was first seen in the state, which is after its commit, as keepers count leases. By the log's
+    /// clock it would be too short: that may lag when the drain is applied, and catch up after.
+    fn count_graces(&mut self, now: Duration, state: &Placements) {
+        let grace = self.set.drift.longer(Duration::from_millis(state.rules().grace_ms));
+        let before = std::mem::take(&mut self.graces);
+        for pin in state.pins().values().filter(|p| !p.is_settled()) {
+            for copy in pin.copies.values() {
+                if let CopyState::Draining { order } = copy.state {
+                    let over = before.get(&order).copied().unwrap_or(now + grace);
+                    let over = if self.planted(Fault::NoGrace) { now } else { over };
+                    self.graces.insert(order, over);
+                }
+            }
+        }
+        self.counted = now;
+    }
+
+    fn grace_over(&self, order: Order) -> bool {
+        self.graces.get(&order).is_some_and(|over| self.counted >= *over)
+    }
+
     fn look_at_boxes(&mut self, now: Duration, state: &Placements, out: &mut Vec<WorkerOutput>) -> Vec<Step> {
         let mut steps = Vec::new();
         let began = self.held.map_or(now, |h| h.since);
--- a/crates/fleet/placement/src/worker/sweep.rs
+++ b/crates/fleet/placement/src/worker/sweep.rs
@@ -34,6 +34,7 @@
         if clock > state.clock() + 200 {
             out.push(WorkerOutput::Propose(Command::Step(token, Step::Clock(clock))));
         }
+        self.count_graces(now, state);
         for (shard, pin) in state.pins() {
             self.pin(state, shard, pin, &mut found);
         }
@@ -156,10 +157,10 @@
                 }
             }
             CopyState::Draining { order } => {
-                if state.grace_over(shard, at) {
-                    found.steps.push(Step::Delete { shard: own(), at, idle: None });
+                let step = Step::Delete { shard: own(), at, order };
+                if self.grace_over(order) {
+                    found.steps.push(step);
                 } else {
-                    let step = Step::Delete { shard: own(), at, idle: Some(order) };
                     self.ordered(at, shard, order, Do::Drain, found, |n| {
                         (n == News::Drained(0)).then_some(step)
                     });
