--- a/crates/fleet/placement/tests/explored.rs
+++ b/crates/fleet/placement/tests/explored.rs
@@ -15,7 +15,8 @@
 use beechloft_placement::front::{Offer, ViewInput};
 use beechloft_placement::names::*;
 use beechloft_placement::state::{CopyState, Presence, Rights, Scope};
-use beechloft_placement::words::orders::{Said, Tell};
+use beechloft_placement::words::commands::Source;
+use beechloft_placement::words::orders::{Do, Said, Tell};
 use beechloft_placement::worker::{WorkerOutput, WorkerSettings};
 use beechloft_placement::{
     Answer, Command, Disk, Event, Fault, Placements, Record, Renewed, Rules, Step, View, Worker,
@@ -138,6 +139,8 @@
     Narrowed,
     /// ... and drains, with a session that plays.
     Draining,
+    /// ... and is gone, and a copy of the order to write it is still on its way.
+    Gone,
 }
 
 fn id() -> ShardId {
@@ -294,7 +297,7 @@
             }
             assert_eq!(states(&w.state, &id()).values().filter(|s| **s == "serving").count(), 2);
         }
-        if matches!(before, Before::Narrowed | Before::Draining) {
+        if matches!(before, Before::Narrowed | Before::Draining | Before::Gone) {
             w.left.plays = 1;
             self.step(&mut w, &Act::Play(0));
             let fed: &[usize] = if before == Before::Narrowed { &[0] } else { &[0, 1] };
@@ -308,7 +311,12 @@
                 self.step(&mut w, &Act::Tick(*f));
             }
         }
-        if before == Before::Draining {
+        if before == Before::Narrowed {
+            // The other is due to renew.
+            w.left.steps = 1;
+            self.step(&mut w, &Act::Step);
+        }
+        if matches!(before, Before::Draining | Before::Gone) {
             for _ in 0..2 {
                 // Time in which fronts say what they have.
                 w.left.steps = 1;
@@ -317,6 +325,20 @@
             }
             assert_eq!(states(&w.state, &id()).get(&BoxId(1)), Some(&"draining"), "{:#?}", w.state.fronts());
         }
+        if before == Before::Gone {
+            Arc::make_mut(&mut w.hosts[0]).disk.end(&id());
+            for _ in 0..3 {
+                w.left.steps = 1;
+                self.step(&mut w, &Act::Step);
+                // Drains are asked for again by a worker that is new to it.
+                w.left.hands = 1;
+                self.step(&mut w, &Act::HandOver);
+                self.renews(&mut w);
+            }
+            assert!(w.state.pins()[&id()].is_settled(), "{:#?}", w.state.pins());
+            let what = Do::Copy { from: Source::Origin, bytes: 100, kb_s: 20_000 };
+            add(&mut w.tells, (0, Tell::Do { life: Life(1), order: Order(1), shard: id(), what }));
+        }
         assert_eq!(w.breach, None);
         w
     }
@@ -666,7 +688,8 @@
     }
 }
 
-const ALL: [Before; 5] = [Before::Empty, Before::Serving, Before::Moved, Before::Narrowed, Before::Draining];
+const ALL: [Before; 6] =
+    [Before::Empty, Before::Serving, Before::Moved, Before::Narrowed, Before::Draining, Before::Gone];
 /// Keepers and the worker fast and fronts slow, the other way round, and all alike.
 const RATES: [(f64, f64); 3] = [(1.0, -1.0), (-1.0, 1.0), (0.0, 0.0)];
 const SOME: Left = Left {
@@ -739,13 +762,13 @@
 fn planted_faults_are_found() {
     let time = Left { steps: 3, ticks: 1, ..NONE };
     let all: [(Fault, Left, &[Before]); 9] = [
-        (Fault::NoToken, Left { hands: 1, ..NONE }, &[Before::Moved]),
+        (Fault::NoToken, Left { hands: 1, steps: 1, ..NONE }, &[Before::Moved]),
         (Fault::NarrowAtOnce, NONE, &[Before::Narrowed]),
         (Fault::RightFromArrival, time, &[Before::Narrowed]),
         (Fault::NoDrift, time, &[Before::Narrowed]),
-        (Fault::NoGrace, NONE, &[Before::Draining]),
-        (Fault::OldOrders, Left { copies: 1, changes: 1, ..NONE }, &[Before::Draining]),
-        (Fault::OverAtOnce, NONE, &[Before::Moved]),
+        (Fault::NoGrace, Left { ticks: 2, steps: 1, ..NONE }, &[Before::Narrowed]),
+        (Fault::OldOrders, NONE, &[Before::Gone]),
+        (Fault::OverAtOnce, Left { changes: 1, ..NONE }, &[Before::Serving]),
         (Fault::NoTimeAnew, Left { leads: 1, ..NONE }, &[Before::Narrowed]),
         (Fault::NarrowFirst, Left { changes: 1, ..NONE }, &[Before::Serving]),
     ];
--- a/crates/fleet/placement/tests/support/world.rs
+++ b/crates/fleet/placement/tests/support/world.rs
@@ -599,13 +599,13 @@
                 Event::Copy { .. } | Event::Right { .. } | Event::RightOver(_) => {}
                 Event::Over(shard, _) => {
                     self.over += 1;
-                    let left = self.boxes.iter().filter(|(id, b)| {
+                    let mut left = self.boxes.iter().filter(|(id, b)| {
                         b.content.contains_key(&shard)
                             && !b.found.contains(&shard)
                             && self.in_reach(**id)
                             && !self.in_scope(**id, &shard)
                     });
-                    if let Some((id, _)) = left.filter(|_| self.state.pins().contains_key(&shard)).next() {
+                    if let Some((id, _)) = left.find(|_| self.state.pins().contains_key(&shard)) {
                         let why = format!(
                             "(a) box {} has {shard} at {:?}, and versions before are over",
                             id.0, self.now
