--- a/crates/cli/src/among.rs
+++ b/crates/cli/src/among.rs
@@ -80,13 +80,14 @@
         Some(restart.wait)
     }
 
-    /// Whether it is its turn now.
+    /// Whether it is its turn now, and its number is left to its next start.
     pub fn may_end(&self) -> bool {
-        self.agent.has_turn()
+        self.agent.may_end()
     }
 
-    /// Tells others that it ends, and ends its keeper between two saves.
+    /// Tells others that it ends, leaves its number if it has not yet, and ends its keeper between two saves.
     pub fn leave(&mut self) {
+        self.agent.leave();
         if let Some(peers) = &self.peers {
             peers.leave();
         }
@@ -102,7 +103,7 @@
         let waits = self.agent.restart().map(|r| r.wait);
         beechloft_shell::Fleet {
             numbered: self.numbers(),
-            may_end: Box::new(move || may.has_turn()),
+            may_end: Box::new(move || may.may_end()),
             wants_end: Box::new(move || wants.want_turn()),
             waits,
         }
--- a/crates/fleet/group/src/parts/leases.rs
+++ b/crates/fleet/group/src/parts/leases.rs
@@ -120,7 +120,10 @@
     fn tell(&self, event: &Event, out: &mut Vec<KeeperOutput>) {
         let name = match event {
             Event::Renewed(..) => return,
-            Event::Granted { name, .. } | Event::Released(name, _) | Event::Expired(name, _) => name,
+            Event::Granted { name, .. }
+            | Event::Released(name, _)
+            | Event::Expired(name, _)
+            | Event::Left(name, _) => name,
         };
         let wants = |w: &Watcher| w.told && w.name.as_ref().is_none_or(|n| n == name);
         let watchers = self.watchers.iter().filter(|(_, w)| wants(w));
@@ -145,7 +148,7 @@
                 self.deadlines.retain(|t, _| Some(*t) != *before);
                 self.count(at, *token);
             }
-            Some(Event::Renewed(_, token)) => self.count(at, *token),
+            Some(Event::Renewed(_, token) | Event::Left(_, token)) => self.count(at, *token),
             Some(Event::Released(_, token) | Event::Expired(_, token)) => {
                 self.deadlines.remove(token);
             }
--- a/crates/fleet/group/tests/numbers.rs
+++ b/crates/fleet/group/tests/numbers.rs
@@ -3,11 +3,14 @@
 
 mod support;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use beechloft_consensus::MemberId;
-use beechloft_leases::{Drift, Fault, HolderId, Numbering, Part};
+use beechloft_leases::{
+    Answer, Command, Drift, Fault, HolderId, Inherited, Name, Numbering, Op, Part, Request, Table, Token,
+    Will,
+};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use support::World;
@@ -18,8 +21,19 @@
 /// Servers with their whole: what all fronts may do there within the span.
 const SERVERS: [(u32, usize); 6] = [(0, 1), (1, 2), (2, 3), (3, 6), (7, 11), (8, 40)];
 
+/// A front that is to restart, by true time.
+#[derive(Debug, Clone, Copy)]
+struct Restarts {
+    /// It has stopped acting, and leaves its number.
+    leaves: Duration,
+    /// Its next start.
+    starts: Duration,
+    left: bool,
+}
+
 struct Front {
     life: HolderId,
+    restarts: Option<Restarts>,
     numbering: Numbering,
     /// Of each server, what it did within the span, by its own clock.
     did: BTreeMap<u32, VecDeque<Duration>>,
@@ -31,6 +45,8 @@
     did: BTreeMap<u32, VecDeque<(Duration, usize)>>,
     acts: u64,
     with_part: u64,
+    /// Numbers that were taken over, by their tokens.
+    taken_over: BTreeSet<Token>,
     breach: Option<String>,
     fault: Option<Fault>,
 }
@@ -51,7 +67,7 @@
         if let Some(fault) = self.fault {
             numbering.plant(fault);
         }
-        Front { life, numbering, did: BTreeMap::new() }
+        Front { life, restarts: None, numbering, did: BTreeMap::new() }
     }
 
     /// Each front does all that it may, now.
@@ -66,6 +82,9 @@
             }
             let front = &mut self.all[n];
             let permit = w.candidates[n].holder.permit(now);
+            if let Some(taken) = permit.as_ref().filter(|p| p.inherited().is_some()) {
+                self.taken_over.extend(taken.token_at(now));
+            }
             front.numbering.look(now, permit.as_ref());
             let part = front.numbering.part(now);
             self.with_part += u64::from(part != Part::None);
@@ -97,11 +116,51 @@
     }
 }
 
+impl Fronts {
+    fn new(w: &World, fault: Option<Fault>) -> Fronts {
+        let mut fronts = Fronts {
+            all: Vec::new(),
+            did: BTreeMap::new(),
+            acts: 0,
+            with_part: 0,
+            taken_over: BTreeSet::new(),
+            breach: None,
+            fault,
+        };
+        fronts.all = (0..FRONTS).map(|n| fronts.front(w.candidates[n].id)).collect();
+        fronts
+    }
+
+    /// A front stops acting, leaves its number some time later, and starts again some time after that; or the next one of its
+    /// seat has started by then.
+    fn restart(&mut self, w: &mut World, n: usize) {
+        let Some(now) = w.clock(n).filter(|_| self.all[n].restarts.is_none()) else { return };
+        let leaves = w.now + SPAN.mul_f64(w.dice.random_range(0.0..1.3));
+        let starts = leaves + Duration::from_millis(w.dice.random_range(0..1_500));
+        self.all[n].numbering.stop(now);
+        self.all[n].restarts = Some(Restarts { leaves, starts, left: false });
+    }
+
+    fn go_on_restarting(&mut self, w: &mut World) {
+        for n in 0..FRONTS {
+            let front = &mut self.all[n];
+            let (Some(now), Some(restarts)) = (w.clock(n), &mut front.restarts) else { continue };
+            if w.now >= restarts.leaves && !restarts.left {
+                restarts.left = true;
+                if let Some(farewell) = front.numbering.farewell(now, 1_500) {
+                    w.leave(n, farewell);
+                }
+            } else if w.now >= restarts.starts {
+                w.start_again(n);
+            }
+        }
+    }
+}
+
 fn run(seed: u64, fault: Option<Fault>) -> (Fronts, usize) {
     let mut w = World::new(3, FRONTS, 64, seed, fault);
-    let mut fronts =
-        Fronts { all: Vec::new(), did: BTreeMap::new(), acts: 0, with_part: 0, breach: None, fault };
-    fronts.all = (0..FRONTS).map(|n| fronts.front(w.candidates[n].id)).collect();
+    w.seat_all();
+    let mut fronts = Fronts::new(&w, fault);
     w.lost = w.dice.random_range(0..60);
     w.doubled = w.dice.random_range(0..60);
     w.late = w.dice.random_range(0..30);
@@ -111,6 +170,7 @@
         for _ in 0..8 {
             w.pass(STEP);
             fronts.act(&w);
+            fronts.go_on_restarting(&mut w);
         }
         if w.breach.is_some() || fronts.breach.is_some() {
             break;
@@ -118,7 +178,7 @@
         let n = w.dice.random_range(0..FRONTS);
         let span = Duration::from_millis(w.dice.random_range(100..4_000));
         let any: MemberId = *keepers.choose(&mut w.dice).expect("keepers");
-        match w.dice.random_range(0..20) {
+        match w.dice.random_range(0..22) {
             0..5 => w.want(n),
             5 => w.give_back(n),
             6 => w.kill(n),
@@ -131,6 +191,9 @@
             12 => w.stop(w.leader().unwrap_or(any)),
             13 | 14 => keepers.iter().for_each(|id| w.restart(*id)),
             15 => w.deaf.clear(),
+            16..19 => fronts.restart(&mut w, n),
+            // One after another, as an operator does.
+            19 => (n..FRONTS).take(4).for_each(|k| fronts.restart(&mut w, k)),
             _ => {}
         }
     }
@@ -139,22 +202,34 @@
 
 #[test]
 fn all_fronts_together_keep_the_pace_whatever_fails() {
-    let (mut acts, mut with_part, mut granted) = (0, 0, 0);
+    let (mut acts, mut with_part, mut granted, mut taken_over) = (0, 0, 0, 0);
     for seed in 0..60 {
         let (fronts, grants) = run(seed, None);
         assert_eq!(fronts.breach, None, "seed {seed}");
         acts += fronts.acts;
         with_part += fronts.with_part;
         granted += grants;
+        taken_over += fronts.taken_over.len();
     }
-    println!("{acts} acts, {with_part} moments with a part, {granted} grants");
+    println!(
+        "{acts} acts, {with_part} moments with a part, {granted} grants, {taken_over} numbers taken over"
+    );
     // It is worth nothing if nobody may do anything.
     assert!(acts > 40_000 && granted > 1_000, "{acts} {granted}");
+    assert!(taken_over > 300, "{taken_over} numbers taken over");
 }
 
 #[test]
 fn planted_faults_are_found() {
-    for fault in [Fault::NumberAtOnce, Fault::SmallerAtOnce, Fault::PlaceTwice] {
+    for fault in [
+        Fault::NumberAtOnce,
+        Fault::SmallerAtOnce,
+        Fault::PlaceTwice,
+        Fault::RestForgotten,
+        Fault::ActsAfterLeaving,
+        Fault::OfForgotten,
+        Fault::LeftTwice,
+    ] {
         let found = (0..100).find_map(|seed| run(seed, Some(fault)).0.breach.map(|why| (seed, why)));
         println!("{fault:?}: {found:?}");
         assert!(found.is_some(), "{fault:?} is not found");
@@ -164,9 +239,7 @@
 #[test]
 fn a_front_has_a_part_soon_after_it_asks_and_goes_on_having_it() {
     let mut w = World::new(3, FRONTS, 64, 5, None);
-    let mut fronts =
-        Fronts { all: Vec::new(), did: BTreeMap::new(), acts: 0, with_part: 0, breach: None, fault: None };
-    fronts.all = (0..FRONTS).map(|n| fronts.front(w.candidates[n].id)).collect();
+    let mut fronts = Fronts::new(&w, None);
     (0..FRONTS).for_each(|n| w.want(n));
     for step in 0..300 {
         w.pass(STEP);
@@ -182,3 +255,33 @@
     let numbers: std::collections::BTreeSet<_> = fronts.all.iter().map(|f| f.numbering.number()).collect();
     assert_eq!(numbers.len(), FRONTS);
 }
+
+/// What a third one in the first one's seat takes over, if a second was granted after the first last heard of its own grant, and has
+/// ended: what that one did by a part of more than one is not over.
+fn taken_over_after_another_has_gone(fault: Option<Fault>) -> Option<Inherited> {
+    let mut table = Table::default();
+    if let Some(fault) = fault {
+        table.plant(fault);
+    }
+    let name = |text: &str| Name::try_from(text.to_owned()).expect("a name");
+    let mut ask = |holder, seq, op| {
+        let request = Request { holder: HolderId(holder), seq, op };
+        table.apply(&Command::Request(request)).0.expect("an answer")
+    };
+    let sits = |seat| Op::AcquireAs { name: name("task"), places: 9, ttl_ms: 3_000, seat: name(seat) };
+    ask(1, 1, sits("a"));
+    ask(2, 1, sits("b"));
+    let will = Will { of: 1, rest_ms: 700, newest: Token(1), keep_ms: 5_000 };
+    assert_eq!(ask(1, 2, Op::Leave { name: name("task"), token: Token(1), will }), Answer::Left);
+    ask(2, 2, Op::Release { name: name("task"), token: Token(2) });
+    match ask(3, 1, sits("a")) {
+        Answer::Seat(Token(3), standing, seated) if standing.place == 0 => seated.inherited,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_number_is_taken_over_as_any_other_if_one_that_was_not_heard_of_has_gone() {
+    assert_eq!(taken_over_after_another_has_gone(None), None);
+    assert!(taken_over_after_another_has_gone(Some(Fault::GoneUnseen)).is_some(), "the fault is not found");
+}
--- a/crates/fleet/group/tests/support/mod.rs
+++ b/crates/fleet/group/tests/support/mod.rs
@@ -11,8 +11,8 @@
 };
 use beechloft_group::{Asked, ClientId, Keeper, KeeperOutput};
 use beechloft_leases::{
-    Answer, Drift, Fault, Heard, Holder, HolderId, HolderInput, HolderOutput, Name, Op, Request, Route,
-    Terms, Token,
+    Answer, Drift, Farewell, Fault, Heard, Holder, HolderId, HolderInput, HolderOutput, Name, Op, Request,
+    Route, Terms, Token,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -101,6 +101,8 @@
     pub longest_none: Duration,
     pub messages: u64,
     rogue: Option<usize>,
+    /// Each two candidates, one after the other, sit in one seat.
+    pub seats: bool,
     /// A keeper that was lost with its disk, and the one that is to take its place.
     replacing: Option<(MemberId, MemberId)>,
     next_id: u64,
@@ -145,6 +147,7 @@
             longest_none: Duration::ZERO,
             messages: 0,
             rogue: None,
+            seats: false,
             replacing: None,
             next_id: keepers + 1,
             replaced: 0,
@@ -201,6 +204,10 @@
         let terms = Terms { name, places: self.places, ttl_ms: self.ttl_ms };
         #[allow(unused_mut)]
         let mut holder = Holder::new(id, terms, self.drift, self.dice.random());
+        if self.seats {
+            let seat = Name::try_from(format!("seat-{}", id.0 % 1_000 / 2)).expect("a name");
+            holder = holder.seated(seat);
+        }
         if let Some(fault) = self.fault {
             holder.plant(fault);
         }
@@ -436,6 +443,27 @@
         self.candidate(n, HolderInput::Want);
     }
 
+    /// All candidates have seats from now on; none has asked for anything yet.
+    pub fn seat_all(&mut self) {
+        self.seats = true;
+        for n in 0..self.candidates.len() {
+            let holder = self.holder(self.candidates[n].id);
+            self.candidates[n].holder = holder;
+        }
+    }
+
+    /// Its place is left to the next one of its seat.
+    pub fn leave(&mut self, n: usize, farewell: Farewell) {
+        self.candidates[n].wants = false;
+        self.candidate(n, HolderInput::Leave(farewell));
+    }
+
+    /// A candidate's process is killed, and another starts that wants the lease.
+    pub fn start_again(&mut self, n: usize) {
+        self.candidates[n].wants = true;
+        self.kill(n);
+    }
+
     pub fn give_back(&mut self, n: usize) {
         self.candidates[n].wants = false;
         self.candidate(n, HolderInput::GiveBack);
@@ -464,6 +492,7 @@
             match answer {
                 _ if holder != self.candidates[n].id => {}
                 Answer::Granted(token, _) => self.lives(Lived { token, asked }, true),
+                Answer::Seat(token, ..) => self.lives(Lived { token, asked }, false),
                 Answer::Renewed(token, _) => self.lives(Lived { token, asked }, false),
                 _ => {}
             }
--- a/crates/fleet/keeper/src/agent.rs
+++ b/crates/fleet/keeper/src/agent.rs
@@ -1,5 +1,5 @@
 //! What a front asks of the fleet, on a thread of its own: its number, and its turn to restart. The front looks here at any
-//! moment and never waits.
+//! moment and never waits, but for its last moment, when it leaves its number to the next one of its seat.
 
 use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
-use beechloft_leases::{Holder, HolderId, HolderInput, HolderOutput, Numbering, Part, Request, Terms};
+use beechloft_leases::{Holder, HolderId, HolderInput, HolderOutput, Name, Numbering, Part, Request, Terms};
 use tracing::{error, info};
 
 use crate::client::Way;
@@ -15,6 +15,9 @@
 
 /// The longest that the thread listens before it looks at the clock.
 const LOOK: Duration = Duration::from_millis(20);
+/// How long a front that ends waits for the word that its number is kept: a leader may just have been lost. After that its
+/// place runs out, as that of one that was killed.
+const FAREWELL: Duration = Duration::from_millis(800);
 
 /// A lease that is asked for, and what it is for.
 struct Task {
@@ -25,13 +28,11 @@
 }
 
 impl Task {
-    fn new(terms: Terms, set: &FleetSettings) -> Task {
+    fn new(terms: Terms, seat: Option<&Name>, set: &FleetSettings) -> Task {
         let name = terms.name.to_string();
-        Task {
-            holder: Holder::new(HolderId(rand::random()), terms, set.drift, rand::random()),
-            name,
-            over: false,
-        }
+        let holder = Holder::new(HolderId(rand::random()), terms, set.drift, rand::random());
+        let holder = seat.map_or(holder.clone(), |seat| holder.seated(seat.clone()));
+        Task { holder, name, over: false }
     }
 
     /// What is to be sent.
@@ -53,9 +54,23 @@
     }
 }
 
+/// How far a front is that ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ending {
+    /// It goes on.
+    Not,
+    /// Its number is being left, and nobody waits for longer than until then.
+    Leaving(Duration),
+    /// There is nothing more to wait for.
+    Over,
+}
+
 struct State {
     number: Option<Task>,
     numbering: Numbering,
+    /// For how long its number is kept for the next one of its seat; none: it has no seat.
+    keep_ms: Option<u32>,
+    ending: Ending,
     turn: Option<Task>,
     /// Requests that the thread is to send.
     requests: Vec<Request>,
@@ -67,6 +82,38 @@
         self.requests.extend(requests);
     }
 
+    /// Stops acting by its number for good, and leaves it to the next one of its seat: at once, or when what it did by it counts
+    /// no more. Whether there is nothing more to wait for.
+    fn leave(&mut self, now: Duration, at_once: bool) -> bool {
+        let Some(keep_ms) = self.keep_ms else { return true };
+        self.numbering.stop(now);
+        let stopped = self.numbering.stopped().filter(|_| self.numbering.number().is_some());
+        let counts = stopped.is_some_and(|(at, span)| now < at + span);
+        match self.ending {
+            Ending::Not if counts && !at_once => {}
+            Ending::Not => {
+                self.ending = Ending::Over;
+                if let (Some(task), Some(farewell)) =
+                    (&mut self.number, self.numbering.farewell(now, keep_ms))
+                {
+                    info!(of = farewell.of, rest_ms = farewell.rest_ms, "leaves its number");
+                    let requests = task.take(now, HolderInput::Leave(farewell));
+                    self.requests.extend(requests);
+                    self.ending = Ending::Leaving(now + FAREWELL);
+                }
+            }
+            Ending::Leaving(until) => {
+                let heard = self.number.as_ref().is_none_or(|t| t.holder.is_idle());
+                if heard || now >= until {
+                    info!(kept = heard, "has left its number");
+                    self.ending = Ending::Over;
+                }
+            }
+            Ending::Over => {}
+        }
+        self.ending == Ending::Over
+    }
+
     fn tasks(&mut self) -> impl Iterator<Item = &mut Task> {
         self.number.iter_mut().chain(self.turn.iter_mut())
     }
@@ -96,10 +143,16 @@
     /// # Errors
     /// There is no thread.
     pub fn start(set: &FleetSettings, span: Duration) -> io::Result<Agent> {
-        let number = set.number.clone().map(|terms| Task::new(terms, set));
-        let turn = set.restart.as_ref().map(|r| Task::new(r.terms.clone(), set));
+        let seat = set.seat.as_ref();
+        let number = set.number.clone().map(|terms| Task::new(terms, seat, set));
+        let turn = set.restart.as_ref().map(|r| Task::new(r.terms.clone(), None, set));
         let numbering = Numbering::new(set.drift, span);
-        let state = Mutex::new(State { number, numbering, turn, requests: Vec::new() });
+        // For as long as a front takes to be back, if that is said; it costs nobody anything but a larger `of`.
+        let back_ms = set.restart.as_ref().map_or(0, |r| r.terms.ttl_ms);
+        let keep_ms =
+            number.as_ref().zip(seat).map(|_| back_ms.max(set.number.as_ref().map_or(0, |t| t.ttl_ms)));
+        let state = State { number, numbering, keep_ms, ending: Ending::Not, turn, requests: Vec::new() };
+        let state = Mutex::new(state);
         let shared = Arc::new(Shared { state, clock: Box::new(set.clock()), end: AtomicBool::new(false) });
         let (its, way) = (Arc::clone(&shared), Way::new(set.clone()));
         thread::Builder::new().name("agent".into()).stack_size(256 << 10).spawn(move || its.run(way))?;
@@ -129,11 +182,23 @@
         self.shared.state().want((self.shared.clock)(), |state| state.turn.as_mut());
     }
 
-    /// Whether it is this front's turn to restart, now.
-    pub fn has_turn(&self) -> bool {
-        let state = self.shared.state();
+    /// Whether it is this front's turn to restart, now, and its number is left to the next one of its seat. From its turn on it
+    /// acts by no number; what it can do without, it goes on doing until it may end.
+    pub fn may_end(&self) -> bool {
+        let mut state = self.shared.state();
         let now = (self.shared.clock)();
-        state.turn.as_ref().is_some_and(|t| t.holder.permit(now).is_some())
+        // Once it has begun to leave, a turn that is lost does not call it back.
+        let turn = state.ending != Ending::Not
+            || state.turn.as_ref().is_some_and(|t| t.holder.permit(now).is_some());
+        turn && state.leave(now, false)
+    }
+
+    /// Leaves its number at once, and waits for the word that it is kept, for a moment at most. Whoever acts by it has stopped.
+    pub fn leave(&self) {
+        let end = (self.shared.clock)() + 2 * FAREWELL;
+        while !self.shared.state().leave((self.shared.clock)(), true) && (self.shared.clock)() < end {
+            thread::sleep(LOOK / 4);
+        }
     }
 }
 
--- a/crates/fleet/keeper/src/engine/lines.rs
+++ b/crates/fleet/keeper/src/engine/lines.rs
@@ -35,6 +35,7 @@
         Event::Granted { name, token, .. } => (name, token, "granted"),
         Event::Released(name, token) => (name, token, "released"),
         Event::Expired(name, token) => (name, token, "expired"),
+        Event::Left(name, token) => (name, token, "left"),
         Event::Renewed(..) => return None,
     };
     let (holder, before) = match event {
--- a/crates/fleet/keeper/src/settings.rs
+++ b/crates/fleet/keeper/src/settings.rs
@@ -33,6 +33,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The lease of a front's number, if it is to have one.
     pub number: Option<Terms>,
+    /// What is the same of a front from one start to the next: who starts in it takes over the number that was left there.
+    pub seat: Option<Name>,
     /// How fronts restart in turn, if they do.
     pub restart: Option<Restart>,
     /// For tests: this process's clock runs at this rate.
@@ -133,6 +135,7 @@
         store: s.text("store").map(PathBuf::from),
         drift,
         number: number(s, drift),
+        seat: seat(s),
         restart: if s.has("restart") { restart(&s.section("restart"), drift) } else { None },
         test_clock_rate: s.number("test_clock_rate", 0.5..=2.0).unwrap_or(1.0),
         test_via: via(s, "test_via"),
@@ -156,6 +159,14 @@
     terms(s, "front/number", places, ("number_ttl_ms", 10_000), drift)
 }
 
+fn seat(s: &Section<'_>) -> Option<Name> {
+    let text = s.text("seat")?;
+    if !s.has("number") {
+        s.fault("seat", "a number is left there, and fleet.number is missing");
+    }
+    Name::try_from(text).map_err(|e| s.fault("seat", e.to_string())).ok()
+}
+
 fn restart(s: &Section<'_>, drift: Drift) -> Option<Restart> {
     let places = s.needed_whole("at_most", 1..=4_096) as u16;
     let wait = s.millis("wait_ms", 1..=3_600_000).unwrap_or(Duration::from_secs(60));
@@ -212,7 +223,7 @@
         let text = "fleet:\n  name: market\n  listen: 127.0.0.1:7000\n  keepers: ['127.0.0.1:7000', '127.0.0.1:7001', '127.0.0.1:7002']\n  store: /tmp/x\n  drift_ppm: 200\n";
         let read = FleetSettings::read(text).expect("sound");
         assert_eq!((read.keepers.len(), read.name.as_str(), read.test_clock_rate), (3, "market", 1.0));
-        let bad = "fleet:\n  keepers: ['127.0.0.1:7000', '127.0.0.1:7000', 'x', '127.0.0.1:7002']\n  drift_ppm: 99999\n  seed: 3\n  zones: [a, b]\n  zone: c\n  seeds: ['127.0.0.1:1', y]\n  number: lease\n  number_ttl_ms: 460\n  restart:\n    at_least: 1\n    back_ms: 100\n";
+        let bad = "fleet:\n  keepers: ['127.0.0.1:7000', '127.0.0.1:7000', 'x', '127.0.0.1:7002']\n  drift_ppm: 99999\n  seed: 3\n  zones: [a, b]\n  zone: c\n  seeds: ['127.0.0.1:1', y]\n  number: lease\n  number_ttl_ms: 460\n  seat: no space\n  restart:\n    at_least: 1\n    back_ms: 100\n";
         let faults = FleetSettings::read(bad).expect_err("faulty").to_string();
         let all = [
             "name",
@@ -224,6 +235,7 @@
             "'y' is no address",
             "fleet.listen, which is missing",
             "number_ttl_ms: 460 ms leave 414 ms after a drift of 99999 ppm",
+            "seat: a name has",
             "at_least: unknown key",
             "at_most: missing",
             "back_ms: 100 ms leave",
--- a/crates/fleet/keeper/src/wire.rs
+++ b/crates/fleet/keeper/src/wire.rs
@@ -43,7 +43,7 @@
     pub name: String,
     /// The grant's token.
     pub token: u64,
-    /// `granted`, `released` or `expired`.
+    /// `granted`, `released`, `expired`, or `left`: its place is kept for the next one of its seat.
     pub what: String,
     /// Whose, if it was granted.
     pub holder: Option<u64>,
--- a/crates/fleet/leases/src/holder.rs
+++ b/crates/fleet/leases/src/holder.rs
@@ -8,7 +8,9 @@
 
 use crate::drift::Drift;
 use crate::planted::Fault;
-use crate::words::{Answer, Heard, HolderId, Name, Op, Request, Standing, Token, Unable};
+use crate::words::{
+    Answer, Heard, HolderId, Inherited, Name, Op, Request, Seated, Standing, Token, Unable, Will,
+};
 
 /// What is asked for.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -53,6 +55,17 @@
     }
 }
 
+/// What a holder that has a seat leaves with its place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Farewell {
+    /// Of how many its number was.
+    pub of: u32,
+    /// For so long, milliseconds, what it did by its number still counts.
+    pub rest_ms: u32,
+    /// For so long, milliseconds, the place is kept for the next one of its seat.
+    pub keep_ms: u32,
+}
+
 /// What a holder hears.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum HolderInput {
@@ -62,6 +75,8 @@
     Want,
     /// It is wanted no more. Whoever acts by it has stopped.
     GiveBack,
+    /// Whoever acts by it has stopped for good, and the place is left to the next one of its seat; given back, if it has none.
+    Leave(Farewell),
     /// A keeper's word.
     Heard(Heard),
 }
@@ -99,9 +114,16 @@
     /// Others have it; asked again at this time.
     Waiting(Duration),
     /// It is held until a time, by a token.
-    Held { token: Token, standing: Standing, until: Duration, renew_at: Duration, renewal: Option<Out> },
-    /// It is being given back; nobody acts by it any more.
-    GivingBack { token: Token, until: Duration, out: Out },
+    Held {
+        token: Token,
+        standing: Standing,
+        seated: Seated,
+        until: Duration,
+        renew_at: Duration,
+        renewal: Option<Out>,
+    },
+    /// It is being given back, or left; nobody acts by it any more.
+    GivingBack { token: Token, until: Duration, out: Out, will: Option<Will> },
 }
 
 /// A right to act until a time. It is not to be copied, and its token is had for the present moment alone: a process that
@@ -110,6 +132,7 @@
 pub struct Permit {
     token: Token,
     standing: Standing,
+    inherited: Option<Inherited>,
     until: Duration,
 }
 
@@ -125,6 +148,11 @@
         self.standing
     }
 
+    /// What goes with its place, if the place was left to this holder.
+    pub fn inherited(&self) -> Option<Inherited> {
+        self.inherited
+    }
+
     /// When it is over, unless the lease is renewed and another permit taken.
     pub fn until(&self) -> Duration {
         self.until
@@ -136,6 +164,7 @@
 pub struct Holder {
     id: HolderId,
     terms: Terms,
+    seat: Option<Name>,
     drift: Drift,
     state: State,
     seq: u64,
@@ -159,7 +188,24 @@
     /// Nothing is asked for yet. `id` is drawn anew by each process.
     pub fn new(id: HolderId, terms: Terms, drift: Drift, seed: u64) -> Holder {
         let rng = ChaCha8Rng::seed_from_u64(seed ^ id.0);
-        Holder { id, terms, drift, state: State::Idle, seq: 0, rng, now: Duration::ZERO, fault: None }
+        Holder {
+            id,
+            terms,
+            seat: None,
+            drift,
+            state: State::Idle,
+            seq: 0,
+            rng,
+            now: Duration::ZERO,
+            fault: None,
+        }
+    }
+
+    /// The same in a seat: it takes over what was left for it, and may leave its own place to the next one. At one time one
+    /// process sits there; if two do, the places are two.
+    pub fn seated(mut self, seat: Name) -> Holder {
+        self.seat = Some(seat);
+        self
     }
 
     /// Plants a fault.
@@ -189,8 +235,8 @@
     /// A right to act, if it holds the lease now.
     pub fn permit(&self, now: Duration) -> Option<Permit> {
         match self.state {
-            State::Held { token, standing, until, .. } if now < until => {
-                Some(Permit { token, standing, until })
+            State::Held { token, standing, seated, until, .. } if now < until => {
+                Some(Permit { token, standing, inherited: seated.inherited, until })
             }
             _ => None,
         }
@@ -224,7 +270,8 @@
             HolderInput::Tick => self.tick(&mut out),
             HolderInput::Want if self.state == State::Idle => self.ask(&mut out),
             HolderInput::Want => {}
-            HolderInput::GiveBack => self.give_back(&mut out),
+            HolderInput::GiveBack => self.give_back(None, &mut out),
+            HolderInput::Leave(farewell) => self.give_back(Some(farewell), &mut out),
             HolderInput::Heard(heard) => self.heard(&heard, &mut out),
         }
         out
@@ -260,7 +307,19 @@
 
     fn acquire(&self) -> Op {
         let Terms { name, places, ttl_ms } = self.terms.clone();
-        Op::Acquire { name, places, ttl_ms }
+        match self.seat.clone() {
+            Some(seat) => Op::AcquireAs { name, places, ttl_ms, seat },
+            None => Op::Acquire { name, places, ttl_ms },
+        }
+    }
+
+    /// How a grant ends that nobody acts by any more.
+    fn ending(&self, token: Token, will: Option<Will>) -> Op {
+        let name = self.terms.name.clone();
+        match will {
+            Some(will) => Op::Leave { name, token, will },
+            None => Op::Release { name, token },
+        }
     }
 
     fn ask(&mut self, out: &mut Vec<HolderOutput>) {
@@ -269,13 +328,17 @@
         out.push(self.send(new.seq, self.acquire()));
     }
 
-    fn give_back(&mut self, out: &mut Vec<HolderOutput>) {
+    fn give_back(&mut self, farewell: Option<Farewell>, out: &mut Vec<HolderOutput>) {
         match self.state {
-            State::Held { token, until, .. } => {
+            State::Held { token, until, seated, .. } => {
                 let new = self.new_out();
-                self.state = State::GivingBack { token, until, out: new };
-                let name = self.terms.name.clone();
-                out.push(self.send(new.seq, Op::Release { name, token }));
+                let farewell = farewell.filter(|_| self.seat.is_some());
+                let will = farewell.map(|Farewell { of, rest_ms, keep_ms }| {
+                    // What it knew when it last heard of its grant.
+                    Will { of, rest_ms, keep_ms, newest: seated.newest }
+                });
+                self.state = State::GivingBack { token, until, out: new, will };
+                out.push(self.send(new.seq, self.ending(token, will)));
             }
             State::GivingBack { .. } => {}
             // What may be granted yet runs out by itself.
@@ -310,22 +373,22 @@
                 out.push(self.send(next.seq, self.acquire()));
             }
             State::Waiting(at) if now >= at => self.ask(out),
-            State::Held { token, standing, until, renew_at, renewal } => {
+            State::Held { token, standing, seated, until, renew_at, renewal } => {
                 let next = match renewal {
                     Some(of) if now >= of.again_at => self.again(of),
                     None if now >= renew_at => self.new_out(),
                     _ => return,
                 };
-                self.state = State::Held { token, standing, until, renew_at, renewal: Some(next) };
+                self.state = State::Held { token, standing, seated, until, renew_at, renewal: Some(next) };
                 out.push(self.send(next.seq, Op::Renew { name, token }));
             }
-            State::GivingBack { token, until, out: of } if now >= of.again_at => {
+            State::GivingBack { token, until, out: of, will } if now >= of.again_at => {
                 // The same number whatever happens: a release is done once.
                 let mut next = of;
                 next.tries = next.tries.min(2);
                 let next = self.again(next);
-                self.state = State::GivingBack { token, until, out: next };
-                out.push(self.send(next.seq, Op::Release { name, token }));
+                self.state = State::GivingBack { token, until, out: next, will };
+                out.push(self.send(next.seq, self.ending(token, will)));
             }
             _ => {}
         }
@@ -335,7 +398,8 @@
         let from_arrival = self.planted(Fault::CountsFromArrival);
         match self.state.clone() {
             State::Asking(of) => match heard.answer_to(self.id, of.seq) {
-                Some(Answer::Granted(token, standing)) => {
+                Some(answer @ (Answer::Granted(token, standing) | Answer::Seat(token, standing, _))) => {
+                    let seated = seated(answer);
                     let from = if from_arrival { self.now } else { of.made };
                     let until = from + self.time();
                     if self.now >= until {
@@ -343,7 +407,7 @@
                         return self.ask(out);
                     }
                     let renew_at = from + self.ttl() / 3;
-                    self.state = State::Held { token, standing, until, renew_at, renewal: None };
+                    self.state = State::Held { token, standing, seated, until, renew_at, renewal: None };
                     out.push(HolderOutput::Held(token));
                 }
                 Some(Answer::Unable(Unable::Taken | Unable::Overtaken)) => {
@@ -356,19 +420,25 @@
                 }
                 _ => {}
             },
-            State::Held { token, renewal: Some(of), .. } => match heard.answer_to(self.id, of.seq) {
-                Some(Answer::Renewed(renewed, standing)) if renewed == token => {
-                    let from = if from_arrival { self.now } else { of.made };
-                    let (until, renew_at) = (from + self.time(), from + self.ttl() / 3);
-                    self.state = State::Held { token, standing, until, renew_at, renewal: None };
-                    self.run_out(out);
-                }
-                Some(Answer::Unable(Unable::NotHeld)) => {
-                    out.push(HolderOutput::Lost(token));
-                    self.ask(out);
+            State::Held { token, seated: before, renewal: Some(of), .. } => {
+                match heard.answer_to(self.id, of.seq) {
+                    Some(
+                        answer @ (Answer::Renewed(renewed, standing) | Answer::Seat(renewed, standing, _)),
+                    ) if renewed == token => {
+                        // What came with the grant goes on with it.
+                        let seated = Seated { inherited: before.inherited, ..seated(answer) };
+                        let from = if from_arrival { self.now } else { of.made };
+                        let (until, renew_at) = (from + self.time(), from + self.ttl() / 3);
+                        self.state = State::Held { token, standing, seated, until, renew_at, renewal: None };
+                        self.run_out(out);
+                    }
+                    Some(Answer::Unable(Unable::NotHeld)) => {
+                        out.push(HolderOutput::Lost(token));
+                        self.ask(out);
+                    }
+                    _ => {}
                 }
-                _ => {}
-            },
+            }
             State::GivingBack { out: of, .. } if heard.answer_to(self.id, of.seq).is_some() => {
                 self.state = State::Idle;
             }
@@ -376,3 +446,11 @@
         }
     }
 }
+
+/// What an answer says to a holder with a seat; to any other it says nothing.
+fn seated(answer: Answer) -> Seated {
+    match answer {
+        Answer::Seat(_, _, seated) => seated,
+        _ => Seated { newest: Token::default(), inherited: None },
+    }
+}
--- a/crates/fleet/leases/src/lib.rs
+++ b/crates/fleet/leases/src/lib.rs
@@ -19,11 +19,12 @@
 mod words;
 
 pub use drift::Drift;
-pub use holder::{Holder, HolderInput, HolderOutput, Permit, Terms, TermsError};
+pub use holder::{Farewell, Holder, HolderInput, HolderOutput, Permit, Terms, TermsError};
 pub use numbering::{Numbering, Part};
 pub use planted::Fault;
 pub use route::Route;
 pub use table::{Event, Grant, Table, TableError};
 pub use words::{
-    Answer, Command, Heard, HolderId, KeeperId, Name, NameError, Op, Request, Standing, Token, Unable,
+    Answer, Command, Heard, HolderId, Inherited, KeeperId, Name, NameError, Op, Request, Seated, Standing,
+    Token, Unable, Will,
 };
--- a/crates/fleet/leases/src/numbering.rs
+++ b/crates/fleet/leases/src/numbering.rs
@@ -14,11 +14,31 @@
 //! - A larger `of` is gone by at once, a smaller one after the span: what those did that had the numbers past it is over then.
 //! - Without a lease a front has no part at all: with no bound on how many such fronts there are, any part above nought
 //!   would make a sum without bound.
+//!
+//! # A number that is taken over
+//!
+//! A front that ends stops acting by its number for good ([`Numbering::stop`]), and leaves the place to the next one of its seat
+//! ([`Numbering::farewell`]); that one is granted the same place by another token and waits for the rest alone. Why the four things
+//! above hold then:
+//!
+//! - The place is never free in between. For all other fronts nothing has changed: none that has renewed goes by an `of` that is
+//!   not above it, as the one before it had waited until they had.
+//! - What the one before did counts for the span from when it stopped. By its clock a part of that is over when it leaves; the rest
+//!   goes with the place, and is waited for from when the new one hears of its grant, which is later. Both parts by clocks within
+//!   the drift come to the span made longer by it, so that the span is over by true time. If the one before was itself
+//!   waiting, what is left of that goes with it instead.
+//! - Going by a smaller `of` than somebody with a number past it did within the span: the new one begins with the `of` of the one
+//!   before, and goes to a smaller one after a span like any other. The one before knew of all whose grants were there at its last
+//!   renewal. A grant that was made after that and has ended again before the place is taken over is seen by the table, as its
+//!   token is above the newest that the one before had heard of; then the new one waits like any new number.
+//! - Two that sit in one seat at once: the place is left once and taken over once; the other has another number, and waits.
+//!
+//! If the word that leaves the place is lost, or its sender was killed, the place runs out as it always did.
 
 use std::time::Duration;
 
 use crate::drift::Drift;
-use crate::holder::Permit;
+use crate::holder::{Farewell, Permit};
 use crate::planted::Fault;
 use crate::words::Token;
 
@@ -54,13 +74,15 @@
     drift: Drift,
     span: Duration,
     held: Option<Held>,
+    /// Since when it acts by no number any more.
+    stopped: Option<Duration>,
     fault: Option<Fault>,
 }
 
 impl Numbering {
     /// No number yet. `span` is that over which the pace counts what was done.
     pub fn new(drift: Drift, span: Duration) -> Numbering {
-        Numbering { drift, span: drift.longer(span), held: None, fault: None }
+        Numbering { drift, span: drift.longer(span), held: None, stopped: None, fault: None }
     }
 
     /// Plants a fault.
@@ -86,9 +108,20 @@
         let known = self.held.filter(|h| h.token == token);
         let mut held = known.unwrap_or_else(|| {
             let longest = self.drift.longer(Duration::from_millis(u64::from(standing.longest_ms)));
-            let wait = if self.planted(Fault::NumberAtOnce) { Duration::ZERO } else { longest + self.span };
+            let mut wait =
+                if self.planted(Fault::NumberAtOnce) { Duration::ZERO } else { longest + self.span };
+            let mut of = needs;
+            if let Some(inherited) = permit.inherited() {
+                wait = wait.min(Duration::from_millis(u64::from(inherited.rest_ms)));
+                if self.planted(Fault::RestForgotten) {
+                    wait = Duration::ZERO;
+                }
+                // What the table lets pass is a power of two; whoever said something else has a smaller part for it.
+                let before = inherited.of.min(1 << 20).next_power_of_two();
+                of = if self.planted(Fault::OfForgotten) { needs } else { needs.max(before) };
+            }
             let number = u32::from(standing.place);
-            Held { token, number, from: now + wait, until: permit.until(), of: needs, smaller: None }
+            Held { token, number, from: now + wait, until: permit.until(), of, smaller: None }
         });
         held.until = permit.until();
         let at_once = self.planted(Fault::SmallerAtOnce);
@@ -110,11 +143,33 @@
     /// This front's part, now.
     pub fn part(&self, now: Duration) -> Part {
         match self.held {
+            _ if self.stopped.is_some() && !self.planted(Fault::ActsAfterLeaving) => Part::None,
             Some(h) if now >= h.from && now < h.until => Part::Of { number: h.number, of: h.of },
             _ => Part::None,
         }
     }
 
+    /// Acts by no number any more, from now on.
+    pub fn stop(&mut self, now: Duration) {
+        self.stopped.get_or_insert(now);
+    }
+
+    /// Since when it acts by no number any more, and how long that counts.
+    pub fn stopped(&self) -> Option<(Duration, Duration)> {
+        self.stopped.map(|at| (at, self.span))
+    }
+
+    /// What goes with the number when it is left; none: it has none, or it has not stopped. `keep_ms` is how long the place
+    /// is kept.
+    pub fn farewell(&self, now: Duration, keep_ms: u32) -> Option<Farewell> {
+        let (held, stopped) = (self.held?, self.stopped?);
+        // Until it goes by its number it did nothing by it.
+        let over = if stopped < held.from { held.from } else { stopped + self.span };
+        let rest = over.saturating_sub(now);
+        let rest_ms = u32::try_from(rest.as_micros().div_ceil(1_000)).unwrap_or(u32::MAX);
+        Some(Farewell { of: held.of, rest_ms, keep_ms })
+    }
+
     /// Its number, whether it goes by it yet or not.
     pub fn number(&self) -> Option<u32> {
         self.held.map(|h| h.number)
--- a/crates/fleet/leases/src/planted.rs
+++ b/crates/fleet/leases/src/planted.rs
@@ -19,4 +19,14 @@
     SmallerAtOnce,
     /// Two grants of a task at once may have the same place.
     PlaceTwice,
+    /// A number that was taken over is gone by at once, whatever its last holder did.
+    RestForgotten,
+    /// Whoever has left its number acts by it on.
+    ActsAfterLeaving,
+    /// Whoever takes a number over forgets of how many it was.
+    OfForgotten,
+    /// A place that was left is taken over again and again.
+    LeftTwice,
+    /// A place is taken over whatever grants have come and gone since its holder was last renewed.
+    GoneUnseen,
 }
--- a/crates/fleet/leases/src/table.rs
+++ b/crates/fleet/leases/src/table.rs
@@ -6,7 +6,9 @@
 use thiserror::Error;
 
 use crate::planted::Fault;
-use crate::words::{Answer, Command, HolderId, Name, Op, Request, Standing, Token, Unable};
+use crate::words::{
+    Answer, Command, HolderId, Inherited, Name, Op, Request, Seated, Standing, Token, Unable, Will,
+};
 
 /// Tasks with a holder at most.
 const MOST_LEASES: usize = 4096;
@@ -46,12 +48,6 @@
         let taken: BTreeSet<u16> = self.grants.values().map(|g| g.place).collect();
         (0..self.places).find(|p| !taken.contains(p)).unwrap_or(self.places)
     }
-
-    fn standing(&self, place: u16) -> Standing {
-        let reach = self.grants.values().map(|g| g.place + 1).max().unwrap_or(0);
-        let longest_ms = self.grants.values().map(|g| g.ttl_ms).max().unwrap_or(0);
-        Standing { place, reach, longest_ms }
-    }
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -82,6 +78,8 @@
     Released(Name, Token),
     /// Ran out.
     Expired(Name, Token),
+    /// Its holder has stopped, and its place is kept for the next one of its seat.
+    Left(Name, Token),
 }
 
 /// A snapshot that can't be read.
@@ -89,6 +87,14 @@
 #[error("a table of leases that can't be read: {0}")]
 pub struct TableError(String);
 
+/// Where the holder of a grant sits.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+struct Seat {
+    name: Name,
+    /// Its place is left to the next one who sits there.
+    left: Option<Will>,
+}
+
 /// The table.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
 pub struct Table {
@@ -98,10 +104,31 @@
     last: BTreeMap<HolderId, Last>,
     last_token: u64,
     done: u64,
+    /// Of grants whose holders have seats. What is below here is not in tables that earlier versions wrote.
+    seats: BTreeMap<Token, Seat>,
+    /// Of each task that is held, the newest grant that has ended without another in its place.
+    ended: BTreeMap<Name, Token>,
     #[serde(skip)]
     fault: Option<Fault>,
 }
 
+/// A table as versions wrote it that knew no seats.
+#[derive(Deserialize)]
+struct Before {
+    leases: BTreeMap<Name, Lease>,
+    names: BTreeMap<Token, Name>,
+    last: BTreeMap<HolderId, Last>,
+    last_token: u64,
+    done: u64,
+}
+
+impl From<Before> for Table {
+    fn from(before: Before) -> Table {
+        let Before { leases, names, last, last_token, done } = before;
+        Table { leases, names, last, last_token, done, ..Table::default() }
+    }
+}
+
 impl Table {
     /// Plants a fault.
     #[cfg(feature = "planted")]
@@ -119,11 +146,19 @@
         postcard::to_allocvec(self).unwrap_or_default()
     }
 
-    /// Reads what [`Table::write`] wrote; nothing at all is an empty table.
+    /// Reads what [`Table::write`] wrote, in this version or the one before; nothing at all is an empty table.
+    ///
+    /// # Errors
+    /// It is no table.
     pub fn read(bytes: &[u8]) -> Result<Table, TableError> {
         if bytes.is_empty() {
             return Ok(Table::default());
         }
+        let (before, rest) =
+            postcard::take_from_bytes::<Before>(bytes).map_err(|e| TableError(e.to_string()))?;
+        if rest.is_empty() {
+            return Ok(before.into());
+        }
         postcard::from_bytes(bytes).map_err(|e| TableError(e.to_string()))
     }
 
@@ -181,40 +216,70 @@
 
     fn operate(&mut self, holder: HolderId, op: &Op) -> Result<(Answer, Event), Unable> {
         match op {
-            Op::Acquire { name, places, ttl_ms } => self.acquire(holder, name, *places, *ttl_ms),
+            Op::Acquire { name, places, ttl_ms } => self.acquire(holder, name, *places, *ttl_ms, None),
+            Op::AcquireAs { name, places, ttl_ms, seat } => {
+                self.acquire(holder, name, *places, *ttl_ms, Some(seat))
+            }
+            Op::Leave { name, token, will } => self.leave(holder, name, *token, *will),
             Op::Renew { name, token } => {
                 let taken = self.planted(Fault::RenewsReleased);
-                let lease = self.leases.get_mut(name);
+                let left = self.seats.get(token).is_some_and(|s| s.left.is_some());
+                let lease = self.leases.get_mut(name).filter(|_| !left);
                 let own = lease.and_then(|l| {
                     let grant = l.grants.get_mut(token).filter(|g| g.holder == holder)?;
                     grant.renewals += 1;
-                    let place = grant.place;
-                    Some(l.standing(place))
+                    Some(grant.place)
                 });
+                let own = own.map(|place| self.standing(name, place));
                 let standing = match own {
                     Some(standing) => standing,
                     None if taken => Standing::default(),
                     None => return Err(Unable::NotHeld),
                 };
-                Ok((Answer::Renewed(*token, standing), Event::Renewed(name.clone(), *token)))
+                let answer = match self.seats.contains_key(token) {
+                    true => Answer::Seat(*token, standing, self.seated(None)),
+                    false => Answer::Renewed(*token, standing),
+                };
+                Ok((answer, Event::Renewed(name.clone(), *token)))
             }
             Op::Release { name, token } => {
                 let own = self.grant(*token).is_some_and(|g| g.holder == holder);
                 if !own || self.names.get(token) != Some(name) {
                     return Err(Unable::NotHeld);
                 }
-                self.end(*token);
+                self.end_for_good(*token);
                 Ok((Answer::Released, Event::Released(name.clone(), *token)))
             }
         }
     }
 
+    /// Where a grant stands, by its place. Whoever has left acts by nothing, and no newcomer need wait for it.
+    fn standing(&self, name: &Name, place: u16) -> Standing {
+        let Some(lease) = self.leases.get(name) else { return Standing::default() };
+        let reach = lease.grants.values().map(|g| g.place + 1).max().unwrap_or(0);
+        let has_left = |token: &Token| self.seats.get(token).is_some_and(|s| s.left.is_some());
+        let act = lease.grants.iter().filter(|(token, _)| !has_left(token));
+        Standing { place, reach, longest_ms: act.map(|(_, g)| g.ttl_ms).max().unwrap_or(0) }
+    }
+
+    fn seated(&self, inherited: Option<Inherited>) -> Seated {
+        Seated { newest: Token(self.last_token), inherited }
+    }
+
+    /// The grant that was left for this seat, and what goes with it.
+    fn left_for(&self, lease: &Lease, seat: Option<&Name>) -> Option<(Token, Will)> {
+        let seat = seat?;
+        let left = |token: &Token| self.seats.get(token).filter(|s| s.name == *seat)?.left;
+        lease.grants.keys().find_map(|token| Some((*token, left(token)?)))
+    }
+
     fn acquire(
         &mut self,
         holder: HolderId,
         name: &Name,
         places: u16,
         ttl_ms: u32,
+        seat: Option<&Name>,
     ) -> Result<(Answer, Event), Unable> {
         if !TTL_MS.contains(&ttl_ms) {
             return Err(Unable::Time);
@@ -223,8 +288,8 @@
             return Err(Unable::Places);
         }
         let many = self.leases.len() >= MOST_LEASES;
-        let mut before = None;
-        match self.leases.get_mut(name) {
+        let (mut before, mut left) = (None, None);
+        match self.leases.get(name) {
             None if many => return Err(Unable::TooMany),
             None => {}
             Some(lease) => {
@@ -232,17 +297,22 @@
                 if lease.places != places {
                     return Err(Unable::Places);
                 }
-                if own.is_none() && lease.grants.len() >= usize::from(places) {
-                    return Err(Unable::Taken);
+                if own.is_none() {
+                    left = self.left_for(lease, seat);
                 }
                 // It held it and asks anew, as its time ran out or its answer was lost: what it did under the grant before must
-                // not pass for what it does under this one.
-                before = own;
+                // not pass for what it does under this one. Or another held it, and has left it to this one.
+                before = own.or(left.map(|l| l.0));
+                if before.is_none() && lease.grants.len() >= usize::from(places) {
+                    return Err(Unable::Taken);
+                }
             }
         }
         // It keeps its place: nobody else had it meanwhile.
         let kept = before.and_then(|token| self.grant(token)).map(|g| g.place);
-        if let Some(token) = before {
+        if let Some(token) = before
+            && !(self.planted(Fault::LeftTwice) && left.is_some())
+        {
             self.end(token);
         }
         if !self.planted(Fault::SameToken) || self.last_token == 0 {
@@ -253,14 +323,53 @@
         let lease = self.leases.entry(name.clone()).or_insert_with(|| Lease::new(places));
         let place = if twice { 0 } else { kept.unwrap_or_else(|| lease.free()) };
         lease.grants.insert(token, Grant { holder, place, ttl_ms, renewals: 0 });
-        let standing = lease.standing(place);
         self.names.insert(token, name.clone());
-        Ok((Answer::Granted(token, standing), Event::Granted { name: name.clone(), token, holder, before }))
+        let standing = self.standing(name, place);
+        let answer = match seat {
+            Some(seat) => {
+                self.seats.insert(token, Seat { name: seat.clone(), left: None });
+                Answer::Seat(token, standing, self.seated(left.and_then(|l| self.inherited(name, l.1))))
+            }
+            None => Answer::Granted(token, standing),
+        };
+        Ok((answer, Event::Granted { name: name.clone(), token, holder, before }))
+    }
+
+    /// What is taken over with a place; nothing if a grant has ended that whoever left the place had not heard of: that one
+    /// may have acted by a part of more than all that are there now.
+    fn inherited(&self, name: &Name, will: Will) -> Option<Inherited> {
+        let unseen = self.ended.get(name).is_some_and(|ended| *ended > will.newest);
+        let Will { of, rest_ms, .. } = will;
+        (!unseen || self.planted(Fault::GoneUnseen)).then_some(Inherited { of, rest_ms })
+    }
+
+    /// A holder leaves its place to the next one of its seat.
+    fn leave(
+        &mut self,
+        holder: HolderId,
+        name: &Name,
+        token: Token,
+        will: Will,
+    ) -> Result<(Answer, Event), Unable> {
+        if !TTL_MS.contains(&will.keep_ms) {
+            return Err(Unable::Time);
+        }
+        let lease = self.leases.get_mut(name);
+        let grant = lease.and_then(|l| l.grants.get_mut(&token)).filter(|g| g.holder == holder);
+        let (Some(grant), Some(seat)) = (grant, self.seats.get_mut(&token).filter(|s| s.left.is_none()))
+        else {
+            return Err(Unable::NotHeld);
+        };
+        seat.left = Some(will);
+        // What was put into the log to end it before this does so no more.
+        (grant.ttl_ms, grant.renewals) = (will.keep_ms, grant.renewals + 1);
+        Ok((Answer::Left, Event::Left(name.clone(), token)))
     }
 
     /// A grant ends.
     fn end(&mut self, token: Token) -> Option<Name> {
         let name = self.names.remove(&token)?;
+        self.seats.remove(&token);
         if let Some(lease) = self.leases.get_mut(&name) {
             lease.grants.remove(&token);
             if lease.grants.is_empty() {
@@ -270,13 +379,26 @@
         Some(name)
     }
 
+    /// A grant ends, and no other has its place.
+    fn end_for_good(&mut self, token: Token) -> Option<Name> {
+        let name = self.end(token)?;
+        if self.leases.contains_key(&name) {
+            let newest = self.ended.entry(name.clone()).or_default();
+            *newest = token.max(*newest);
+        } else {
+            // Nobody is there who could have left anything.
+            self.ended.remove(&name);
+        }
+        Some(name)
+    }
+
     fn expire(&mut self, token: Token, renewals: u64) -> Option<Event> {
         let renewed = self.grant(token).is_none_or(|g| g.renewals != renewals);
         // Renewed between the leader's word and this: it goes on.
         if renewed {
             return None;
         }
-        let name = self.end(token)?;
+        let name = self.end_for_good(token)?;
         Some(Event::Expired(name, token))
     }
 }
@@ -391,6 +513,63 @@
         assert!(Name::try_from("a b".to_owned()).is_err() && Name::try_from(String::new()).is_err());
     }
 
+    fn acquire_as(seat: &str) -> Op {
+        Op::AcquireAs { name: name("task"), places: 9, ttl_ms: 3_000, seat: name(seat) }
+    }
+
+    fn leave(token: u64, newest: u64) -> Op {
+        let will = Will { of: 8, rest_ms: 700, newest: Token(newest), keep_ms: 5_000 };
+        Op::Leave { name: name("task"), token: Token(token), will }
+    }
+
+    /// Place, token and what goes with it.
+    fn seat(answer: Answer) -> (u16, u64, Option<Inherited>) {
+        match answer {
+            Answer::Seat(token, standing, seated) => (standing.place, token.0, seated.inherited),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    #[test]
+    fn a_place_that_is_left_is_taken_over_once_by_its_seat_and_by_nobody_else() {
+        let mut t = Table::default();
+        for (holder, sits) in [(1, "a"), (2, "b")] {
+            assert_eq!(seat(ask(&mut t, holder, 1, acquire_as(sits))), (holder as u16 - 1, holder, None));
+        }
+        assert_eq!(ask(&mut t, 2, 2, leave(1, 2)), Answer::Unable(Unable::NotHeld), "another's");
+        assert_eq!(ask(&mut t, 1, 2, leave(1, 2)), Answer::Left);
+        assert_eq!(t.grant(Token(1)).map(|g| (g.place, g.ttl_ms)), Some((0, 5_000)));
+        // It is left once, and its holder acts by it no more.
+        assert_eq!(ask(&mut t, 1, 3, leave(1, 2)), Answer::Unable(Unable::NotHeld));
+        let renew = Op::Renew { name: name("task"), token: Token(1) };
+        assert_eq!(ask(&mut t, 1, 4, renew), Answer::Unable(Unable::NotHeld));
+        // What was put into the log to end it before does so no more.
+        assert_eq!(t.apply(&Command::Expire { token: Token(1), renewals: 0 }), (None, None));
+        // Another seat, or none, has a place of its own.
+        assert_eq!(seat(ask(&mut t, 3, 1, acquire_as("c"))), (2, 3, None));
+        assert_eq!(token(ask(&mut t, 4, 1, acquire(9))), Some(4));
+        let inherited = Some(Inherited { of: 8, rest_ms: 700 });
+        let taken = t.apply(&Command::Request(Request { holder: HolderId(5), seq: 1, op: acquire_as("a") }));
+        assert_eq!(taken.0.map(seat), Some((0, 5, inherited)));
+        assert!(matches!(taken.1, Some(Event::Granted { before: Some(Token(1)), .. })), "{taken:?}");
+        // A second one in the same seat.
+        assert_eq!(seat(ask(&mut t, 6, 1, acquire_as("a"))), (4, 6, None));
+        let places: BTreeSet<u16> = t.grants().map(|g| g.3.place).collect();
+        assert_eq!(places.len(), 5);
+        assert_eq!(Table::read(&t.write()), Ok(t));
+    }
+
+    #[test]
+    fn a_table_of_a_version_that_knew_no_seats_is_read() {
+        let mut t = Table::default();
+        ask(&mut t, 1, 1, acquire(2));
+        ask(&mut t, 2, 1, acquire(2));
+        // Two empty maps are what such a version did not write.
+        let bytes = t.write();
+        assert_eq!(bytes[bytes.len() - 2..], [0, 0]);
+        assert_eq!(Table::read(&bytes[..bytes.len() - 2]), Ok(t));
+    }
+
     #[test]
     fn what_is_out_of_bounds_is_refused_and_holders_past_the_bound_are_forgotten() {
         let mut t = Table::default();
--- a/crates/fleet/leases/src/words.rs
+++ b/crates/fleet/leases/src/words.rs
@@ -78,6 +78,57 @@
         /// By this grant.
         token: Token,
     },
+    /// The lease, for whoever sits here: a place that was left for this seat is taken over, else it is as any other.
+    AcquireAs {
+        /// Of this task.
+        name: Name,
+        /// Holders at once at most.
+        places: u16,
+        /// For so long, in milliseconds.
+        ttl_ms: u32,
+        /// Which seat.
+        seat: Name,
+    },
+    /// To leave its place to the next one of its seat. Whoever acted by it has stopped for good.
+    Leave {
+        /// Of this task.
+        name: Name,
+        /// By this grant.
+        token: Token,
+        /// What goes with it.
+        will: Will,
+    },
+}
+
+/// What a holder that ends leaves with its place.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Will {
+    /// Of how many its number was, as it went by it last.
+    pub of: u32,
+    /// For so long, milliseconds, what it did by its number still counts.
+    pub rest_ms: u32,
+    /// The newest token of all when it was last granted or renewed, as far as it has heard.
+    pub newest: Token,
+    /// For so long, milliseconds, its place is kept.
+    pub keep_ms: u32,
+}
+
+/// What whoever takes a place over has to go by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Inherited {
+    /// As [`Will::of`].
+    pub of: u32,
+    /// As [`Will::rest_ms`], from when it hears of it.
+    pub rest_ms: u32,
+}
+
+/// What a holder with a seat hears besides.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Seated {
+    /// The newest token of all, when this was done.
+    pub newest: Token,
+    /// Its place was left to it, and nothing has come between that counts.
+    pub inherited: Option<Inherited>,
 }
 
 /// A request. Sent again it has the same number, and is done once.
@@ -150,6 +201,10 @@
     Released,
     /// Not to be had.
     Unable(Unable),
+    /// Granted or renewed, to a holder with a seat.
+    Seat(Token, Standing, Seated),
+    /// Its place is kept for the next one of its seat.
+    Left,
 }
 
 /// What a holder hears.
--- a/crates/proof/day/src/keepers.rs
+++ b/crates/proof/day/src/keepers.rs
@@ -42,6 +42,8 @@
     pub clocks_apart_ppm: u64,
     /// Fronts have their numbers by lease, of this time in milliseconds; none: as written.
     pub number_ttl_ms: Option<u64>,
+    /// Fronts have seats: a front takes over the number that it had before it was told to restart.
+    pub seats: bool,
     /// Fronts restart in turn: so many at once, each back within so many milliseconds.
     pub restart: Option<(u64, u64)>,
 }
@@ -70,6 +72,7 @@
             drift_ppm,
             clocks_apart_ppm,
             number_ttl_ms: s.whole("number_ttl_ms", 500..=60_000),
+            seats: s.flag("seats", false),
             restart,
         }
     }
@@ -273,6 +276,9 @@
         if let Some(ttl) = self.spec.number_ttl_ms {
             section["number"] = json!("lease");
             section["number_ttl_ms"] = json!(ttl);
+            if self.spec.seats {
+                section["seat"] = json!(format!("front-{front}"));
+            }
         }
         if let Some((at_most, back_ms)) = self.spec.restart {
             section["restart"] = json!({ "at_most": at_most, "back_ms": back_ms });
