--- a/crates/fleet/keeper/src/settings.rs
+++ b/crates/fleet/keeper/src/settings.rs
@@ -37,6 +37,8 @@
     pub seat: Option<Name>,
     /// How fronts restart in turn, if they do.
     pub restart: Option<Restart>,
+    /// How fronts spread rows, if anything that is asked for needs them.
+    pub spread: Option<beechloft_spread::Settings>,
     /// For tests: this process's clock runs at this rate.
     pub test_clock_rate: f64,
     /// For tests: keepers that are reached by way of another address.
@@ -137,6 +139,7 @@
         number: number(s, drift),
         seat: seat(s),
         restart: if s.has("restart") { restart(&s.section("restart"), drift) } else { None },
+        spread: None,
         test_clock_rate: s.number("test_clock_rate", 0.5..=2.0).unwrap_or(1.0),
         test_via: via(s, "test_via"),
         test_udp_via: via(s, "test_udp_via"),
