--- a/crates/fleet/consensus/src/follower.rs
+++ b/crates/fleet/consensus/src/follower.rs
@@ -49,6 +49,9 @@
                 self.take(entries, out);
                 // Not past what this message has shown to be the leader's: what lies behind may be another's.
                 self.commit_to(commit.min(through), out);
+                if commit <= self.commit {
+                    self.current = Some(self.now);
+                }
                 Verdict::Matches(through)
             }
         };
@@ -151,11 +154,13 @@
         }
     }
 
-    /// How long a leader has not been heard.
-    pub fn unheard(&self) -> Option<Duration> {
+    /// For how long it may not have had all that was committed, by its own clock: since it last had all that a leader told it was.
+    /// A leader's signs of life alone do not count: one that is heard by nobody goes on hearing them, and gets no entries. A
+    /// leader has all; one that is cut off from all others thinks itself one for twice an election's time at most.
+    pub fn stale(&self) -> Duration {
         match self.role {
-            Role::Leader(_) => None,
-            _ => self.heard_leader.map(|t| self.now.saturating_sub(t)),
+            Role::Leader(_) => Duration::ZERO,
+            _ => self.current.map_or(Duration::MAX, |t| self.now.saturating_sub(t)),
         }
     }
 }
--- a/crates/fleet/consensus/src/raft.rs
+++ b/crates/fleet/consensus/src/raft.rs
@@ -122,6 +122,8 @@
     pub(crate) asks_at: Duration,
     /// When it last heard a leader.
     pub(crate) heard_leader: Option<Duration>,
+    /// When it last had all that a leader told it was committed.
+    pub(crate) current: Option<Duration>,
     pub(crate) now: Duration,
     rng: ChaCha8Rng,
     fault: Option<Fault>,
@@ -151,6 +153,7 @@
             asks_at: now,
             // A vote it cannot remember refusing would be given twice to leaders that live: it waits as if it had heard one.
             heard_leader: Some(now),
+            current: None,
             now,
             rng: ChaCha8Rng::seed_from_u64(seed ^ id.0),
             fault: None,
@@ -333,6 +336,7 @@
         }
         let before = std::mem::replace(&mut self.role, Role::Follower { leader, incoming: None });
         if let Role::Leader(l) = before {
+            self.current = Some(self.now);
             // Nobody may answer reads in its name any more.
             out.released.reads.extend(l.reads.into_iter().map(|r| (r.ticket, Err(Refused::Lost))));
         }
--- a/crates/fleet/group/src/keeper.rs
+++ b/crates/fleet/group/src/keeper.rs
@@ -109,9 +109,9 @@
         self.applied
     }
 
-    /// For how long it has not heard from a leader; a leader hears itself.
-    pub fn silent(&self) -> Duration {
-        self.raft.unheard().unwrap_or_default()
+    /// For how long it may not have had all that was committed.
+    pub fn stale(&self) -> Duration {
+        self.raft.stale()
     }
 
     /// Has the topics' cleaners work, in a bounded step; whether there is more to do. Not for the log: each keeper cleans for
--- a/crates/fleet/keeper/src/engine/lines.rs
+++ b/crates/fleet/keeper/src/engine/lines.rs
@@ -26,7 +26,7 @@
             last: s.last.index.0,
             members: s.members.iter().map(member).collect(),
             refused_words: self.conns.refused.load(Ordering::Relaxed),
-            silent_ms: self.keeper.silent().as_millis() as u64,
+            silent_ms: u64::try_from(self.keeper.stale().as_millis()).unwrap_or(u64::MAX),
             told_bytes: self.serving.told_bytes,
             topics: self.keeper.topics().all().map(|(name, topic)| self.topic(name, topic)).collect(),
         }
@@ -51,6 +51,7 @@
         Event::Granted { name, token, .. } => (name, token, "granted"),
         Event::Released(name, token) => (name, token, "released"),
         Event::Expired(name, token) => (name, token, "expired"),
+        Event::Left(name, token) => (name, token, "left"),
         Event::Renewed(..) => return None,
     };
     let (holder, before) = match event {
--- a/crates/fleet/keeper/src/engine/serving.rs
+++ b/crates/fleet/keeper/src/engine/serving.rs
@@ -121,7 +121,7 @@
             return;
         }
         let applied = keeper.applied().0;
-        let silent_ms = u32::try_from(keeper.silent().as_millis()).unwrap_or(u32::MAX);
+        let silent_ms = u32::try_from(keeper.stale().as_millis()).unwrap_or(u32::MAX);
         let moment = Moment { now, applied, silent_ms, fleet };
         (self.served_at, self.due) = (now, None);
         let (mut left, mut waits, mut made) = (A_TURN, false, Made::new());
--- a/crates/fleet/keeper/src/topics/follower.rs
+++ b/crates/fleet/keeper/src/topics/follower.rs
@@ -46,6 +46,8 @@
 struct Shared {
     subscriber: Mutex<Subscriber>,
     heard: Mutex<Option<Heard>>,
+    /// Up to where it is complete, and whoever hears has heard of.
+    told_to: Mutex<Option<Offset>>,
     end: AtomicBool,
 }
 
@@ -71,7 +73,12 @@
         hear: impl FnMut(Followed) + Send + 'static,
     ) -> io::Result<Follower> {
         let subscriber = Mutex::new(Subscriber::new(topic.clone(), settings, rand::random()));
-        let shared = Arc::new(Shared { subscriber, heard: Mutex::new(None), end: AtomicBool::new(false) });
+        let shared = Arc::new(Shared {
+            subscriber,
+            heard: Mutex::new(None),
+            told_to: Mutex::new(None),
+            end: AtomicBool::new(false),
+        });
         let (hears, came) = bounded(QUEUE);
         let follows = Follows {
             shared: Arc::clone(&shared),
@@ -95,6 +102,11 @@
         look(&locked(&self.shared.subscriber))
     }
 
+    /// Up to where it is complete, with all of that heard; [`Follower::look`] may know more than whoever hears was told yet.
+    pub fn told_to(&self) -> Option<Offset> {
+        *locked(&self.shared.told_to)
+    }
+
     /// For how long what is known may have been overtaken: since a leader was last heard of, by way of the keeper that serves. None:
     /// nothing was heard yet.
     pub fn staleness(&self) -> Option<Duration> {
@@ -160,6 +172,8 @@
                 inputs.extend(self.does(output));
             }
         }
+        let complete = locked(&self.shared.subscriber).complete_to();
+        *locked(&self.shared.told_to) = complete;
     }
 
     /// Does what the machine wants; what is to be said to it about that.
--- a/crates/fleet/keeper/src/wire.rs
+++ b/crates/fleet/keeper/src/wire.rs
@@ -45,7 +45,7 @@
     pub name: String,
     /// The grant's token.
     pub token: u64,
-    /// `granted`, `released` or `expired`.
+    /// `granted`, `released`, `expired`, or `left`: its place is kept for the next one of its seat.
     pub what: String,
     /// Whose, if it was granted.
     pub holder: Option<u64>,
@@ -83,7 +83,7 @@
     pub members: Vec<MemberLine>,
     /// Connections dropped for words that could not be read.
     pub refused_words: u64,
-    /// For how long it has not heard from a leader, milliseconds.
+    /// For how long it may not have had all that was committed, milliseconds.
     pub silent_ms: u64,
     /// Bytes told to subscribers.
     pub told_bytes: u64,
--- a/crates/proof/standin/src/topic.rs
+++ b/crates/proof/standin/src/topic.rs
@@ -182,7 +182,12 @@
                 thread::sleep(takes);
             }
         };
-        let follower = Follower::start(set, topic.clone(), SubscriberSettings::default(), hear)?;
+        let settings = SubscriberSettings {
+            patience: Duration::from_secs(3),
+            most_silent: Duration::from_secs(2),
+            ..SubscriberSettings::default()
+        };
+        let follower = Follower::start(set, topic.clone(), settings, hear)?;
         Ok(Reader { name: name.to_owned(), follower, record: record.clone() })
     }
 
@@ -193,7 +198,7 @@
 
     /// Up to where it is complete.
     pub fn complete_to(&self) -> Option<u64> {
-        self.follower.look(|s| s.complete_to()).map(|o| o.0)
+        self.follower.told_to().map(|o| o.0)
     }
 
     /// Waits until it is complete to an offset, and records that; false: not in time.
