--- a/crates/fleet/placement/src/front/mod.rs
+++ b/crates/fleet/placement/src/front/mod.rs
@@ -5,6 +5,7 @@
 //! titles may be pinned, as it can't know whether they are, or where.
 
 mod index;
+mod narrower;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -18,6 +19,7 @@
 use crate::words::commands::Renew;
 use crate::words::names::*;
 use index::Index;
+pub use narrower::{Change, Narrower};
 
 /// Words that are out at once: an answer to any of them counts from when that one was made.
 const MOST_OUT: usize = 8;
@@ -89,6 +91,7 @@
     index: Index,
     /// The last record that was taken.
     seen: Revision,
+    taken: u64,
     /// All records up to here are taken, and the keepers may be told so.
     has: Revision,
     /// The whole as it is told anew.
@@ -125,6 +128,7 @@
             customers,
             index: Index::default(),
             seen: Revision(0),
+            taken: 0,
             has: Revision(0),
             anew: None,
             until: Duration::ZERO,
@@ -160,6 +164,16 @@
         self.front
     }
 
+    /// Whether a customer's titles may be pinned.
+    pub fn concerns(&self, customer: &Customer) -> bool {
+        self.customers.contains(customer)
+    }
+
+    /// Counts the records that it has taken.
+    pub fn taken(&self) -> u64 {
+        self.taken
+    }
+
     /// Whether it may place now. `now` is read after all else, right before the act.
     pub fn has_right(&self, now: Duration) -> bool {
         now < self.until && !self.stopped
@@ -231,6 +245,7 @@
                 self.narrows |= record.as_ref().is_none_or(|r| r.narrows);
                 self.index.set(shard, record);
                 self.seen = revision;
+                self.taken += 1;
             }
         }
     }
@@ -242,6 +257,7 @@
         {
             // One from a keeper that is behind is dropped: a view that went back could offer what all were told is narrowed.
             (self.index, self.seen, self.narrows) = (index, upto, true);
+            self.taken += 1;
         }
         self.has = self.has.max(self.seen);
         let caught_up = self.needs > Revision(0) && self.has >= self.needs;
