Lost disks in the explorer of leases, and members that are shared by copies

The explorer of the log had keepers that are lost with their disks, that of leases had not. Three keepers and two candidates: any keeper is lost at any moment, another with an id and an empty disk of its own comes up, and whoever leads takes the steps of its replacing (the lost one let go, the new one learns, then votes), from four starts, two of them after a loss.

--- a/crates/fleet/consensus/src/membership.rs
+++ b/crates/fleet/consensus/src/membership.rs
@@ -1,6 +1,7 @@
 //! Who takes part, and changes of it one member at a time.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -21,9 +22,9 @@
     pub address: String,
 }
 
-/// All members.
+/// All members. Copies share them: each look at who takes part has one.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
-pub struct Membership(BTreeMap<MemberId, Member>);
+pub struct Membership(Arc<BTreeMap<MemberId, Member>>);
 
 /// A change of one member.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -68,7 +69,8 @@
 impl Membership {
     /// Voters that begin together.
     pub fn of(voters: impl IntoIterator<Item = (MemberId, String)>) -> Membership {
-        Membership(voters.into_iter().map(|(id, address)| (id, Member { voter: true, address })).collect())
+        let voter = |(id, address)| (id, Member { voter: true, address });
+        Membership(Arc::new(voters.into_iter().map(voter).collect()))
     }
 
     /// All members in order of their ids.
@@ -111,20 +113,21 @@
     /// The members after a change.
     pub fn changed(&self, change: &Change) -> Result<Membership, ChangeError> {
         let mut to = self.clone();
+        let members = Arc::make_mut(&mut to.0);
         match change {
             Change::Learn(id, _) if self.0.contains_key(id) => return Err(ChangeError::Known(*id)),
             Change::Learn(..) if self.0.len() >= MOST_MEMBERS => return Err(ChangeError::TooMany),
             Change::Learn(_, address) if address.len() > MOST_ADDRESS => return Err(ChangeError::Address),
             Change::Learn(id, address) => {
-                to.0.insert(*id, Member { voter: false, address: address.clone() });
+                members.insert(*id, Member { voter: false, address: address.clone() });
             }
-            Change::Promote(id) => match to.0.get_mut(id) {
+            Change::Promote(id) => match members.get_mut(id) {
                 None => return Err(ChangeError::Unknown(*id)),
                 Some(m) if m.voter => return Err(ChangeError::Voter(*id)),
                 Some(m) => m.voter = true,
             },
             Change::Remove(id) => {
-                if to.0.remove(id).is_none() {
+                if members.remove(id).is_none() {
                     return Err(ChangeError::Unknown(*id));
                 }
                 if to.voters().next().is_none() {
--- a/crates/fleet/group/tests/explored.rs
+++ b/crates/fleet/group/tests/explored.rs
@@ -12,7 +12,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use beechloft_consensus::{Body, MemberId, Membership, Message, Outputs, Settings, Stored, Term};
+use beechloft_consensus::{
+    Body, Change, Input, MemberId, Membership, Message, Outputs, Settings, Stored, Term, Ticket,
+};
 use beechloft_explore::{Found, Limits, Model, Seen, explore};
 use beechloft_group::{Asked, ClientId, Keeper, KeeperOutput};
 use beechloft_leases::{
@@ -36,6 +38,12 @@
     ticks: u8,
     releases: u8,
     kills: u8,
+    /// Keepers that are lost with their disks.
+    losses: u8,
+    /// Steps of the replacing of one that was lost.
+    changes: u8,
+    /// Disks that are emptied under their old ids, which must never be done.
+    empties: u8,
 }
 
 #[derive(Debug, Clone)]
@@ -73,6 +81,12 @@
     GiveBack(usize),
     /// A candidate's process is killed, and another comes in its place.
     Kill(usize),
+    /// A keeper is lost with its disk; another, with an id of its own and nothing on its disk, comes up in its place.
+    Lose(MemberId),
+    /// What an operator does next at a keeper that leads: the lost one is let go, the new one learns, then votes.
+    Change(MemberId, Change),
+    /// What must never be done: the disk is emptied, and the keeper starts under its old id.
+    Empty(MemberId),
 }
 
 struct Small {
@@ -97,6 +111,19 @@
     HeldAndLedAnew,
     /// ... and the first candidate has renewed, with its answer still on the way.
     Renewed,
+    /// The first candidate holds, and the leader is lost with its disk; the second keeper leads, and nobody is replaced yet.
+    HeldAndLost,
+    /// ... and the lost one is replaced: it learns and votes.
+    HeldAndReplaced,
+    /// The first candidate holds, and the third keeper has heard nothing of it.
+    HeldByTwo,
+}
+
+/// The one that comes up in a lost one's place.
+const NEW: MemberId = MemberId(4);
+
+fn members() -> Membership {
+    Membership::of(keepers().map(|id| (id, String::new())))
 }
 
 fn keepers() -> impl Iterator<Item = MemberId> {
@@ -136,8 +163,7 @@
     }
 
     fn new_world(&self) -> World {
-        let members = Membership::of(keepers().map(|id| (id, String::new())));
-        let disk = Memory(Stored::first(members));
+        let disk = Memory(Stored::first(members()));
         let now = self.clock(self.rates.0, 0);
         World {
             steps: 0,
@@ -204,13 +230,39 @@
         // Consent to stand is always had, so its messages need not be followed.
         w.on_way = before;
         let Some(host) = w.keepers.get(&id) else { return };
-        let term = Term(host.0.status().term.0 + 1);
-        for from in keepers().filter(|v| *v != id) {
+        let status = host.0.status();
+        let term = Term(status.term.0 + 1);
+        for from in status.members.voters().filter(|v| *v != id) {
             let message = Message { from, to: id, term, body: Body::PreVoted(true) };
             self.keeper(w, id, Asked::Peer(message), false);
         }
     }
 
+    fn lose(&self, w: &mut World, id: MemberId) {
+        w.keepers.remove(&id);
+        let disk = Memory(Stored::default());
+        let now = self.clock(self.rates.0, w.steps);
+        w.keepers.insert(NEW, Arc::new((self.process(NEW, &disk, now), disk)));
+    }
+
+    /// What is to be done next at this keeper, if it leads, for one that was lost to be replaced.
+    fn next_change(&self, w: &World, id: MemberId) -> Option<Change> {
+        let host = w.keepers.get(&id).filter(|h| h.0.raft().leads() && w.keepers.contains_key(&NEW))?;
+        let members = host.0.status().members;
+        if let Some((lost, _)) = members.iter().find(|(id, _)| !w.keepers.contains_key(id)) {
+            return Some(Change::Remove(lost));
+        }
+        match members.get(NEW) {
+            None => Some(Change::Learn(NEW, String::new())),
+            Some(new) if !new.voter => Some(Change::Promote(NEW)),
+            Some(_) => None,
+        }
+    }
+
+    fn change(&self, w: &mut World, id: MemberId, change: &Change) {
+        self.keeper(w, id, Asked::Group(Input::Change(Ticket(0), change.clone())), false);
+    }
+
     /// Delivers all that is on its way between keepers in the order in which it was said, until nothing is.
     fn settle(&self, w: &mut World) {
         while !w.on_way.is_empty() {
@@ -232,6 +284,28 @@
             self.candidate(&mut w, n, HolderInput::Want);
             self.delivered(&mut w, first);
         }
+        if before == Before::HeldByTwo {
+            let mut without = self.new_world();
+            std::mem::swap(&mut w, &mut without);
+            self.stand(&mut w, first);
+            self.settle(&mut w);
+            self.candidate(&mut w, 0, HolderInput::Want);
+            while let Some(asked) = w.asked.pop() {
+                self.keeper(&mut w, first, Asked::Request(ClientId(0), asked.1.clone()), false);
+            }
+            while !w.on_way.is_empty() {
+                let message = w.on_way.remove(0);
+                if message.to != MemberId(3) && message.from != MemberId(3) {
+                    self.keeper(&mut w, message.to, Asked::Peer((*message).clone()), false);
+                }
+            }
+            while let Some(told) = w.told.pop() {
+                self.candidate(&mut w, told.0, HolderInput::Heard(told.1.clone()));
+            }
+            self.candidate(&mut w, 1, HolderInput::Want);
+            assert!(w.holders[0].permit(self.clock(self.rates.1, 0)).is_some());
+            return w;
+        }
         let now = self.clock(self.rates.1, 0);
         assert!(w.holders[0].permit(now).is_some() && w.holders[1].permit(now).is_none());
         match before {
@@ -240,6 +314,18 @@
                 self.settle(&mut w);
                 assert!(w.keepers[&second].0.raft().leads());
             }
+            Before::HeldAndLost | Before::HeldAndReplaced => {
+                self.lose(&mut w, first);
+                self.stand(&mut w, second);
+                self.settle(&mut w);
+                assert!(w.keepers[&second].0.raft().leads());
+                while let Some(change) =
+                    self.next_change(&w, second).filter(|_| before == Before::HeldAndReplaced)
+                {
+                    self.change(&mut w, second, &change);
+                    self.settle(&mut w);
+                }
+            }
             Before::Renewed => {
                 w.steps += 1;
                 self.candidate(&mut w, 0, HolderInput::Tick);
@@ -296,7 +382,16 @@
             all.push(Event::Step);
         }
         let clock = self.clock(self.rates.0, w.steps);
+        if w.left.losses > 0 && !w.keepers.contains_key(&NEW) {
+            all.extend(w.keepers.keys().map(|id| Event::Lose(*id)));
+        }
+        if w.left.empties > 0 {
+            all.extend(w.keepers.keys().map(|id| Event::Empty(*id)));
+        }
         for (id, host) in &w.keepers {
+            if w.left.changes > 0 {
+                all.extend(self.next_change(w, *id).map(|change| Event::Change(*id, change)));
+            }
             if w.left.stands > 0 {
                 all.push(Event::Stand(*id));
             }
@@ -383,6 +478,20 @@
                 w.left.releases -= 1;
                 self.candidate(w, *n, HolderInput::GiveBack);
             }
+            Event::Lose(id) => {
+                w.left.losses -= 1;
+                self.lose(w, *id);
+            }
+            Event::Change(id, change) => {
+                w.left.changes -= 1;
+                self.change(w, *id, change);
+            }
+            Event::Empty(id) => {
+                w.left.empties -= 1;
+                let disk = Memory(Stored::first(members()));
+                let keeper = self.process(*id, &disk, self.clock(self.rates.0, w.steps));
+                w.keepers.insert(*id, Arc::new((keeper, disk)));
+            }
             Event::Kill(n) => {
                 w.left.kills -= 1;
                 w.holders[*n] = Arc::new(self.holder(*n, u64::from(w.left.kills) + 1));
@@ -417,7 +526,20 @@
     }
 }
 
-const SOME: Left = Left { stands: 1, crashes: 1, copies: 1, steps: 3, ticks: 2, releases: 1, kills: 1 };
+const NONE: Left = Left {
+    stands: 0,
+    crashes: 0,
+    copies: 0,
+    steps: 0,
+    ticks: 0,
+    releases: 0,
+    kills: 0,
+    losses: 0,
+    changes: 0,
+    empties: 0,
+};
+const SOME: Left =
+    Left { stands: 1, crashes: 1, copies: 1, steps: 3, ticks: 2, releases: 1, kills: 1, ..NONE };
 const ALL: [Before; 4] = [Before::Led, Before::Held, Before::HeldAndLedAnew, Before::Renewed];
 /// Keepers fast and candidates slow, the other way round, and all alike.
 const RATES: [(f64, f64); 3] = [(1.0, -1.0), (-1.0, 1.0), (0.0, 0.0)];
@@ -447,18 +569,51 @@
     }
 }
 
+/// Keepers lost with their disks and replaced, from a leader on and from after a loss.
+fn with_losses(limits: Limits, left: Left) {
+    let starts = [Before::Led, Before::Held, Before::HeldAndLost, Before::HeldAndReplaced];
+    for rates in RATES {
+        let seen = run(left, rates, 5, None, &starts, limits).unwrap_or_else(|f| panic!("{f:#?}"));
+        println!("losses, {rates:?}: {seen:?}");
+        assert!(seen.states > 10_000, "{seen:?}");
+    }
+}
+
+const LOSSES: Left = Left { stands: 1, steps: 3, ticks: 1, kills: 1, losses: 1, changes: 3, ..NONE };
+
+#[test]
+fn no_two_may_act_at_once_though_keepers_are_lost_with_their_disks() {
+    with_losses(limits(5, 2_000_000), LOSSES);
+}
+
+/// Outside CI.
+#[test]
+#[ignore = "millions of states, minutes"]
+fn no_two_may_act_at_once_though_keepers_are_lost_far() {
+    let wide = Left { stands: 2, crashes: 1, releases: 1, ..LOSSES };
+    with_losses(Limits { depth: 9, states: 1_500_000, threads: 2 }, wide);
+}
+
+#[test]
+fn an_emptied_disk_under_its_old_id_is_found() {
+    let left = Left { stands: 1, empties: 1, ..NONE };
+    let found = run(left, (0.0, 0.0), 5, None, &[Before::HeldByTwo], limits(12, 400_000));
+    let found = found.expect_err("two votes of one keeper are found");
+    println!("{} in {} events, {} states", found.why, found.trail.len(), found.states);
+}
+
 /// Outside CI: `cargo test --release -p beechloft-group --test explored -- --ignored --nocapture`.
 #[test]
 #[ignore = "millions of states, minutes"]
 fn no_two_may_act_at_once_in_any_order_far() {
-    let wide = Left { stands: 2, crashes: 2, copies: 1, steps: 4, ticks: 3, releases: 1, kills: 1 };
+    let wide = Left { stands: 2, crashes: 2, copies: 1, steps: 4, ticks: 3, releases: 1, kills: 1, ..NONE };
     for rates in RATES {
         let limits = Limits { depth: 8, states: 1_500_000, threads: 8 };
         let seen = run(wide, rates, 5, None, &ALL, limits).unwrap_or_else(|f| panic!("{f:#?}"));
         println!("{rates:?}: {seen:?}");
     }
     // Without crashes, copies and kills it goes deeper.
-    let plain = Left { stands: 1, crashes: 0, copies: 0, steps: 3, ticks: 2, releases: 0, kills: 0 };
+    let plain = Left { stands: 1, crashes: 0, copies: 0, steps: 3, ticks: 2, releases: 0, kills: 0, ..NONE };
     for rates in RATES {
         let limits = Limits { depth: 14, states: 1_500_000, threads: 8 };
         let seen = run(plain, rates, 4, None, &ALL, limits).unwrap_or_else(|f| panic!("{f:#?}"));
@@ -468,7 +623,7 @@
 
 #[test]
 fn planted_faults_are_found() {
-    let plain = Left { stands: 0, crashes: 0, copies: 0, steps: 3, ticks: 2, releases: 0, kills: 0 };
+    let plain = Left { stands: 0, crashes: 0, copies: 0, steps: 3, ticks: 2, releases: 0, kills: 0, ..NONE };
     let looks = Left { steps: 1, ..plain };
     let all: [(Fault, Left, u32, &[Before]); 4] = [
         (Fault::NoDrift, plain, 5, &[Before::Held]),
