--- a/crates/cli/src/among.rs
+++ b/crates/cli/src/among.rs
@@ -89,9 +89,9 @@
         Some(restart.wait)
     }
 
-    /// Whether it is its turn now.
+    /// Whether it is its turn now, and its number is left to its next start.
     pub fn may_end(&self) -> bool {
-        self.agent.has_turn()
+        self.agent.may_end()
     }
 
     /// What admits by limits that hold for all fronts, if there are any.
@@ -107,11 +107,12 @@
         self.limiter.as_ref().map_or(Ok(()), |l| l.survey(Box::new(move || boxes.tags())))
     }
 
-    /// Tells others that it ends, and ends its keeper between two saves.
+    /// Tells others that it ends, leaves its number if it has not yet, and ends its keeper between two saves.
     pub fn leave(&mut self) {
         if let Some(limiter) = self.limiter.take() {
             limiter.close(CLOSE_WITHIN);
         }
+        self.agent.leave();
         if let Some(peers) = &self.peers {
             peers.leave();
         }
@@ -127,7 +128,7 @@
         let waits = self.agent.restart().map(|r| r.wait);
         beechloft_shell::Fleet {
             numbered: self.numbers(),
-            may_end: Box::new(move || may.has_turn()),
+            may_end: Box::new(move || may.may_end()),
             wants_end: Box::new(move || wants.want_turn()),
             waits,
         }
--- a/crates/fleet/consensus/src/follower.rs
+++ b/crates/fleet/consensus/src/follower.rs
@@ -7,6 +7,7 @@
 use crate::outputs::Outputs;
 use crate::planted::Fault;
 use crate::raft::{Incoming, Raft, Role};
+use crate::rope::Rope;
 use crate::types::{Entry, Index, LogPos, MemberId, Snapshot};
 
 impl Raft {
@@ -48,6 +49,9 @@
                 self.take(entries, out);
                 // Not past what this message has shown to be the leader's: what lies behind may be another's.
                 self.commit_to(commit.min(through), out);
+                if commit <= self.commit {
+                    self.current = Some(self.now);
+                }
                 Verdict::Matches(through)
             }
         };
@@ -121,8 +125,12 @@
         if offset == have && coming.state.len() + part.len() <= bound {
             coming.state.extend_from_slice(part);
             if last {
-                let state = std::mem::take(&mut coming.state).into();
+                let state = Rope::of_sent(&std::mem::take(&mut coming.state));
                 *incoming = None;
+                let Some(state) = state else {
+                    // All of it came and it is no state: it is asked for from its start.
+                    return self.say(from, Body::Installing { at, offset: 0, round }, out);
+                };
                 self.replace(Snapshot { at, members, state }, out);
                 let verdict = Verdict::Matches(self.commit);
                 return self.say(from, Body::Appended { verdict, round }, out);
@@ -146,11 +154,13 @@
         }
     }
 
-    /// How long a leader has not been heard.
-    pub fn unheard(&self) -> Option<Duration> {
+    /// For how long it may not have had all that was committed, by its own clock: since it last had all that a leader told it was.
+    /// A leader's signs of life alone do not count: one that is heard by nobody goes on hearing them, and gets no entries. A
+    /// leader has all; one that is cut off from all others thinks itself one for twice an election's time at most.
+    pub fn stale(&self) -> Duration {
         match self.role {
-            Role::Leader(_) => None,
-            _ => self.heard_leader.map(|t| self.now.saturating_sub(t)),
+            Role::Leader(_) => Duration::ZERO,
+            _ => self.current.map_or(Duration::MAX, |t| self.now.saturating_sub(t)),
         }
     }
 }
--- a/crates/fleet/group/src/parts.rs
+++ b/crates/fleet/group/src/parts.rs
@@ -2,19 +2,24 @@
 
 use std::time::Duration;
 
-use beechloft_consensus::Refused;
+use beechloft_consensus::{Chunk, Refused, Rope};
 use beechloft_leases::Drift;
+use beechloft_topic::{Record, TopicCommand, TopicEvent, TopicOp, TopicRequest};
 
 use crate::asked::{ClientId, KeeperOutput};
-use crate::command::Command;
+use crate::command::{Command, tag};
 use crate::planted::Fault;
-use crate::snapshot::StateError;
+use crate::snapshot::{self, StateError};
 
 mod leases;
+mod limits;
+mod topics;
 
 #[cfg(test)]
 pub(crate) use leases::MOST_WATCHERS;
 pub(crate) use leases::{Leases, LeasesWait};
+pub(crate) use limits::{Limits, LimitsWait};
+pub(crate) use topics::{KeyedLogs, TopicsWait};
 
 /// What a part goes by at a moment.
 #[derive(Debug, Clone, Copy)]
@@ -65,28 +70,45 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(crate) enum Waits {
     Leases(LeasesWait),
+    Topics(TopicsWait),
+    Limits(LimitsWait),
 }
 
 /// All parts at this keeper.
 #[derive(Debug, Clone, Hash, Default)]
 pub(crate) struct State {
     pub leases: Leases,
+    pub topics: KeyedLogs,
+    pub limits: Limits,
 }
 
 impl State {
     /// Reads a snapshot's; nothing at all is the empty state.
-    pub fn read(bytes: &[u8]) -> Result<State, StateError> {
-        Ok(State { leases: Leases::read(bytes)? })
+    pub fn read(state: &Rope) -> Result<State, StateError> {
+        let mut read = State::default();
+        read.restore(state, None)?;
+        Ok(read)
     }
 
-    /// The replicated part of it alone, which is the same at each keeper.
-    pub fn write(&self) -> Vec<u8> {
-        self.leases.table().write()
+    /// The replicated part of it alone.
+    pub fn write(&self) -> Rope {
+        let leases = vec![Chunk::new(self.leases.table().write())];
+        let (topics, limits) = (self.topics.write(), self.limits.write());
+        snapshot::write([(tag::LEASES, leases), (tag::TOPICS, topics), (tag::LIMITS, limits)])
     }
 
     /// Takes the replicated state of a snapshot; who watches here goes on.
-    pub fn restore(&mut self, bytes: &[u8], fault: Option<Fault>) -> Result<(), StateError> {
-        self.leases.restore(bytes)?;
+    pub fn restore(&mut self, state: &Rope, fault: Option<Fault>) -> Result<(), StateError> {
+        let parts = snapshot::read(state, tag::LEASES)?;
+        let of = |tag| parts.iter().find(|(t, _)| *t == tag).map_or(&[][..], |(_, chunks)| chunks);
+        if let Some((unknown, _)) =
+            parts.iter().find(|(t, _)| ![tag::LEASES, tag::TOPICS, tag::LIMITS].contains(t))
+        {
+            return Err(StateError::Unknown(*unknown));
+        }
+        self.leases.restore(of(tag::LEASES).first().map_or(&[][..], |c| c.bytes()))?;
+        self.topics.restore(of(tag::TOPICS))?;
+        self.limits.restore(of(tag::LIMITS))?;
         if let Some(fault) = fault {
             self.plant(fault);
         }
@@ -97,49 +119,110 @@
     pub fn plant(&mut self, fault: Fault) {
         match fault {
             Fault::Leases(fault) => self.leases.plant(fault),
+            Fault::Topics(fault) => self.topics.plant(fault),
+            Fault::Limits(fault) => self.limits.plant(fault),
         }
     }
 
     pub fn apply(&mut self, at: Moment, command: Command, waits: Option<Waits>, out: &mut Vec<KeeperOutput>) {
-        match (command, waits) {
-            (Command::Leases(command), waits) => {
-                let waits = waits.map(|Waits::Leases(waits)| waits);
+        match command {
+            Command::Leases(command) => {
+                let waits = match waits {
+                    Some(Waits::Leases(waits)) => Some(waits),
+                    _ => None,
+                };
                 self.leases.apply(at, command, waits, out);
             }
+            Command::Topics(command) => {
+                let waits = match waits {
+                    Some(Waits::Topics(waits)) => Some(waits),
+                    _ => None,
+                };
+                let defines = limit_record(&command);
+                let told = out.len();
+                self.topics.apply(at, command, waits, out);
+                self.defined(at, defines, told, out);
+            }
+            Command::Limits(command) => {
+                let waits = match waits {
+                    Some(Waits::Limits(waits)) => Some(waits),
+                    _ => None,
+                };
+                self.limits.apply(at, command, waits, out);
+            }
+        }
+    }
+
+    /// What the topic of limits has come to say counts for the ledger in the same entry: each keeper has both or neither.
+    fn defined(&mut self, at: Moment, record: Option<Record>, told: usize, out: &mut Vec<KeeperOutput>) {
+        let Some(record) = record else { return };
+        let written = out.get(told..).into_iter().flatten().find_map(|o| match o {
+            KeeperOutput::TopicEvent(TopicEvent::Appended(_, offset)) => Some(offset.0),
+            _ => None,
+        });
+        if let Some(offset) = written {
+            self.limits.record(at, record.key.bytes(), record.value.as_ref().map(|v| v.bytes()), offset, out);
         }
     }
 
     pub fn read_for(&mut self, waits: Waits, out: &mut Vec<KeeperOutput>) {
         match waits {
             Waits::Leases(waits) => self.leases.read(waits, out),
+            Waits::Topics(waits) => self.topics.read(waits, out),
+            Waits::Limits(waits) => self.limits.read(waits, out),
         }
     }
 
     pub fn refuse(&mut self, waits: Waits, why: Refused, out: &mut Vec<KeeperOutput>) {
         match waits {
             Waits::Leases(waits) => self.leases.refuse(waits, why, out),
+            Waits::Topics(waits) => self.topics.refuse(waits, why, out),
+            Waits::Limits(waits) => self.limits.refuse(waits, why, out),
         }
     }
 
     pub fn lead(&mut self, at: Moment) {
         self.leases.lead(at);
+        self.topics.lead(at);
+        self.limits.lead(at);
     }
 
     pub fn next_due(&self) -> Option<Duration> {
-        [self.leases.next_due()].into_iter().flatten().min()
+        [self.leases.next_due(), self.topics.next_due(), self.limits.next_due()].into_iter().flatten().min()
     }
 
     /// What is due by now, and who waits for it.
     pub fn due(&mut self, now: Duration) -> Vec<(Command, Waits)> {
         let leases = self.leases.due(now).into_iter();
-        leases.map(|c| (Command::Leases(c), Waits::Leases(LeasesWait::Expiry))).collect()
+        let leases = leases.map(|c| (Command::Leases(c), Waits::Leases(LeasesWait::Expiry)));
+        let topics = self.topics.due(now).into_iter();
+        let topics = topics.map(|c| (Command::Topics(c), Waits::Topics(TopicsWait::Nobody)));
+        let limits = self.limits.due(now).into_iter();
+        let limits = limits.map(|c| (Command::Limits(c), Waits::Limits(LimitsWait::Nobody)));
+        leases.chain(topics).chain(limits).collect()
     }
 
     pub fn told(&mut self, out: &mut Vec<KeeperOutput>) {
         self.leases.told(out);
+        self.topics.told(out);
+        self.limits.told(out);
     }
 
     pub fn closed(&mut self, client: ClientId) {
         self.leases.closed(client);
+        self.topics.closed(client);
+        self.limits.closed(client);
+    }
+}
+
+/// What a command would write into the topic of limits.
+fn limit_record(command: &TopicCommand) -> Option<Record> {
+    match command {
+        TopicCommand::Ask(TopicRequest { topic, op: TopicOp::Publish { record, .. }, .. })
+            if topic.to_string() == limits::TOPIC =>
+        {
+            Some(record.clone())
+        }
+        _ => None,
     }
 }
--- a/crates/fleet/keeper/src/settings.rs
+++ b/crates/fleet/keeper/src/settings.rs
@@ -12,6 +12,9 @@
 mod limits;
 
 pub use limits::{Known, LimitsSettings};
+mod topics;
+
+pub use topics::TopicSpec;
 
 /// Keepers at most.
 const MOST_KEEPERS: usize = 9;
@@ -37,8 +40,12 @@
     pub seeds: Vec<SocketAddr>,
     /// The lease of a front's number, if it is to have one.
     pub number: Option<Terms>,
+    /// What is the same of a front from one start to the next: who starts in it takes over the number that was left there.
+    pub seat: Option<Name>,
     /// How fronts restart in turn, if they do.
     pub restart: Option<Restart>,
+    /// Topics that there are to be, by the keepers' settings.
+    pub topics: Vec<TopicSpec>,
     /// How fronts spread rows, if anything that is asked for needs them.
     pub spread: Option<beechloft_spread::Settings>,
     /// Limits that hold for all fronts, if there are any.
@@ -137,6 +144,13 @@
     let ppm = s.whole("drift_ppm", 0..=99_999).unwrap_or(10_000) as u32;
     // Within bounds by the range above; a file with a fault there is not used.
     let drift = Drift::ppm(ppm).unwrap_or_default();
+    let limits = s.has("limits").then(|| limits::limits(&s.section("limits"), drift, known));
+    if limits.as_ref().is_some_and(LimitsSettings::any_soft) && !s.has("seeds") {
+        s.fault(
+            "limits",
+            "soft limits go from front to front, and fleet.seeds, by which they know each other, is missing",
+        );
+    }
     FleetSettings {
         name,
         zone: zone(s, zones),
@@ -146,9 +160,11 @@
         store: s.text("store").map(PathBuf::from),
         drift,
         number: number(s, drift),
+        seat: seat(s),
         restart: if s.has("restart") { restart(&s.section("restart"), drift) } else { None },
-        spread: None,
-        limits: s.has("limits").then(|| limits::limits(&s.section("limits"), drift, known)),
+        topics: topics::read(s),
+        spread: limits.as_ref().filter(|l| l.any_soft()).map(|_| beechloft_spread::Settings::default()),
+        limits,
         test_clock_rate: s.number("test_clock_rate", 0.5..=2.0).unwrap_or(1.0),
         test_via: via(s, "test_via"),
         test_udp_via: via(s, "test_udp_via"),
@@ -171,6 +187,14 @@
     terms(s, "front/number", places, ("number_ttl_ms", 10_000), drift)
 }
 
+fn seat(s: &Section<'_>) -> Option<Name> {
+    let text = s.text("seat")?;
+    if !s.has("number") {
+        s.fault("seat", "a number is left there, and fleet.number is missing");
+    }
+    Name::try_from(text).map_err(|e| s.fault("seat", e.to_string())).ok()
+}
+
 fn restart(s: &Section<'_>, drift: Drift) -> Option<Restart> {
     let places = s.needed_whole("at_most", 1..=4_096) as u16;
     let wait = s.millis("wait_ms", 1..=3_600_000).unwrap_or(Duration::from_secs(60));
@@ -227,7 +251,7 @@
         let text = "fleet:\n  name: market\n  listen: 127.0.0.1:7000\n  keepers: ['127.0.0.1:7000', '127.0.0.1:7001', '127.0.0.1:7002']\n  store: /tmp/x\n  drift_ppm: 200\n";
         let read = FleetSettings::read(text).expect("sound");
         assert_eq!((read.keepers.len(), read.name.as_str(), read.test_clock_rate), (3, "market", 1.0));
-        let bad = "fleet:\n  keepers: ['127.0.0.1:7000', '127.0.0.1:7000', 'x', '127.0.0.1:7002']\n  drift_ppm: 99999\n  seed: 3\n  zones: [a, b]\n  zone: c\n  seeds: ['127.0.0.1:1', y]\n  number: lease\n  number_ttl_ms: 460\n  restart:\n    at_least: 1\n    back_ms: 100\n";
+        let bad = "fleet:\n  keepers: ['127.0.0.1:7000', '127.0.0.1:7000', 'x', '127.0.0.1:7002']\n  drift_ppm: 99999\n  seed: 3\n  zones: [a, b]\n  zone: c\n  seeds: ['127.0.0.1:1', y]\n  number: lease\n  number_ttl_ms: 460\n  seat: no space\n  restart:\n    at_least: 1\n    back_ms: 100\n  topics:\n    - name: limits\n      retention_ms: 1\n      bytes: 60000000\n    - name: limits\n      bytes: 60000000\n    - name: a b\n      bytes: 1\n";
         let faults = FleetSettings::read(bad).expect_err("faulty").to_string();
         let all = [
             "name",
@@ -239,9 +263,14 @@
             "'y' is no address",
             "fleet.listen, which is missing",
             "number_ttl_ms: 460 ms leave 414 ms after a drift of 99999 ppm",
+            "seat: a name has",
             "at_least: unknown key",
             "at_most: missing",
             "back_ms: 100 ms leave",
+            "topics[0].retention_ms",
+            "topics[1].name: limits is there twice",
+            "topics[2].name: a name has 1 to 96 letters",
+            "topics: 120000000 bytes together are more than 100663296",
         ];
         for said in all {
             assert!(faults.contains(said), "{said} is not in {faults}");
--- a/crates/fleet/keeper/src/settings/limits.rs
+++ b/crates/fleet/keeper/src/settings/limits.rs
@@ -18,6 +18,13 @@
     pub tagged: bool,
 }
 
+impl LimitsSettings {
+    /// Whether some limit is kept by parts that fronts tell each other.
+    pub fn any_soft(&self) -> bool {
+        self.definitions.iter().any(|d| !d.is_hard())
+    }
+}
+
 /// Names that the rest of a file has, to be looked up.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Known<'a> {
