--- a/crates/fleet/limits/src/front.rs
+++ b/crates/fleet/limits/src/front.rs
@@ -139,6 +139,8 @@
     gap: Duration,
     /// The limits that are known are those of this revision of the ledger's; none: it is to be asked.
     revision: Option<u64>,
+    /// It has heard all limits once. Guards against a process that has just started, knows none, and would admit anybody.
+    knows: bool,
     /// What its own settings say, until it was declared under the account that it has.
     declares: Vec<Definition>,
     settings: Vec<Definition>,
@@ -174,6 +176,7 @@
             urgent: false,
             gap: GAP,
             revision: None,
+            knows: false,
             declares: Vec::new(),
             settings: Vec::new(),
             fault: None,
--- a/crates/fleet/limits/src/front/admit.rs
+++ b/crates/fleet/limits/src/front/admit.rs
@@ -4,13 +4,13 @@
 
 use beechloft_leases::Name;
 
-use super::Front;
 use super::slot::Slot;
+use super::{Front, State};
 use crate::admission::{Due, Stage, Subject, Taken};
 use crate::define::{Definition, MILLI};
 use crate::planted::Fault;
 use crate::refusal::{No, Why};
-use crate::words::Claim;
+use crate::words::{Claim, Key};
 
 /// Counters at one front.
 const MOST_SLOTS: usize = 1 << 16;
@@ -35,6 +35,14 @@
         let now = self.now;
         self.pass(now);
         let open = self.is_open(now);
+        // One that has just started knows no limit yet: it admits nobody, or those whom it does not count would be over.
+        if !self.knows
+            && self.state != State::Idle
+            && let Ok(limit) = Name::try_from("fleet/limits".to_owned())
+        {
+            let again = SECOND + self.about(SECOND);
+            return Err(No { limit, key: Key::default(), why: Why::NoAccount, again });
+        }
         let definitions = std::mem::take(&mut self.definitions);
         let dues = subject.dues(stage, &definitions);
         let no = dues.iter().find_map(|due| Some((due, self.look(now, open, due)?)));
@@ -175,6 +183,7 @@
         // What is still to be declared is kept to until then.
         self.definitions.extend(self.declares.iter().map(|d| (d.name.clone(), d.clone())));
         (self.revision, self.urgent, self.gap) = (Some(revision), true, Duration::ZERO);
+        self.knows = true;
         self.recount();
     }
 
