--- a/crates/cli/src/day.rs
+++ b/crates/cli/src/day.rs
@@ -79,6 +79,18 @@
             r.leases_granted, r.lease_overlaps, r.stale_acts, r.refused_acts, r.longest_without_holder_ms
         );
     }
+    if r.topic_acknowledged > 0 {
+        println!(
+            "topic: {} acknowledged, {} seen, {} times caught up; {} gaps, {} revived, {} lost, {} twice",
+            r.topic_acknowledged,
+            r.topic_seen,
+            r.topic_caught_up,
+            r.topic_gaps,
+            r.topic_revived,
+            r.topic_lost,
+            r.topic_twice
+        );
+    }
     println!("breaks: {}", r.broken().map(|(rule, n)| format!("{rule} {n}")).join(", "));
     for (rule, list) in &r.breaks {
         list.iter().for_each(|text| println!("  {rule}: {text}"));
--- a/crates/fleet/keeper/src/engine.rs
+++ b/crates/fleet/keeper/src/engine.rs
@@ -9,6 +9,8 @@
 use beechloft_consensus::{MemberId, Outputs, Settings, Ticket};
 use beechloft_group::{Asked, Keeper};
 use beechloft_members::Kind;
+#[cfg(feature = "planted")]
+use beechloft_topic::Fault;
 use crossbeam_channel::{Receiver, RecvTimeoutError, bounded};
 use tracing::info;
 
@@ -67,6 +69,8 @@
     serving: Serving,
     /// There is more for the topics' cleaners to do.
     unclean: bool,
+    #[cfg(feature = "planted")]
+    fault: Option<Fault>,
 }
 
 impl Keeping {
@@ -136,9 +140,19 @@
             members,
             serving: Serving::default(),
             unclean: false,
+            #[cfg(feature = "planted")]
+            fault: None,
         })
     }
 
+    /// Plants a fault in what it keeps of topics.
+    #[cfg(feature = "planted")]
+    pub fn plant(&mut self, fault: Fault) {
+        self.fault = Some(fault);
+        self.keeper.plant(fault);
+        self.serving.plant(fault);
+    }
+
     /// This process as a member, if it is one.
     pub fn members(&self) -> Option<Arc<Peers>> {
         self.members.clone()
--- a/crates/fleet/keeper/src/engine/forming.rs
+++ b/crates/fleet/keeper/src/engine/forming.rs
@@ -110,6 +110,10 @@
         let snapshot: Option<Snapshot> = stored.snapshot.clone();
         self.disk.save(&Save { snapshot, ..Save::default() })?;
         self.keeper = Keeper::new(self.id, Settings::default(), stored, self.set.drift, rand::random(), now)?;
+        #[cfg(feature = "planted")]
+        if let Some(fault) = self.fault {
+            self.keeper.plant(fault);
+        }
         Ok(())
     }
 }
--- a/crates/fleet/keeper/src/engine/serving.rs
+++ b/crates/fleet/keeper/src/engine/serving.rs
@@ -9,6 +9,8 @@
 
 use beechloft_group::Keeper;
 use beechloft_leases::{Heard, Name};
+#[cfg(feature = "planted")]
+use beechloft_topic::Fault;
 use beechloft_topic::{Feed, Offset, Position, Said, Topic};
 use tracing::{debug, info};
 
@@ -53,6 +55,8 @@
     served_at: Duration,
     /// Bytes told in all.
     pub told_bytes: u64,
+    #[cfg(feature = "planted")]
+    fault: Option<Fault>,
 }
 
 /// What all that is told at one moment has in common.
@@ -65,6 +69,12 @@
 }
 
 impl Serving {
+    /// Plants a fault in subscriptions to come.
+    #[cfg(feature = "planted")]
+    pub fn plant(&mut self, fault: Fault) {
+        self.fault = Some(fault);
+    }
+
     /// A subscription begins, in place of the one that its connection had.
     pub fn subscribe(
         &mut self,
@@ -79,6 +89,10 @@
         }
         debug!(conn = conn.0, %topic, ?from, "subscribed");
         let mut place = Feed::open(from);
+        #[cfg(feature = "planted")]
+        if let Some(fault) = self.fault {
+            place.plant(fault);
+        }
         place.allow(allow);
         let subscription = Subscription { feed, topic, place, said_at: now, missing: false };
         self.all.insert(conn, subscription);
--- a/crates/proof/checker/src/report.rs
+++ b/crates/proof/checker/src/report.rs
@@ -4,6 +4,7 @@
 
 use serde::Serialize;
 
+use crate::topic::Verdict;
 use crate::trace::Speaks;
 
 /// Times from asking to the answer, milliseconds.
@@ -83,6 +84,20 @@
     pub refused_acts: u64,
     /// The longest time between two acts that were done, milliseconds.
     pub longest_without_holder_ms: u64,
+    /// Topics: messages that were acknowledged.
+    pub topic_acknowledged: u64,
+    /// Messages that a subscriber saw, over all of them.
+    pub topic_seen: u64,
+    /// How often a subscriber was caught up.
+    pub topic_caught_up: u64,
+    /// Messages that a subscriber missed while it was caught up.
+    pub topic_gaps: u64,
+    /// What was deleted or overtaken and came back.
+    pub topic_revived: u64,
+    /// Acknowledged messages that a subscriber does not have.
+    pub topic_lost: u64,
+    /// Messages at two offsets, and offsets with two messages.
+    pub topic_twice: u64,
     /// From asking to the answer.
     pub answer_ms: Times,
     /// The same by protocol.
@@ -96,7 +111,7 @@
 
 impl Report {
     /// Breaks by rule, each with its name.
-    pub fn broken(&self) -> [(&'static str, u64); 11] {
+    pub fn broken(&self) -> [(&'static str, u64); 15] {
         [
             ("unanswered", self.unanswered),
             ("answered twice", self.duplicate_answers),
@@ -109,6 +124,10 @@
             ("left at boxes", self.phantom_sessions),
             ("two holders", self.lease_overlaps),
             ("stale acts", self.stale_acts),
+            ("topic gaps", self.topic_gaps),
+            ("topic revived", self.topic_revived),
+            ("topic lost", self.topic_lost),
+            ("topic twice", self.topic_twice),
         ]
     }
 
@@ -117,6 +136,26 @@
         self.broken().iter().all(|(_, n)| *n == 0)
     }
 
+    /// Takes what the judge of a topic found.
+    pub fn topic(&mut self, verdict: &Verdict) {
+        self.topic_acknowledged += verdict.acknowledged;
+        self.topic_seen += verdict.seen;
+        self.topic_caught_up += verdict.caught_up;
+        self.topic_gaps += verdict.gaps.len() as u64;
+        self.topic_revived += verdict.revived.len() as u64;
+        self.topic_lost += verdict.lost.len() as u64;
+        self.topic_twice += verdict.twice.len() as u64;
+        let lists = [
+            ("topic gaps", &verdict.gaps),
+            ("topic revived", &verdict.revived),
+            ("topic lost", &verdict.lost),
+            ("topic twice", &verdict.twice),
+        ];
+        for (rule, list) in lists {
+            list.iter().for_each(|text| self.describe(rule, text.clone()));
+        }
+    }
+
     /// Describes a break.
     pub(crate) fn describe(&mut self, rule: &'static str, text: String) {
         let list = self.breaks.entry(rule).or_default();
--- a/crates/proof/day/src/keepers/mod.rs
+++ b/crates/proof/day/src/keepers/mod.rs
@@ -5,6 +5,7 @@
 mod group;
 mod processes;
 mod spec;
+mod topic;
 mod troubles;
 
 use std::collections::BTreeMap;
@@ -23,10 +24,12 @@
 
 use self::group::Group;
 use self::processes::AGAIN;
+use self::topic::TopicDay;
 use self::troubles::Chosen;
 
 pub use between::{Between, Which};
 pub use spec::KeepersSpec;
+pub use topic::TopicSpec;
 
 /// How long a group of keepers may take to come together.
 const UP_WITHIN: Duration = Duration::from_secs(20);
@@ -48,6 +51,8 @@
     asks: FleetSettings,
     chosen: BTreeMap<usize, Chosen>,
     over: bool,
+    fronts: usize,
+    topic: TopicDay,
 }
 
 impl Keepers {
@@ -65,6 +70,7 @@
         let ports = Port::draw_all(spec.count as usize)?;
         let addresses: Vec<SocketAddr> = ports.iter().map(Port::address).collect();
         let all = addresses.len() + spec.candidates as usize + fronts;
+        let all = all + spec.topic.as_ref().map_or(0, TopicSpec::places);
         let mut relays = BTreeMap::new();
         for from in 0..all {
             for (to, address) in addresses.iter().enumerate().filter(|(to, _)| *to != from) {
@@ -86,6 +92,8 @@
             _ports: ports,
             chosen: BTreeMap::new(),
             over: false,
+            fronts,
+            topic: TopicDay::default(),
         };
         let text = json!({ "fleet": made.section(None) }).to_string();
         made.asks = FleetSettings::read(&text).map_err(|e| io::Error::other(e.to_string()))?;
@@ -99,6 +107,7 @@
             }
             thread::sleep(Duration::from_millis(50));
         }
+        made.begin_topic()?;
         Ok(made)
     }
 
--- a/crates/proof/day/src/keepers/processes.rs
+++ b/crates/proof/day/src/keepers/processes.rs
@@ -58,6 +58,9 @@
         let mut section = self.section(Some(n));
         section["listen"] = json!(self.addresses[n].to_string());
         section["store"] = json!(self.folder.join(format!("keeper-{n}")).display().to_string());
+        if let Some(topic) = &self.spec.topic {
+            section["topics"] = topic.section();
+        }
         let file = self.write(&format!("keeper-{n}.json"), &section)?;
         let log = self.folder.join(format!("keeper-{n}.log"));
         self.keepers[n] = Some(Group::start(Command::new(&self.program).arg("keeper").arg(file), &log)?);
@@ -104,6 +107,7 @@
     /// # Errors
     /// A process can't be started.
     pub fn look(&mut self) -> io::Result<()> {
+        self.look_at_topic()?;
         for n in 0..self.candidates.len() {
             let ended = |g: &mut Group| matches!(g.0.try_wait(), Ok(Some(_)));
             if self.candidates[n].as_mut().is_some_and(ended) {
--- a/crates/proof/day/src/keepers/spec.rs
+++ b/crates/proof/day/src/keepers/spec.rs
@@ -2,6 +2,8 @@
 
 use beechloft_config::Section;
 
+use super::TopicSpec;
+
 /// What a script says of them.
 #[derive(Debug, Clone, PartialEq)]
 pub struct KeepersSpec {
@@ -23,6 +25,8 @@
     pub seats: bool,
     /// Fronts restart in turn: so many at once, each back within so many milliseconds.
     pub restart: Option<(u64, u64)>,
+    /// A topic that is written and followed.
+    pub topic: Option<TopicSpec>,
 }
 
 impl KeepersSpec {
@@ -51,6 +55,7 @@
             number_ttl_ms: s.whole("number_ttl_ms", 500..=60_000),
             seats: s.flag("seats", false),
             restart,
+            topic: s.has("topic").then(|| TopicSpec::of(&s.section("topic"))),
         }
     }
 }
--- a/crates/proof/day/src/run.rs
+++ b/crates/proof/day/src/run.rs
@@ -97,6 +97,7 @@
         thread::sleep(Duration::from_millis(20));
     }
     keepers.iter_mut().for_each(Keepers::end_acts);
+    let topic = keepers.as_mut().and_then(Keepers::end_topic);
     if let Some(e) = failed {
         return Err(e.into());
     }
@@ -110,7 +111,10 @@
         }
     }
     let trace = recorder.trace();
-    let report = check(&trace, &day.rules);
+    let mut report = check(&trace, &day.rules);
+    if let Some(verdict) = topic {
+        report.topic(&verdict);
+    }
     Ok((trace, report))
 }
 
--- /dev/null
+++ b/crates/proof/standin/tests/topic_planted.rs
@@ -0,0 +1,143 @@
+//! Faults planted in what three keepers do with a topic, over their real sockets and disks: each is found by what writers were told
+//! and readers saw, and without one nothing is.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use beechloft_checker::topic::{Recorded, Verdict};
+use beechloft_keeper::{FleetSettings, Keeping};
+use beechloft_standin::topic::{Pace, Reader, Writer};
+use beechloft_topic::{Fault, Name};
+use beechloft_trouble::ports::Port;
+use beechloft_trouble::{Relay, Way};
+
+const KEEPERS: usize = 3;
+const TOPIC: &str = "planted";
+/// Some messages to one batch, so that whoever joins gets several.
+const PACE: Pace = Pace { every: Duration::from_millis(2), keys: 60, bytes: 2_000, deletes: 25 };
+
+struct Fleet {
+    _dir: tempfile::TempDir,
+    _ports: Vec<Port>,
+    addresses: Vec<SocketAddr>,
+    end: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Fleet {
+    fn new(retention_ms: u32, fault: Option<Fault>) -> Fleet {
+        let dir = tempfile::tempdir().expect("a folder");
+        let ports = Port::draw_all(KEEPERS).expect("ports");
+        let addresses: Vec<SocketAddr> = ports.iter().map(Port::address).collect();
+        let end = Arc::new(AtomicBool::new(false));
+        let mut threads = Vec::new();
+        for (n, address) in addresses.iter().enumerate() {
+            let more = format!(
+                "  listen: {address}\n  store: {}\n  topics: [{{name: {TOPIC}, retention_ms: {retention_ms}}}]\n",
+                dir.path().join(n.to_string()).display()
+            );
+            let mut keeping =
+                Keeping::start(settings(&addresses, &more), Arc::clone(&end)).expect("it starts");
+            if let Some(fault) = fault {
+                keeping.plant(fault);
+            }
+            threads.push(thread::spawn(move || keeping.run().expect("it keeps")));
+        }
+        Fleet { _dir: dir, _ports: ports, addresses, end, threads }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.end.store(true, Ordering::Relaxed);
+        self.threads.drain(..).for_each(|t| drop(t.join()));
+    }
+}
+
+fn settings(addresses: &[SocketAddr], more: &str) -> FleetSettings {
+    let list: Vec<String> = addresses.iter().map(|a| format!("'{a}'")).collect();
+    let text = format!("fleet:\n  name: planted\n  keepers: [{}]\n{more}", list.join(", "));
+    FleetSettings::read(&text).expect("sound")
+}
+
+/// Two write; one follows, one is slow, one sleeps for `sleep` and wakes, and others join every while.
+fn play(fault: Option<Fault>, retention_ms: u32, sleep: Duration) -> Verdict {
+    let fleet = Fleet::new(retention_ms, fault);
+    let (set, record) = (settings(&fleet.addresses, ""), Recorded::default());
+    let name = Name::try_from(TOPIC.to_owned()).expect("a name");
+    let writers: Vec<Writer> = (0..2)
+        .map(|n| Writer::start(&set, &name, &format!("w{n}"), PACE, &record).expect("it starts"))
+        .collect();
+    let relays: Vec<Relay> = fleet.addresses.iter().map(|a| Relay::start(*a).expect("a relay")).collect();
+    let via: Vec<String> =
+        fleet.addresses.iter().zip(&relays).map(|(a, r)| format!("'{a}={}'", r.address())).collect();
+    let by_relays = settings(&fleet.addresses, &format!("  test_via: [{}]\n", via.join(", ")));
+    let reader = |set: &FleetSettings, who: &str, takes| {
+        Reader::start(set, &name, who, Duration::from_millis(takes), &record).expect("it starts")
+    };
+    let mut readers =
+        vec![reader(&set, "follows", 0), reader(&set, "slow", 10), reader(&by_relays, "sleeps", 0)];
+    let began = Instant::now();
+    while readers[2].complete_to().is_none_or(|to| to < 300) && began.elapsed() < Duration::from_secs(30) {
+        thread::sleep(Duration::from_millis(20));
+    }
+    relays.iter().for_each(|r| r.set(Way::cut()));
+    relays.iter().for_each(Relay::reset);
+    let until = Instant::now() + sleep;
+    let mut late = 0;
+    while Instant::now() < until {
+        late += 1;
+        readers.push(reader(&set, &format!("late-{late}"), 0));
+        thread::sleep(Duration::from_millis(400));
+    }
+    relays.iter().for_each(|r| r.set(Way::default()));
+    thread::sleep(Duration::from_secs(1));
+    writers.into_iter().for_each(Writer::finish);
+    let needs = record.lock().highest().map_or(0, |h| h + 1);
+    for reader in &readers {
+        reader.ends(needs, Duration::from_secs(20));
+    }
+    let sound = record.lock().clone();
+    sound.judge()
+}
+
+fn counts(v: &Verdict) -> [usize; 4] {
+    [v.gaps.len(), v.revived.len(), v.lost.len(), v.twice.len()]
+}
+
+#[test]
+fn without_a_fault_nothing_is_found() {
+    let verdict = play(None, 1_000, Duration::from_secs(4));
+    assert!(verdict.is_clean(), "{verdict:#?}");
+    assert!(verdict.acknowledged > 300 && verdict.caught_up >= 8, "{verdict:?}");
+}
+
+#[test]
+fn planted_faults_are_found() {
+    let short = (1_000, Duration::from_secs(4));
+    let long = (60_000, Duration::from_secs(4));
+    let all = [
+        (Fault::HeadAfter, long),
+        (Fault::HorizonUnseen, short),
+        (Fault::DropsOldest, long),
+        (Fault::OffsetTwice, long),
+    ];
+    let found: Vec<(Fault, [usize; 4])> = thread::scope(|scope| {
+        let runs: Vec<_> = all
+            .into_iter()
+            .map(|(fault, (retention, sleep))| {
+                scope.spawn(move || (fault, counts(&play(Some(fault), retention, sleep))))
+            })
+            .collect();
+        runs.into_iter().map(|r| r.join().expect("it ends")).collect()
+    });
+    for (fault, counts) in &found {
+        println!("{fault:?}: gaps, revived, lost, twice {counts:?}");
+    }
+    for (fault, counts) in found {
+        assert!(counts.iter().any(|n| *n > 0), "{fault:?} is not found");
+    }
+}
