The front's engine and streams are folders, and threads no longer know the engine that starts them

engine.rs (409 lines) and streams.rs (424) are split into the handle, what is told, the engine's thread; a stream, the bell, the thread of streams. calls.rs and watch.rs used the engine, which starts both: a circle. What they need of it is in handle.rs and told.rs now, below all three, so that the arrows go one way. Text was moved; `Handle::new` is new.

Seen: the daemon's 59 tests pass in one run beside builds (load of 100 on 6 cores); in one earlier run `a_box_drained_halfway_through_a_set_up_finishes_it_and_gets_no_other` failed, as its viewer waits 800 ms on a machine so loaded, and passed in four runs of it alone and in the run above. The recorded front replays action for action.

--- a/crates/front/daemon/src/attempt.rs
+++ b/crates/front/daemon/src/attempt.rs
@@ -19,7 +19,7 @@
 use tracing::debug;
 
 use crate::Shared;
-use crate::engine::SetUp;
+use crate::told::SetUp;
 
 /// How an attempt went.
 pub struct Ended {
--- a/crates/front/daemon/src/calls.rs
+++ b/crates/front/daemon/src/calls.rs
@@ -16,7 +16,7 @@
 use beechloft_whep::{boxes, load};
 use tracing::debug;
 
-use crate::engine::Handle;
+use crate::handle::Handle;
 
 const WORKERS: usize = 16;
 /// Calls at one box at once.
--- a/crates/front/daemon/src/engine.rs
+++ b/crates/front/daemon/src/engine/run.rs
@@ -1,244 +1,41 @@
-//! The thread that owns the core: inputs in, outputs carried to those who wait.
+//! The engine's thread: messages in, outputs carried out.
 
 use std::collections::BTreeMap;
-use std::io;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, PoisonError, RwLock};
-use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use beechloft_config::FrontSettings;
-use beechloft_core::api::{Micros, Numbered, ServerId, SessionId};
-use beechloft_core::io::{Answer, Ask, AttemptId, Input, Output, RequestId, Secret};
-use beechloft_core::{Core, Exchanged};
-use beechloft_http::client::Pool;
+use beechloft_core::Core;
+use beechloft_core::api::{Numbered, SessionId};
+use beechloft_core::io::{Answer, Input, Output, RequestId};
 use beechloft_sip::agent;
 use beechloft_whep::events::PlayerEvent;
-use crossbeam_channel::{Receiver, Sender, bounded, unbounded};
+use crossbeam_channel::{Receiver, Sender};
 use tracing::{debug, info, warn};
 
 use crate::calls::{Calls, Job};
 use crate::clock::Clock;
+use crate::handle::Message;
+use crate::told::{Numbers, Recording, SetUp, Status, Told};
 use crate::watch::Watchers;
 
 /// Streams of one session's events at once; a further one takes the place of the last.
 const FOLLOWERS: usize = 2;
-/// Events that a stream may be behind.
-const FOLLOW_BEHIND: usize = 64;
 
-/// An attempt to be made by the thread of its viewer.
-#[derive(Debug, Clone)]
-pub struct SetUp {
-    /// Which.
-    pub attempt: AttemptId,
-    /// The box.
-    pub server: ServerId,
-    /// Its address.
-    pub address: Option<SocketAddr>,
-    /// The rung's rate, kB a second.
-    pub rate_kb: f64,
-    /// When to drop it.
-    pub until: Micros,
-}
-
-/// What a waiting thread is told.
-#[derive(Debug, Clone)]
-pub enum Told {
-    /// Make an attempt.
-    SetUp(SetUp),
-    /// The reply; nothing comes after it.
-    Answer(Answer),
-}
-
-/// What a front knows and holds.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Status {
-    /// It has seen a list.
-    pub listed: bool,
-    /// Boxes on it.
-    pub boxes: usize,
-    /// Titles on it.
-    pub titles: usize,
-    /// Sessions that play.
-    pub playing: usize,
-    /// Sessions still to be ended at boxes.
-    pub releasing: usize,
-    /// Nobody waits.
-    pub idle: bool,
-}
-
-/// All that a front's core was told and did, in order.
-#[derive(Debug, Clone, Default)]
-pub struct Recording {
-    /// What it was told, and when.
-    pub inputs: Vec<(Micros, Input)>,
-    /// What it had done.
-    pub outputs: Vec<Output>,
-    /// What passed between it and the module.
-    pub exchanged: Vec<Exchanged>,
-}
-
-enum Message {
-    Input(Input),
-    Ask(Box<Ask>, Sender<Told>),
-    Call(Input, RequestId, Sender<Told>),
-    Status(Sender<Status>),
-    Follow(SessionId, Secret, Sender<PlayerEvent>),
-    Sip(Sender<agent::Input>),
-    End,
-}
-
-/// The way to the core.
-#[derive(Clone)]
-pub struct Handle {
-    sender: Sender<Message>,
-    next: Arc<AtomicU64>,
-    addresses: Arc<RwLock<BTreeMap<ServerId, SocketAddr>>>,
-    ended: Arc<AtomicBool>,
-}
-
-impl Handle {
-    /// Tells the core something.
-    pub fn input(&self, input: Input) {
-        // The engine ends last; what comes after is nobody's any more.
-        let _ = self.sender.send(Message::Input(input));
-    }
-
-    /// Whether the front has ended: nobody listens any more.
-    pub fn ended(&self) -> bool {
-        self.ended.load(Ordering::SeqCst)
-    }
-
-    /// A name for a client's call.
-    pub fn request(&self) -> RequestId {
-        RequestId(self.next.fetch_add(1, Ordering::Relaxed))
-    }
-
-    /// Asks for a session; what is to be done for it comes out of the receiver.
-    pub fn ask(&self, ask: Ask) -> Receiver<Told> {
-        let (sender, receiver) = unbounded();
-        let _ = self.sender.send(Message::Ask(Box::new(ask), sender));
-        receiver
-    }
-
-    /// A call that is answered at once.
-    pub fn call(&self, make: impl FnOnce(RequestId) -> Input) -> Answer {
-        let (sender, receiver) = bounded(1);
-        let request = self.request();
-        let _ = self.sender.send(Message::Call(make(request), request, sender));
-        match receiver.recv_timeout(Duration::from_secs(5)) {
-            Ok(Told::Answer(answer)) => answer,
-            _ => Answer::Failed,
-        }
-    }
-
-    /// Learns a box's address, or that it has none any more.
-    pub fn know(&self, server: ServerId, address: Option<SocketAddr>) {
-        let mut known = self.addresses.write().unwrap_or_else(PoisonError::into_inner);
-        match address {
-            Some(address) => known.insert(server, address),
-            None => known.remove(&server),
-        };
-    }
-
-    /// Where a box listens.
-    pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
-        self.addresses.read().unwrap_or_else(PoisonError::into_inner).get(&server).copied()
-    }
-
-    /// What concerns SIP goes to its agent from now on.
-    pub fn sip(&self, agent: Sender<agent::Input>) {
-        let _ = self.sender.send(Message::Sip(agent));
-    }
-
-    /// A playing session's events, until it is over; nothing comes if there is no such session.
-    pub fn follow(&self, session: SessionId, secret: Secret) -> Receiver<PlayerEvent> {
-        let (sender, receiver) = bounded(FOLLOW_BEHIND);
-        let _ = self.sender.send(Message::Follow(session, secret, sender));
-        receiver
-    }
-
-    /// What the front knows and holds.
-    pub fn status(&self) -> Status {
-        let (sender, receiver) = bounded(1);
-        let _ = self.sender.send(Message::Status(sender));
-        receiver.recv_timeout(Duration::from_secs(5)).unwrap_or_default()
-    }
-
-    /// Waits until no client waits and nothing is left to be ended at boxes.
-    pub fn wait_idle(&self, until: Instant) {
-        while !self.status().idle && Instant::now() < until {
-            thread::sleep(Duration::from_millis(5));
-        }
-    }
-}
-
-/// A front's number among others, now; none: as its settings say. It is asked before each input and must not wait.
-pub type Numbers = Box<dyn Fn() -> Option<Numbered> + Send>;
-
-/// The engine's thread and its helpers.
-pub struct Engine {
-    sender: Sender<Message>,
-    thread: JoinHandle<Recording>,
-}
-
-impl Engine {
-    /// Starts it.
-    pub fn start(
-        core: Core,
-        clock: Clock,
-        settings: Arc<FrontSettings>,
-        pool: Arc<Pool>,
-        record: bool,
-        numbers: Option<Numbers>,
-    ) -> io::Result<(Engine, Handle)> {
-        let (sender, receiver) = unbounded();
-        let handle = Handle {
-            sender: sender.clone(),
-            next: Arc::default(),
-            addresses: Arc::default(),
-            ended: Arc::default(),
-        };
-        let calls = Calls::start(handle.clone(), pool.clone(), settings.call_time)?;
-        let watchers = Watchers::new(handle.clone(), settings.connect_time);
-        let recording = record.then(Recording::default);
-        let (waiting, followers) = (BTreeMap::new(), BTreeMap::new());
-        let ended = handle.ended.clone();
-        let (out, sip, numbered) = (Vec::new(), None, None);
-        let run =
-            Run { core, clock, calls, watchers, waiting, followers, out, recording, sip, numbers, numbered };
-        let thread = thread::Builder::new().name("core".into()).spawn(move || {
-            let recording = run.run(&receiver);
-            ended.store(true, Ordering::SeqCst);
-            recording
-        })?;
-        Ok((Engine { sender, thread }, handle))
-    }
-
-    /// Ends the thread; what it recorded, if it did.
-    pub fn stop(self) -> Recording {
-        let _ = self.sender.send(Message::End);
-        self.thread.join().unwrap_or_default()
-    }
-}
-
-struct Run {
-    core: Core,
-    clock: Clock,
-    calls: Calls,
-    watchers: Watchers,
-    waiting: BTreeMap<RequestId, Sender<Told>>,
-    followers: BTreeMap<SessionId, Vec<Sender<PlayerEvent>>>,
-    out: Vec<Output>,
-    recording: Option<Recording>,
-    sip: Option<Sender<agent::Input>>,
-    numbers: Option<Numbers>,
-    numbered: Option<Numbered>,
+pub(super) struct Run {
+    pub(super) core: Core,
+    pub(super) clock: Clock,
+    pub(super) calls: Calls,
+    pub(super) watchers: Watchers,
+    pub(super) waiting: BTreeMap<RequestId, Sender<Told>>,
+    pub(super) followers: BTreeMap<SessionId, Vec<Sender<PlayerEvent>>>,
+    pub(super) out: Vec<Output>,
+    pub(super) recording: Option<Recording>,
+    pub(super) sip: Option<Sender<agent::Input>>,
+    pub(super) numbers: Option<Numbers>,
+    pub(super) numbered: Option<Numbered>,
 }
 
 impl Run {
-    fn run(mut self, receiver: &Receiver<Message>) -> Recording {
+    pub(super) fn run(mut self, receiver: &Receiver<Message>) -> Recording {
         if self.recording.is_some() {
             self.core.listen();
         }
--- a/crates/front/daemon/src/lib.rs
+++ b/crates/front/daemon/src/lib.rs
@@ -10,11 +10,13 @@
 mod calls;
 mod clock;
 mod engine;
+mod handle;
 mod lanes;
 mod list;
 mod player;
 mod sip;
 mod streams;
+mod told;
 mod watch;
 
 use std::io;
@@ -29,8 +31,9 @@
 use tracing::info;
 
 use crate::clock::Clock;
-use crate::engine::{Engine, Handle};
-pub use crate::engine::{Numbers, Recording, Status};
+use crate::engine::Engine;
+use crate::handle::Handle;
+pub use crate::told::{Numbers, Recording, Status};
 
 /// What the parts of a front share.
 #[derive(Clone)]
--- a/crates/front/daemon/src/player.rs
+++ b/crates/front/daemon/src/player.rs
@@ -22,7 +22,7 @@
 
 use crate::Shared;
 use crate::attempt;
-use crate::engine::Told;
+use crate::told::Told;
 
 /// How far past the viewer's patience a thread waits for the core. The core answers long before.
 const PAST: Duration = Duration::from_secs(5);
--- a/crates/front/daemon/src/streams.rs
+++ b/crates/front/daemon/src/streams/run.rs
@@ -1,28 +1,26 @@
-//! All SIP streams of a front on one thread: those that callers opened and those that we open to boxes.
-//!
-//! A call that stands holds a stream to its box for as long as it stands, so that a thread or two for each would be tens
-//! of thousands. Sockets here never block; what a peer does not read waits in a bounded buffer, and what the agent does
-//! not take yet keeps only its own stream waiting.
+//! The thread: one wait for all streams.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::io::{self, Read, Write};
+use std::io::{self, Read};
 use std::net::{Shutdown, TcpStream};
 use std::os::fd::OwnedFd;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::thread;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use beechloft_sip::agent::{Input, OWN};
 use beechloft_sip::framing::{Framed, Framer};
 use beechloft_sip::transaction::layer::Peer;
-use crossbeam_channel::{Receiver, Sender, unbounded};
+use crossbeam_channel::Receiver;
 use rustix::buffer::spare_capacity;
+use rustix::event::Timespec;
 use rustix::event::epoll::{self, EventData, EventFlags};
-use rustix::event::{EventfdFlags, Timespec, eventfd};
 use socket2::{Domain, Socket, Type};
 use tracing::debug;
 
+use super::bell::Bell;
+use super::stream::{Over, Stream};
+use super::{Command, WAKE};
 use crate::Shared;
 use crate::lanes::ToAgent;
 
@@ -32,168 +30,27 @@
 const LOOK: Duration = Duration::from_millis(200);
 /// How soon a stream whose messages the agent had no room for tries again.
 const AGAIN: Duration = Duration::from_millis(5);
-/// Bytes that may wait for a peer to read them.
-const UNREAD: usize = 256 * 1024;
 /// Bytes read of one stream before the others have their turn.
 const TURN: usize = 64 * 1024;
 /// Events taken at once.
 const EVENTS: usize = 256;
-/// The number of the wake-up among the streams' numbers.
-const WAKE: u64 = u64::MAX;
 
-enum Command {
-    Send(Peer, Vec<u8>),
-    Close(Peer),
-    Adopt(Peer, TcpStream),
-}
-
-/// The way to the thread.
-#[derive(Clone)]
-pub(crate) struct Streams {
-    commands: Sender<Command>,
-    bell: Arc<Bell>,
-    callers: Arc<AtomicUsize>,
-}
-
-/// Wakes the thread out of its wait; rung once however many commands wait.
-struct Bell {
-    fd: OwnedFd,
-    rung: AtomicBool,
-}
-
-impl Bell {
-    fn ring(&self) {
-        if !self.rung.swap(true, Ordering::SeqCst) {
-            // Its counter can't overflow: it is read before it is rung again.
-            let _ = rustix::io::write(&self.fd, &1u64.to_ne_bytes());
-        }
-    }
-
-    fn hear(&self) {
-        let _ = rustix::io::read(&self.fd, &mut [0; 8]);
-        // Commands sent from now on ring again; those before are taken after this.
-        self.rung.store(false, Ordering::SeqCst);
-    }
-}
-
-impl Streams {
-    /// Starts the thread.
-    pub(crate) fn start(shared: &Shared, agent: ToAgent) -> io::Result<Streams> {
-        let fd = eventfd(0, EventfdFlags::CLOEXEC | EventfdFlags::NONBLOCK)?;
-        let bell = Arc::new(Bell { fd, rung: AtomicBool::new(false) });
-        let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
-        epoll::add(&epoll, &bell.fd, EventData::new_u64(WAKE), EventFlags::IN)?;
-        let (commands, receiver) = unbounded();
-        let callers = Arc::new(AtomicUsize::new(0));
-        let run = Run {
-            shared: shared.clone(),
-            agent,
-            epoll,
-            bell: bell.clone(),
-            commands: receiver,
-            open: BTreeMap::new(),
-            deadlines: BTreeSet::new(),
-            stalled: BTreeSet::new(),
-            callers: callers.clone(),
-        };
-        thread::Builder::new().name("sip-streams".into()).stack_size(256 * 1024).spawn(move || run.run())?;
-        Ok(Streams { commands, bell, callers })
-    }
-
-    fn command(&self, command: Command) {
-        // The thread ends with the front; what comes after is nobody's any more.
-        let _ = self.commands.send(command);
-        self.bell.ring();
-    }
-
-    /// Writes to a peer. A stream of ours that is not open is opened; a caller's is gone for good.
-    pub(crate) fn send(&self, peer: Peer, bytes: Vec<u8>) {
-        self.command(Command::Send(peer, bytes));
-    }
-
-    /// Closes a stream, after what was written to it as far as the peer takes it.
-    pub(crate) fn close(&self, peer: Peer) {
-        self.command(Command::Close(peer));
-    }
-
-    /// Takes over a stream that a caller opened.
-    pub(crate) fn adopt(&self, peer: Peer, stream: TcpStream) {
-        self.callers.fetch_add(1, Ordering::SeqCst);
-        self.command(Command::Adopt(peer, stream));
-    }
-
-    /// Streams of callers that are open.
-    pub(crate) fn callers(&self) -> usize {
-        self.callers.load(Ordering::SeqCst)
-    }
-}
-
-struct Stream {
-    peer: Peer,
-    socket: TcpStream,
-    connecting: bool,
-    /// What the peer has not taken yet.
-    out: VecDeque<u8>,
-    framer: Framer,
-    /// What the agent had no room for.
-    waiting: VecDeque<Input>,
-    /// When it must have connected, or its caller must have said something.
-    until: Instant,
-    interest: EventFlags,
-}
-
-impl Stream {
-    /// What it waits for.
-    fn wants(&self) -> EventFlags {
-        let mut wants = EventFlags::empty();
-        if !self.connecting && self.waiting.is_empty() {
-            wants |= EventFlags::IN | EventFlags::RDHUP;
-        }
-        if self.connecting || !self.out.is_empty() {
-            wants |= EventFlags::OUT;
-        }
-        wants
-    }
-
-    /// Writes what the peer takes.
-    fn flush(&mut self) -> io::Result<()> {
-        while !self.out.is_empty() {
-            match self.socket.write(self.out.as_slices().0) {
-                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(n) => drop(self.out.drain(..n)),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) => return Err(e),
-            }
-        }
-        if self.out.len() > UNREAD { Err(io::ErrorKind::StorageFull.into()) } else { Ok(()) }
-    }
-}
-
-/// Why a stream is over.
-enum Over {
-    /// Nobody listens there.
-    Refused,
-    /// Whatever else.
-    Lost,
-}
-
-struct Run {
-    shared: Shared,
-    agent: ToAgent,
-    epoll: OwnedFd,
-    bell: Arc<Bell>,
-    commands: Receiver<Command>,
+pub(super) struct Run {
+    pub(super) shared: Shared,
+    pub(super) agent: ToAgent,
+    pub(super) epoll: OwnedFd,
+    pub(super) bell: Arc<Bell>,
+    pub(super) commands: Receiver<Command>,
     /// By the number of their connection.
-    open: BTreeMap<u64, Stream>,
-    deadlines: BTreeSet<(Instant, u64)>,
+    pub(super) open: BTreeMap<u64, Stream>,
+    pub(super) deadlines: BTreeSet<(Instant, u64)>,
     /// Streams whose messages wait for the agent.
-    stalled: BTreeSet<u64>,
-    callers: Arc<AtomicUsize>,
+    pub(super) stalled: BTreeSet<u64>,
+    pub(super) callers: Arc<AtomicUsize>,
 }
 
 impl Run {
-    fn run(mut self) {
+    pub(super) fn run(mut self) {
         let mut events: Vec<epoll::Event> = Vec::with_capacity(EVENTS);
         while !self.shared.handle.ended() {
             let wait = self.wait();
@@ -221,7 +78,7 @@
         due.min(if self.stalled.is_empty() { LOOK } else { AGAIN })
     }
 
-    fn command(&mut self, command: Command) {
+    pub(super) fn command(&mut self, command: Command) {
         match command {
             Command::Send(peer, bytes) => self.send(peer, &bytes),
             Command::Close(peer) => {
@@ -250,7 +107,7 @@
         }
     }
 
-    fn send(&mut self, peer: Peer, bytes: &[u8]) {
+    pub(super) fn send(&mut self, peer: Peer, bytes: &[u8]) {
         if !self.open.contains_key(&peer.conn) {
             if peer.conn < OWN {
                 return; // its caller closed it
@@ -281,7 +138,7 @@
         Ok(())
     }
 
-    fn add(&mut self, peer: Peer, socket: TcpStream, connecting: bool, until: Instant) {
+    pub(super) fn add(&mut self, peer: Peer, socket: TcpStream, connecting: bool, until: Instant) {
         let _ = socket.set_nodelay(true);
         let (out, framer, waiting) = (VecDeque::new(), Framer::default(), VecDeque::new());
         let mut stream =
@@ -359,7 +216,7 @@
     }
 
     /// Reads what is there, up to a turn. Its end is an error: there is nothing to answer on it any more.
-    fn read(&mut self, conn: u64) -> io::Result<()> {
+    pub(super) fn read(&mut self, conn: u64) -> io::Result<()> {
         let Some(stream) = self.open.get_mut(&conn) else { return Ok(()) };
         let (mut buf, mut framed, mut left) = ([0; 8192], Vec::new(), TURN);
         let mut end = Ok(());
--- a/crates/front/daemon/src/watch.rs
+++ b/crates/front/daemon/src/watch.rs
@@ -15,7 +15,7 @@
 use beechloft_whep::{EVENTS, news};
 use tracing::{debug, warn};
 
-use crate::engine::Handle;
+use crate::handle::Handle;
 
 /// First pause between two tries to connect; doubled by each failure...
 const PAUSE: Duration = Duration::from_millis(100);
