Stand-in boxes and trunks in smaller files

A box's process (comes up, dies, keeps itself), its load and work, a trunk's tally and its calls have a file each. Text was moved, none changed.

Seen: the daemon's tests, which play against these boxes, pass.

--- a/crates/proof/standin/src/boxes/mod.rs
+++ b/crates/proof/standin/src/boxes/mod.rs
@@ -1,5 +1,7 @@
 //! A box: a streaming server that speaks WHEP and WHIP, as far as a front and a player can tell.
 
+mod life;
+mod load;
 mod serve;
 mod sip;
 
@@ -11,21 +13,20 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use beechloft_checker::{Recorder, What};
-use beechloft_core::api::{LoadReport, Note};
+use beechloft_checker::Recorder;
+use beechloft_core::api::LoadReport;
 use beechloft_core::io::BoxNews;
-use beechloft_http::server::{Server, Sizes};
-use beechloft_http::{Limits, wait};
+use beechloft_http::server::Server;
+use beechloft_http::wait;
 use crossbeam_channel::Sender;
 
-use self::serve::Door;
 use crate::dice::Dice;
 use crate::fault::Fault;
-use crate::link::{Racks, Share};
-use crate::media;
-pub use crate::sessions::Warming;
+use crate::link::Racks;
 use crate::sessions::{Sessions, Warmth};
 
+pub use crate::sessions::Warming;
+
 /// What a box is.
 #[derive(Debug, Clone)]
 pub struct BoxSpec {
@@ -51,13 +52,6 @@
     pub seed: u64,
 }
 
-/// Between two refreshes of the load that it reports.
-const REFRESH: Duration = Duration::from_millis(400);
-/// Between two notes of short delivery.
-const SHORT_EVERY: Duration = Duration::from_secs(1);
-/// Between two notes of fullness.
-const FULL_EVERY: Duration = Duration::from_secs(4);
-
 struct State {
     sessions: Sessions,
     warmth: Warmth,
@@ -209,9 +203,6 @@
     }
 }
 
-/// A set-up's client has gone, or the box.
-struct Gone;
-
 impl Inner {
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -220,238 +211,6 @@
     fn server(&self) -> MutexGuard<'_, Option<Server>> {
         self.server.lock().unwrap_or_else(PoisonError::into_inner)
     }
-
-    fn come_up(self: &Arc<Self>, listener: TcpListener, warm: bool) -> io::Result<()> {
-        {
-            let mut state = self.lock();
-            state.boot += 1;
-            state.down = false;
-            state.faults.clear();
-            state.reported = LoadReport::default();
-            state.warmth = Warmth::new(if warm { None } else { self.spec.warming });
-        }
-        self.recorder.note(What::Started { server: self.spec.id, warm });
-        self.open_door(listener)
-    }
-
-    fn open_door(self: &Arc<Self>, listener: TcpListener) -> io::Result<()> {
-        let limits = Limits { idle_time: Duration::from_secs(60), ..Limits::default() };
-        let sizes = Sizes { limits, ..Sizes::default() };
-        let server = Server::start(listener, sizes, Arc::new(Door(self.clone())))?;
-        *self.server() = Some(server);
-        Ok(())
-    }
-
-    fn close_door(&self) {
-        let server = self.server().take();
-        if let Some(server) = server {
-            server.kill();
-        }
-    }
-
-    /// The process ends, and all sessions with it.
-    fn die(&self, quietly: bool) {
-        let was_up = {
-            let mut state = self.lock();
-            state.sessions.clear();
-            state.streams.clear();
-            !std::mem::replace(&mut state.down, true)
-        };
-        if was_up && !quietly {
-            self.recorder.note(What::Died { server: self.spec.id });
-        }
-        self.core_free.notify_all();
-        self.close_door();
-    }
-
-    fn topple(&self) {
-        {
-            let mut state = self.lock();
-            state.sessions.clear();
-            state.streams.clear();
-            state.down = true;
-        }
-        self.recorder.note(What::Toppled { server: self.spec.id });
-        self.close_door();
-    }
-
-    fn has(&self, pick: impl Fn(&Fault) -> bool) -> bool {
-        self.lock().faults.iter().any(|f| pick(&f.0))
-    }
-
-    fn stands_still(&self) -> bool {
-        self.has(|f| *f == Fault::StandStill)
-    }
-
-    /// What a fault that strikes a share of the set-ups strikes now.
-    fn strikes(&self, pick: impl Fn(&Fault) -> Option<f64>) -> bool {
-        let mut state = self.lock();
-        let share = state.faults.iter().filter_map(|f| pick(&f.0)).fold(0.0, f64::max);
-        share > 0.0 && state.dice.chance(share)
-    }
-
-    fn link_kb(&self, state: &State) -> f64 {
-        let taken = state
-            .faults
-            .iter()
-            .filter_map(|f| if let Fault::TakeLink { share } = f.0 { Some(share) } else { None });
-        self.spec.link_kb * (1.0 - taken.fold(0.0, f64::max)).max(0.01) * state.warmth.now()
-    }
-
-    fn share(&self, state: &State) -> Share {
-        self.racks.share(self.spec.rack, self.spec.id, state.sessions.asked_kb(), self.link_kb(state))
-    }
-
-    fn delay(&self) -> Duration {
-        let state = self.lock();
-        let of = |(fault, since): &(Fault, Instant)| match fault {
-            Fault::Late { ms } => Duration::from_millis(*ms),
-            Fault::GrowSlow { ms_per_s, .. } => {
-                Duration::from_secs_f64(since.elapsed().as_secs_f64() * ms_per_s / 1000.0)
-            }
-            _ => Duration::ZERO,
-        };
-        state.faults.iter().map(of).sum()
-    }
-
-    /// Counts a set-up that has come; whether it pushes a cold box over, which it then has.
-    fn topples(self: &Arc<Self>) -> bool {
-        let toppled = self.lock().warmth.topples(self.spec.streams as f64);
-        if toppled {
-            self.topple();
-        }
-        toppled
-    }
-
-    /// Whether it turns set-ups away: all its streams run, or its link is asked for too much.
-    fn is_full(&self) -> bool {
-        let state = self.lock();
-        let over = self.spec.guard > 0.0 && self.share(&state).link >= self.spec.guard;
-        over || state.sessions.len() >= self.spec.streams
-    }
-
-    /// Waits while the client is there.
-    fn pause(&self, socket: &TcpStream, until: Instant) -> Result<(), Gone> {
-        while Instant::now() < until {
-            let slice = until.min(Instant::now() + Duration::from_millis(20));
-            match wait::readable([Some(socket)], slice) {
-                Ok([true]) if wait::hung_up(socket) => return Err(Gone),
-                // Something was sent behind the offer; it is read later.
-                Ok([true]) => thread::sleep(Duration::from_millis(2)),
-                Ok([false]) => {}
-                Err(_) => return Err(Gone),
-            }
-            if self.lock().down {
-                return Err(Gone);
-            }
-        }
-        Ok(())
-    }
-
-    /// Waits while the box stands still or is told never to answer.
-    fn hold(&self, socket: &TcpStream) -> Result<(), Gone> {
-        while self.has(|f| matches!(f, Fault::NeverAnswer | Fault::StandStill)) {
-            self.pause(socket, Instant::now() + Duration::from_millis(20))?;
-        }
-        Ok(())
-    }
-
-    /// Works on a set-up: takes a core for its time.
-    fn work(&self, socket: &TcpStream) -> Result<(), Gone> {
-        let mut cores = self.cores.lock().unwrap_or_else(PoisonError::into_inner);
-        while *cores == 0 {
-            let wait = Duration::from_millis(20);
-            cores = self.core_free.wait_timeout(cores, wait).unwrap_or_else(PoisonError::into_inner).0;
-            if *cores == 0 && (wait::hung_up(socket) || self.lock().down) {
-                return Err(Gone);
-            }
-        }
-        *cores -= 1;
-        drop(cores);
-        let spent = self.spec.set_up.div_f64(self.lock().warmth.now().max(0.05));
-        let done = self.pause(socket, Instant::now() + spent);
-        *self.cores.lock().unwrap_or_else(PoisonError::into_inner) += 1;
-        self.core_free.notify_one();
-        done
-    }
-
-    fn free(&self, path: &str, expired: bool) -> bool {
-        {
-            // Noted before anybody can see that it is gone.
-            let mut state = self.lock();
-            let Some(session) = state.sessions.remove(path) else { return false };
-            self.recorder.note(What::Freed { server: self.spec.id, offer: session.offer, expired });
-        }
-        self.tell(&BoxNews::Over { resource: path.to_owned() });
-        true
-    }
-
-    fn tell(&self, news: &BoxNews) {
-        self.lock().streams.retain(|s| s.try_send(news.clone()).is_ok());
-    }
-
-    /// Media, consent, notes and expiry, until the box is dropped.
-    fn keep(&self) {
-        let mut buf = [0; 256];
-        let (mut refreshed, mut short_told, mut full_told, mut was_short) =
-            (Instant::now(), Instant::now(), Instant::now(), false);
-        while !self.end.load(Ordering::SeqCst) {
-            if let Ok((n, peer)) = self.media.recv_from(&mut buf) {
-                self.consent(&buf[..n], peer);
-            }
-            let now = Instant::now();
-            if now - refreshed >= REFRESH {
-                refreshed = now;
-                self.refresh(now);
-            }
-            let share = self.share(&self.lock());
-            let short = share.delivered < 0.98;
-            if now - short_told >= SHORT_EVERY && (short || was_short) {
-                (short_told, was_short) = (now, short);
-                self.tell(&BoxNews::Note(Note::Delivered(share.delivered)));
-            }
-            if now - full_told >= FULL_EVERY {
-                full_told = now;
-                self.tell(&BoxNews::Note(Note::LinkUse(share.link)));
-                self.tell(&BoxNews::Note(Note::UplinkUse(share.uplink)));
-            }
-        }
-    }
-
-    fn consent(&self, datagram: &[u8], peer: SocketAddr) {
-        let Some(name) = media::consented(datagram) else { return };
-        let frame = {
-            let mut state = self.lock();
-            if state.down || state.faults.iter().any(|f| matches!(f.0, Fault::StandStill)) {
-                return;
-            }
-            let Some(rate) = state.sessions.consent(name, Instant::now()) else { return };
-            let silent = state.faults.iter().any(|f| matches!(f.0, Fault::DeliverNothing));
-            let delivered = if silent { 0.0 } else { self.share(&state).delivered };
-            media::frame(name, delivered, rate)
-        };
-        let _ = self.media.send_to(&frame, peer);
-    }
-
-    fn refresh(&self, now: Instant) {
-        let (expired, dies) = {
-            let mut state = self.lock();
-            let share = self.share(&state);
-            let streams = Some(state.sessions.len() as f64);
-            state.reported = LoadReport { streams, link: Some(share.link), uplink: Some(share.uplink) };
-            let dies = state.faults.iter().any(
-                |f| matches!(f.0, Fault::GrowSlow { dies_after_s, .. } if f.1.elapsed().as_secs_f64() >= dies_after_s),
-            );
-            let still = state.faults.iter().any(|f| f.0 == Fault::StandStill);
-            (if still { Vec::new() } else { state.sessions.expired(now) }, dies)
-        };
-        for path in expired {
-            self.free(&path, true);
-        }
-        if dies {
-            self.die(false);
-        }
-    }
 }
 
 /// What a connection tells of its front: whether it has closed its side. One that can't be asked is taken to be open.
--- a/crates/proof/standin/src/boxes/serve.rs
+++ b/crates/proof/standin/src/boxes/serve.rs
@@ -15,7 +15,8 @@
 use beechloft_whep::{EVENTS, FRAG, SDP, boxes, is_type, layers, load, news, sdp};
 use crossbeam_channel::{Receiver, Sender, bounded};
 
-use super::{Gone, Inner, closed};
+use super::load::Gone;
+use super::{Inner, closed};
 use crate::fault::Fault;
 use crate::media;
 use crate::offer::{self, Credentials};
--- a/crates/proof/standin/src/trunk/mod.rs
+++ b/crates/proof/standin/src/trunk/mod.rs
@@ -4,6 +4,8 @@
 //! keeps the timers of RFC 3261 towards the front (A, E, and 64 T1 cut to its callers' patience), and the client's side
 //! of RFC 7339 when told to: it then drops the part of new calls that the front asks it to.
 
+mod calls;
+mod tally;
 mod text;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,19 +13,17 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::time::{Duration, Instant};
 
-use beechloft_checker::trace::{Ending, Speaks};
+use beechloft_checker::trace::Speaks;
 use beechloft_checker::{Recorder, What};
-use hdrhistogram::Histogram;
 
+use self::calls::{Call, State};
 use crate::dice::Dice;
-use text::{Heard, Names};
+use text::Names;
+
+pub use tally::Tally;
 
 /// Timer T1 of RFC 3261.
 const T1: Duration = Duration::from_millis(500);
-/// Longest pause between two copies of a request other than INVITE.
-const T2: Duration = Duration::from_secs(4);
-/// After its caller has given up a call is looked after for so long.
-const AFTER: Duration = Duration::from_secs(4);
 
 /// What a trunk does.
 #[derive(Debug, Clone)]
@@ -52,101 +52,6 @@
     pub seed: u64,
 }
 
-/// What came of it.
-#[derive(Debug, Clone)]
-pub struct Tally {
-    /// Calls that callers wanted to make.
-    pub wanted: u64,
-    /// Kept back by the trunk itself, at the front's word.
-    pub kept_back: u64,
-    /// Answered 200 in the callers' time.
-    pub accepted: u64,
-    /// Turned away, by status.
-    pub refused: BTreeMap<u16, u64>,
-    /// Taken, and without an answer in the callers' time.
-    pub timed_out: u64,
-    /// Never taken: not even a provisional answer came.
-    pub not_taken: u64,
-    /// Calls that had two different final answers.
-    pub twice: u64,
-    /// INVITEs sent again.
-    pub repeated: u64,
-    /// The least and the most of a front's wish to be spared, percent.
-    pub spared: Option<(u8, u8)>,
-    /// Times to the first final answer of accepted calls, microseconds.
-    pub accepted_us: Histogram<u64>,
-    /// The same of calls that were turned away.
-    pub refused_us: Histogram<u64>,
-}
-
-impl Tally {
-    fn new() -> io::Result<Tally> {
-        let times = || Histogram::new_with_bounds(1, 60_000_000, 3).map_err(io::Error::other);
-        Ok(Tally {
-            wanted: 0,
-            kept_back: 0,
-            accepted: 0,
-            refused: BTreeMap::new(),
-            timed_out: 0,
-            not_taken: 0,
-            twice: 0,
-            repeated: 0,
-            spared: None,
-            accepted_us: times()?,
-            refused_us: times()?,
-        })
-    }
-
-    /// Both together.
-    pub fn with(mut self, other: &Tally) -> Tally {
-        self.wanted += other.wanted;
-        self.kept_back += other.kept_back;
-        self.accepted += other.accepted;
-        for (status, n) in &other.refused {
-            *self.refused.entry(*status).or_default() += n;
-        }
-        self.timed_out += other.timed_out;
-        self.not_taken += other.not_taken;
-        self.twice += other.twice;
-        self.repeated += other.repeated;
-        self.spared = match (self.spared, other.spared) {
-            (Some(a), Some(b)) => Some((a.0.min(b.0), a.1.max(b.1))),
-            (a, b) => a.or(b),
-        };
-        // The bounds of both are the same.
-        let _ = self.accepted_us.add(&other.accepted_us);
-        let _ = self.refused_us.add(&other.refused_us);
-        self
-    }
-}
-
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum State {
-    /// The INVITE is out; whether anything has come, and whether it was given up.
-    Inviting { heard: bool, given_up: bool },
-    /// The call stands.
-    Standing,
-    /// A BYE is out.
-    Ending,
-    /// It had its failure; further ones are acknowledged until it is forgotten.
-    Failed,
-}
-
-#[derive(Debug)]
-struct Call {
-    names: Names,
-    state: State,
-    began: Instant,
-    /// What its first final answer was.
-    first: Option<u16>,
-    /// The next copy of what is out, and the pause after it.
-    next: Instant,
-    pause: Duration,
-    /// When its present state ends.
-    until: Instant,
-    again: bool,
-}
-
 /// What the front asked for, and until when it holds (RFC 7339, section 5.4).
 #[derive(Debug, Clone, Copy)]
 struct Spare {
@@ -262,179 +167,4 @@
         self.calls.insert(id, call);
         self.arm(id);
     }
-
-    /// One timer is kept for a call; a stale one finds nothing due and sets the right one.
-    fn arm(&mut self, id: u64) {
-        if let Some(call) = self.calls.get(&id) {
-            self.timers.insert((call.next.min(call.until), id));
-        }
-    }
-
-    fn due(&mut self, now: Instant) {
-        while let Some((at, id)) = self.timers.first().copied().filter(|t| t.0 <= now) {
-            self.timers.remove(&(at, id));
-            let Some(call) = self.calls.get(&id) else { continue };
-            if call.next.min(call.until) > now {
-                // It was moved meanwhile; its own timer stands.
-                continue;
-            }
-            if call.until <= now {
-                self.times_out(id, now)
-            } else {
-                self.again(id, now)
-            }
-            self.arm(id);
-        }
-    }
-
-    /// A copy of what is out.
-    fn again(&mut self, id: u64, now: Instant) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
-        call.next = now + call.pause * 2;
-        call.pause *= 2;
-        let text = match call.state {
-            State::Inviting { heard: false, .. } => {
-                self.tally.repeated += 1;
-                call.names.invite()
-            }
-            State::Inviting { given_up: true, .. } => call.names.cancel(),
-            State::Ending => {
-                call.pause = call.pause.min(T2);
-                call.next = now + call.pause;
-                call.names.bye()
-            }
-            State::Inviting { .. } | State::Standing | State::Failed => {
-                call.next = call.until;
-                return;
-            }
-        };
-        self.send(&text);
-    }
-
-    fn times_out(&mut self, id: u64, now: Instant) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
-        match call.state {
-            State::Inviting { heard, given_up: false } => {
-                let ending = if heard { Ending::TimedOut } else { Ending::NotTaken };
-                *(if heard { &mut self.tally.timed_out } else { &mut self.tally.not_taken }) += 1;
-                call.state = State::Inviting { heard, given_up: true };
-                (call.until, call.pause) = (now + AFTER, T1);
-                call.next = if heard { now } else { call.until };
-                let offer = call.names.offer.clone();
-                self.ended(offer, ending, 0);
-            }
-            State::Standing => {
-                let offer = call.names.offer.clone();
-                call.state = State::Ending;
-                (call.until, call.next, call.pause) = (now + 64 * T1, now + T1, T1);
-                let bye = call.names.bye();
-                if let Some(recorder) = &self.recorder {
-                    recorder.note(What::Left { offer });
-                }
-                self.send(&bye);
-            }
-            State::Inviting { .. } | State::Ending | State::Failed => drop(self.calls.remove(&id)),
-        }
-    }
-
-    fn ended(&self, offer: String, ending: Ending, extra: u32) {
-        if let Some(recorder) = &self.recorder {
-            recorder.note(What::Ended { offer, ending, extra });
-        }
-    }
-
-    fn heard(&mut self, now: Instant, bytes: &[u8]) {
-        let Some(heard) = text::read(bytes) else { return };
-        match heard {
-            Heard::Request { id, answer, bye } => {
-                self.send(&answer);
-                if bye && self.calls.get(&id).is_some_and(|c| c.state == State::Standing) {
-                    self.calls.remove(&id);
-                }
-            }
-            Heard::Response { id, status, method, tag, spare } => {
-                if let Some(spare) = spare {
-                    self.spared(now, spare);
-                }
-                match method.as_str() {
-                    "INVITE" => self.answered(now, id, status, &tag),
-                    "BYE"
-                        if status >= 200 && self.calls.get(&id).is_some_and(|c| c.state == State::Ending) =>
-                    {
-                        self.calls.remove(&id);
-                    }
-                    _ => {}
-                }
-                if status == 503 && self.plan.returns {
-                    self.comes_back(now, id, bytes);
-                }
-            }
-        }
-    }
-
-    /// A caller that was turned away with a time to come back does, once.
-    fn comes_back(&mut self, now: Instant, id: u64, bytes: &[u8]) {
-        let Some(call) = self.calls.get_mut(&id).filter(|c| !c.again) else { return };
-        call.again = true;
-        if let Some(after) = text::retry_after(bytes) {
-            self.coming_back.insert((now + Duration::from_secs(after), id));
-        }
-    }
-
-    /// The front's wish; an older one than the last is void (RFC 7339, section 5.3).
-    fn spared(&mut self, now: Instant, spare: text::Spare) {
-        if self.spare.is_some_and(|s| s.seq >= spare.seq) {
-            return;
-        }
-        let (low, high) = self.tally.spared.unwrap_or((spare.percent, spare.percent));
-        self.tally.spared = Some((low.min(spare.percent), high.max(spare.percent)));
-        let until = now + Duration::from_millis(spare.validity_ms);
-        self.spare = Some(Spare { share: f64::from(spare.percent) / 100.0, until, seq: spare.seq });
-    }
-
-    fn answered(&mut self, now: Instant, id: u64, status: u16, tag: &str) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
-        if status < 200 {
-            if let State::Inviting { heard, .. } = &mut call.state {
-                *heard = true;
-                call.next = call.until;
-            }
-            return;
-        }
-        let before = call.first;
-        let twice = before.is_some_and(|f| f != status);
-        call.first.get_or_insert(status);
-        call.names.tag = tag.to_owned();
-        let offer = call.names.offer.clone();
-        let given_up = matches!(call.state, State::Inviting { given_up: true, .. });
-        let acks = if status < 300 { call.names.ack() } else { call.names.ack_of_failure() };
-        if let State::Inviting { .. } = call.state {
-            (call.state, call.until) = match (status, given_up) {
-                (..300, false) => (State::Standing, now + self.plan.holds),
-                // Nobody wants it any more: it is hung up.
-                (..300, true) => (State::Standing, now),
-                _ => (State::Failed, now + T1),
-            };
-            call.next = call.until;
-        }
-        let took = now.duration_since(call.began).as_micros() as u64;
-        self.send(&acks);
-        self.arm(id);
-        self.tally.twice += u64::from(twice);
-        if before.is_some() || given_up {
-            return;
-        }
-        match status {
-            ..300 => {
-                self.tally.accepted += 1;
-                self.tally.accepted_us.saturating_record(took);
-                self.ended(offer, Ending::Status(201), 0);
-            }
-            _ => {
-                *self.tally.refused.entry(status).or_default() += 1;
-                self.tally.refused_us.saturating_record(took);
-                self.ended(offer, Ending::Status(status), 0);
-            }
-        }
-    }
 }
