--- /dev/null
+++ b/crates/cli/src/fleet/show.rs
@@ -0,0 +1,123 @@
+//! What is printed of the fleet: members, keepers and grants.
+
+use std::io::Write;
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use beechloft_keeper::client::{self, Watched};
+use beechloft_keeper::wire::LeaseLine;
+use beechloft_leases::Name;
+
+use super::settings;
+use crate::fail;
+
+pub(super) fn members(file: &Path, of: Option<std::net::SocketAddr>, json: bool) -> ExitCode {
+    let set = match settings(file) {
+        Ok(set) => set,
+        Err(code) => return code,
+    };
+    let anyone = set.listen.into_iter().chain(set.seeds.iter().copied()).chain(set.keepers.iter().copied());
+    let asked: Vec<_> = of.map_or_else(|| anyone.collect(), |of| vec![of]);
+    let mut seen = asked.iter().filter_map(|at| client::members(&set, *at, Duration::from_secs(1)));
+    let Some(mut lines) = seen.next() else {
+        return fail(1, "no member answers");
+    };
+    lines.sort_by(|a, b| (&a.zone, &a.address, &a.id).cmp(&(&b.zone, &b.address, &b.id)));
+    for l in lines {
+        if json {
+            println!("{}", serde_json::to_string(&l).unwrap_or_default());
+        } else {
+            let zone = if l.zone.is_empty() { "-" } else { &l.zone };
+            let mark = if l.asked { "  (asked)" } else { "" };
+            println!(
+                "{}  {}  {}  {zone}  {} for {} s{mark}",
+                l.id,
+                l.address,
+                l.kind,
+                l.life,
+                l.since_ms / 1_000
+            );
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+pub(super) fn status(file: &Path, json: bool) -> ExitCode {
+    let set = match settings(file) {
+        Ok(set) => set,
+        Err(code) => return code,
+    };
+    let mut reached = 0;
+    for keeper in &set.keepers {
+        let status = client::status(&set, *keeper, Duration::from_millis(1_000));
+        reached += usize::from(status.is_some());
+        if json {
+            println!("{}", serde_json::json!({"keeper": keeper.to_string(), "status": status}));
+        } else {
+            match status {
+                Some(s) => println!(
+                    "{keeper}  {}  {}  term {}  committed {} of {}  voters {} of {}",
+                    s.id,
+                    s.role,
+                    s.term,
+                    s.commit,
+                    s.last,
+                    s.members.iter().filter(|m| m.voter).count(),
+                    s.members.len()
+                ),
+                None => println!("{keeper}  not reached"),
+            }
+        }
+    }
+    if reached * 2 > set.keepers.len() { ExitCode::SUCCESS } else { ExitCode::from(1) }
+}
+
+pub(super) fn list(file: &Path, json: bool) -> ExitCode {
+    let set = match settings(file) {
+        Ok(set) => set,
+        Err(code) => return code,
+    };
+    let Some(lines) = client::list(&set, Duration::from_secs(5)) else {
+        return fail(1, "no keeper leads");
+    };
+    for l in lines {
+        if json {
+            println!("{}", serde_json::to_string(&l).unwrap_or_default());
+        } else {
+            println!(
+                "{}  place {} of {}  token {}  holder {:016x}  {} ms  renewed {}",
+                l.name, l.place, l.places, l.token, l.holder, l.ttl_ms, l.renewals
+            );
+        }
+    }
+    ExitCode::SUCCESS
+}
+
+pub(super) fn watch(file: &Path, name: Option<&str>, json: bool) -> ExitCode {
+    let set = match settings(file) {
+        Ok(set) => set,
+        Err(code) => return code,
+    };
+    let name = match name.map(|n| Name::try_from(n.to_owned())).transpose() {
+        Ok(name) => name,
+        Err(e) => return fail(2, e),
+    };
+    let mut out = std::io::stdout();
+    client::watch(&set, name.as_ref(), |watched| {
+        let text = match (json, watched) {
+            (true, Watched::Stands(lines)) => serde_json::json!({ "stands": lines }).to_string(),
+            (true, Watched::Changed(line)) => serde_json::json!({ "changed": line }).to_string(),
+            (false, Watched::Stands(lines)) => {
+                let one = |l: &LeaseLine| {
+                    format!("{}  place {} of {}  token {}  stands", l.name, l.place, l.places, l.token)
+                };
+                lines.iter().map(one).collect::<Vec<_>>().join("\n")
+            }
+            (false, Watched::Changed(l)) => format!("{}  token {}  {}", l.name, l.token, l.what),
+        };
+        // Whoever read it is gone.
+        (text.is_empty() || writeln!(out, "{text}").is_ok()) && out.flush().is_ok()
+    });
+    ExitCode::SUCCESS
+}
