Circles between files go: faults, ids and what a client speaks lie below their users

config's reader and yaml used each other for the place of a fault, consensus' membership and types for a member's id, the core's catalog and io for the protocol of a client. fault.rs and ids.rs hold what both need, and the list's file names the protocols that it gives addresses for; the old paths still lead there. `Sink::into_faults` sorts what the reader sorted.

Seen: tests of config, core and consensus' lints pass.

--- a/crates/fleet/consensus/src/lib.rs
+++ b/crates/fleet/consensus/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod election;
 mod follower;
+mod ids;
 mod leader;
 mod log;
 mod membership;
--- a/crates/fleet/consensus/src/membership.rs
+++ b/crates/fleet/consensus/src/membership.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::types::MemberId;
+use crate::ids::MemberId;
 
 /// Members at most, learners included.
 pub const MOST_MEMBERS: usize = 15;
--- a/crates/front/config/src/lib.rs
+++ b/crates/front/config/src/lib.rs
@@ -3,6 +3,7 @@
 //! The settings describe a deployment and this front's place in it. What the decision module decides is not in them.
 #![forbid(unsafe_code)]
 
+pub mod fault;
 pub mod front;
 pub mod list;
 pub mod reader;
--- a/crates/front/config/src/reader.rs
+++ b/crates/front/config/src/reader.rs
@@ -2,73 +2,12 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
-use std::fmt;
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
+pub use crate::fault::{Fault, Faults, Place, Sink};
 use crate::yaml::{self, Kind, Node};
 
-/// A place in a file, both counted from 1.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
-pub struct Place {
-    /// The line.
-    pub line: usize,
-    /// The column.
-    pub column: usize,
-}
-
-/// Something wrong in a file.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Fault {
-    /// Where.
-    pub place: Place,
-    /// The key, from the top.
-    pub key: String,
-    /// What.
-    pub text: String,
-}
-
-impl Fault {
-    /// A fault.
-    pub fn new(place: Place, key: impl Into<String>, text: impl Into<String>) -> Self {
-        Fault { place, key: key.into(), text: text.into() }
-    }
-}
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}: ", self.place.line, self.place.column)?;
-        if !self.key.is_empty() {
-            write!(f, "{}: ", self.key)?;
-        }
-        f.write_str(&self.text)
-    }
-}
-
-/// All that is wrong in a file, in its order.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-pub struct Faults(pub Vec<Fault>);
-
-impl fmt::Display for Faults {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (n, fault) in self.0.iter().enumerate() {
-            write!(f, "{}{fault}", if n > 0 { "\n" } else { "" })?;
-        }
-        Ok(())
-    }
-}
-
-/// Gathers faults while a file is read.
-#[derive(Debug, Default)]
-pub struct Sink(RefCell<Vec<Fault>>);
-
-impl Sink {
-    /// Notes one.
-    pub fn add(&self, fault: Fault) {
-        self.0.borrow_mut().push(fault);
-    }
-}
-
 /// Reads a whole file: `read` takes what it wants from the top mapping, and all faults come back together.
 pub fn read<T>(text: &str, read: impl FnOnce(&Section<'_>) -> T) -> Result<T, Faults> {
     let node = yaml::parse(text).map_err(|f| Faults(vec![f]))?;
@@ -77,13 +16,8 @@
         let top = Section::of(&node, String::new(), &sink);
         read(&top)
     };
-    let mut faults = sink.0.into_inner();
-    if faults.is_empty() {
-        return Ok(value);
-    }
-    faults.sort();
-    faults.dedup();
-    Err(Faults(faults))
+    let faults = sink.into_faults();
+    if faults.is_empty() { Ok(value) } else { Err(Faults(faults)) }
 }
 
 /// A mapping that is being read. When it is dropped, keys that nobody asked for are faults.
--- a/crates/front/config/src/yaml.rs
+++ b/crates/front/config/src/yaml.rs
@@ -2,7 +2,7 @@
 
 use saphyr::{LoadableYamlNode, MarkedYaml, Scalar, YamlData};
 
-use crate::reader::{Fault, Place};
+use crate::fault::{Fault, Place};
 
 /// Largest file, bytes.
 pub const BYTES: usize = 4 * 1024 * 1024;
--- a/crates/front/core/src/catalog.rs
+++ b/crates/front/core/src/catalog.rs
@@ -9,13 +9,23 @@
 
 use beechloft::interface::*;
 
-use crate::io::Protocol;
-
 /// Boxes in one message at most; a longer one is refused whole.
 pub const MAX_BOXES: usize = 20_000;
 /// Titles at most, over all messages.
 pub const MAX_TITLES: usize = 200_000;
 
+/// What a client speaks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Protocol {
+    /// WHEP: it watches.
+    #[default]
+    Whep,
+    /// WHIP: it publishes.
+    Whip,
+    /// SIP: it calls.
+    Sip,
+}
+
 /// A box, as the list tells it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct BoxLine {
--- a/crates/front/core/src/io.rs
+++ b/crates/front/core/src/io.rs
@@ -5,6 +5,7 @@
 use beechloft::interface::{LoadReport, Micros, Note, Numbered, Outcome, Rung, ServerId, SessionId};
 
 use crate::catalog::ListUpdate;
+pub use crate::catalog::Protocol;
 use crate::narrow::Narrowed;
 use crate::release::Ticket;
 
@@ -29,18 +30,6 @@
     pub number: u16,
 }
 
-/// What a client speaks.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum Protocol {
-    /// WHEP: it watches.
-    #[default]
-    Whep,
-    /// WHIP: it publishes.
-    Whip,
-    /// SIP: it calls.
-    Sip,
-}
-
 /// A client's wish for a session.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Ask {
