--- a/crates/cli/src/fleet/show.rs
+++ b/crates/cli/src/fleet/show.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use beechloft_keeper::client::{self, Watched};
-use beechloft_keeper::wire::LeaseLine;
+use beechloft_keeper::wire::{LeaseLine, StatusLine};
 use beechloft_leases::Name;
 
 use super::settings;
@@ -56,16 +56,7 @@
             println!("{}", serde_json::json!({"keeper": keeper.to_string(), "status": status}));
         } else {
             match status {
-                Some(s) => println!(
-                    "{keeper}  {}  {}  term {}  committed {} of {}  voters {} of {}",
-                    s.id,
-                    s.role,
-                    s.term,
-                    s.commit,
-                    s.last,
-                    s.members.iter().filter(|m| m.voter).count(),
-                    s.members.len()
-                ),
+                Some(s) => print_status(keeper, &s),
                 None => println!("{keeper}  not reached"),
             }
         }
@@ -73,6 +64,25 @@
     if reached * 2 > set.keepers.len() { ExitCode::SUCCESS } else { ExitCode::from(1) }
 }
 
+fn print_status(keeper: &std::net::SocketAddr, s: &StatusLine) {
+    let voters = s.members.iter().filter(|m| m.voter).count();
+    println!(
+        "{keeper}  {}  {}  term {}  committed {} of {}  voters {voters} of {}",
+        s.id,
+        s.role,
+        s.term,
+        s.commit,
+        s.last,
+        s.members.len()
+    );
+    for t in &s.topics {
+        println!(
+            "    topic {}  head {}  horizon {}  keys {}  bytes {} (held {})  subscribers {}  behind {} ms at most",
+            t.name, t.head, t.horizon, t.keys, t.bytes, t.held_bytes, t.subscribers, s.silent_ms
+        );
+    }
+}
+
 pub(super) fn list(file: &Path, json: bool) -> ExitCode {
     let set = match settings(file) {
         Ok(set) => set,
--- a/crates/proof/day/src/keepers/processes.rs
+++ b/crates/proof/day/src/keepers/processes.rs
@@ -38,6 +38,9 @@
         if let Some(ttl) = self.spec.number_ttl_ms {
             section["number"] = json!("lease");
             section["number_ttl_ms"] = json!(ttl);
+            if self.spec.seats {
+                section["seat"] = json!(format!("front-{front}"));
+            }
         }
         if let Some((at_most, back_ms)) = self.spec.restart {
             section["restart"] = json!({ "at_most": at_most, "back_ms": back_ms });
--- a/crates/proof/day/src/keepers/spec.rs
+++ b/crates/proof/day/src/keepers/spec.rs
@@ -19,6 +19,8 @@
     pub clocks_apart_ppm: u64,
     /// Fronts have their numbers by lease, of this time in milliseconds; none: as written.
     pub number_ttl_ms: Option<u64>,
+    /// Fronts have seats: a front takes over the number that it had before it was told to restart.
+    pub seats: bool,
     /// Fronts restart in turn: so many at once, each back within so many milliseconds.
     pub restart: Option<(u64, u64)>,
 }
@@ -47,6 +49,7 @@
             drift_ppm,
             clocks_apart_ppm,
             number_ttl_ms: s.whole("number_ttl_ms", 500..=60_000),
+            seats: s.flag("seats", false),
             restart,
         }
     }
