--- a/crates/fleet/consensus/src/membership.rs
+++ b/crates/fleet/consensus/src/membership.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::types::MemberId;
+use crate::ids::MemberId;
 
 /// Members at most, learners included.
 pub const MOST_MEMBERS: usize = 15;
