A keeper that stays behind is left in spite of its signs of life; bad batches tested one by one

A keeper says once that it is behind its subscriber, and then gives signs of life. Those counted as being of use, so a subscriber stayed with a keeper that never came on until that one's own silence showed. Being behind now lasts until a batch comes.

Nine kinds of batches that no keeper can have said (gaps, offsets out of order or outside, a head too low, nothing begun) are each dropped whole and another keeper is asked.

--- a/crates/fleet/topic/src/subscriber.rs
+++ b/crates/fleet/topic/src/subscriber.rs
@@ -7,119 +7,15 @@
 use beechloft_leases::Name;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use thiserror::Error;
 
 use crate::feed::{Batch, MOST_MESSAGES, Position, Said, Told};
 use crate::message::{Body, Message};
 use crate::planted::Fault;
 use crate::words::{Key, Offset};
 
-/// Times and bounds of a subscriber.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SubscriberSettings {
-    /// Bytes that may be on their way to it.
-    pub window: u64,
-    /// It asks another keeper when it has heard nothing for this, or this long that the keeper is behind.
-    pub patience: Duration,
-    /// ... or when the keeper has not heard from a leader for this.
-    pub most_silent: Duration,
-    /// From one try to the next, at first and at most; twice as long after each that brought nothing.
-    pub again: (Duration, Duration),
-}
-
-impl Default for SubscriberSettings {
-    fn default() -> SubscriberSettings {
-        SubscriberSettings {
-            window: 256 << 10,
-            patience: Duration::from_secs(5),
-            most_silent: Duration::from_secs(10),
-            again: (Duration::from_millis(100), Duration::from_secs(5)),
-        }
-    }
-}
-
-/// What a subscriber hears.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum SubscriberInput {
-    /// Only time has passed.
-    Tick,
-    /// It is wanted from now on.
-    Start,
-    /// A keeper's word.
-    Told(Told),
-    /// The connection of a subscription is gone, or could not be made.
-    Broken(u64),
-}
-
-/// What a subscriber wants done.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum SubscriberOutput {
-    /// For another keeper than the last one, over a new connection. Any other is to be closed.
-    Subscribe {
-        /// The number of this subscription.
-        feed: u64,
-        /// Of which topic.
-        topic: Name,
-        /// How far it is.
-        from: Option<Position>,
-        /// Bytes that it may be told.
-        allow: u64,
-    },
-    /// Bytes that it may be told in all.
-    Allow {
-        /// Of this subscription.
-        feed: u64,
-        /// From its first on.
-        total: u64,
-    },
-    /// The subscription is given up; its connection is to be closed.
-    Leave(u64),
-    /// A key has a value, or another one.
-    Changed(Message),
-    /// A key has none any more: it is deleted by the message at this offset, or by one at or before it.
-    Gone(Key, Offset),
-    /// It has the latest of each key as of this offset, without it. Told again after it has fallen behind.
-    CaughtUp(Offset),
-    /// It is not known to be complete any more: messages were left out on the way, or all comes anew.
-    Behind,
-    /// A keeper said what can't be. Nothing of it was taken.
-    Distrusted(Distrust),
-}
+mod words;
 
-/// Why a keeper's word can't be.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
-pub enum Distrust {
-    /// It goes on from where the last one did not end.
-    #[error("the batch begins at {from:?}, and {expected:?} is to come next")]
-    Gap {
-        /// Where it begins.
-        from: Offset,
-        /// Where it should.
-        expected: Offset,
-    },
-    /// Its messages are out of order or outside its offsets, or too many.
-    #[error("the batch's messages do not fit its offsets")]
-    Order,
-    /// A key has an older message than is known.
-    #[error("a key stands at {has:?}, and {told:?} was told")]
-    Older {
-        /// What is known.
-        has: Offset,
-        /// What was told.
-        told: Offset,
-    },
-    /// The keeper is behind, and served all the same.
-    #[error("the keeper is at {head:?}, and {needs:?} is needed")]
-    Behind {
-        /// Where it is.
-        head: Offset,
-        /// Where it should be.
-        needs: Offset,
-    },
-    /// Messages before all was told anew.
-    #[error("messages of nothing that was begun")]
-    NotBegun,
-}
+pub use words::{Distrust, SubscriberInput, SubscriberOutput, SubscriberSettings};
 
 /// What is known of a key.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -303,7 +199,12 @@
         let feed = *feed;
         *heard_at = now;
         let silent = Duration::from_millis(u64::from(told.silent_ms)) > self.settings.most_silent;
-        let useless = silent || matches!(told.said, Said::Behind { .. });
+        // Being behind is said once; a sign of life after it does not say that it is over.
+        let useless = match told.said {
+            Said::Behind { .. } => true,
+            Said::Still => silent || useless_since.is_some(),
+            Said::Anew { .. } | Said::Batch(_) => silent,
+        };
         let since = useless_since.unwrap_or(now);
         *useless_since = useless.then_some(since);
         let taken = match told.said {
--- a/crates/fleet/topic/tests/simple.rs
+++ b/crates/fleet/topic/tests/simple.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use beechloft_topic::{
-    Expect, Feed, Key, Layout, Name, Outcome, Publisher, PublisherId, PublisherInput, PublisherOutput,
-    PublisherSettings, PublisherTicket, Record, Refusal, Said, Subscriber, SubscriberInput, SubscriberOutput,
-    SubscriberSettings, Terms, Told, TopicAnswer, TopicCommand, TopicHeard, Topics, Value,
+    Batch, Distrust, Expect, Feed, Key, Layout, Message, Name, Offset, Outcome, Publisher, PublisherId,
+    PublisherInput, PublisherOutput, PublisherSettings, PublisherTicket, Record, Refusal, Said, Subscriber,
+    SubscriberInput, SubscriberOutput, SubscriberSettings, Terms, Told, TopicAnswer, TopicCommand,
+    TopicHeard, Topics, Value,
 };
 
 fn name() -> Name {
@@ -100,7 +101,7 @@
     let bytes: Vec<Arc<[u8]>> = chunks.iter().map(|c| c.bytes.clone()).collect();
     let mut again = Topics::read_chunks(&bytes, Layout::default()).expect("topics");
     assert_eq!((&again, again.write_chunks()), (&topics, chunks));
-    put(&mut again, 6, record("b", None), Expect::At(beechloft_topic::Offset(1)));
+    put(&mut again, 6, record("b", None), Expect::At(Offset(1)));
     let outputs = follow(&again, &mut feed, number, &mut subscriber);
     assert!(matches!(&outputs[..], [SubscriberOutput::Gone(k, _)] if k.bytes() == b"b"), "{outputs:?}");
     assert_eq!(subscriber.complete_to().map(|o| o.0), Some(4));
@@ -128,3 +129,67 @@
     }
     assert_eq!(Topics::read_chunks(&[], Layout::default()), Ok(Topics::default()));
 }
+
+fn message(offset: u64, key: &str) -> Message {
+    // As it comes over the wire.
+    let mut body = vec![key.len() as u8, 0];
+    body.extend(key.as_bytes());
+    let bytes = postcard::to_allocvec(&(offset, body)).expect("bytes");
+    postcard::from_bytes(&bytes).expect("a message")
+}
+
+#[test]
+fn what_a_keeper_can_not_have_said_is_dropped_whole_and_another_is_asked() {
+    let o = Offset;
+    let batch = |from, to, head, messages| Batch { from: o(from), to: o(to), head: o(head), messages };
+    let bad = [
+        (batch(3, 4, 9, vec![]), Distrust::Gap { from: o(3), expected: o(2) }),
+        (batch(0, 4, 9, vec![]), Distrust::Gap { from: o(0), expected: o(2) }),
+        (batch(2, 4, 4, vec![]), Distrust::Behind { head: o(4), needs: o(5) }),
+        (batch(2, 9, 8, vec![]), Distrust::Order),
+        (batch(2, 1, 8, vec![]), Distrust::Order),
+        (batch(2, 6, 8, vec![message(4, "x"), message(3, "y")]), Distrust::Order),
+        (batch(2, 6, 8, vec![message(4, "x"), message(4, "y")]), Distrust::Order),
+        (batch(2, 6, 8, vec![message(6, "x")]), Distrust::Order),
+        (batch(2, 6, 8, vec![message(1, "x")]), Distrust::Order),
+    ];
+    for (bad, why) in bad {
+        let mut subscriber = Subscriber::new(name(), SubscriberSettings::default(), 1);
+        let hear = |subscriber: &mut Subscriber, feed, said| {
+            let told = Told { feed, applied: 0, silent_ms: 0, said };
+            subscriber.handle(Duration::from_secs(9), SubscriberInput::Told(told))
+        };
+        assert!(hear(&mut subscriber, 1, Said::Still).is_empty(), "it has not asked yet");
+        subscriber.handle(Duration::from_secs(9), SubscriberInput::Start);
+        let early = hear(&mut subscriber, 1, Said::Batch(batch(0, 0, 0, vec![])));
+        assert!(early.contains(&SubscriberOutput::Distrusted(Distrust::NotBegun)));
+        subscriber.handle(Duration::from_secs(10), SubscriberInput::Tick);
+        hear(&mut subscriber, 2, Said::Anew { life: 7, base: o(5) });
+        let first = Said::Batch(batch(0, 2, 5, vec![message(1, "x")]));
+        assert_eq!(hear(&mut subscriber, 2, first).len(), 1);
+        // Of a subscription that was given up.
+        assert!(hear(&mut subscriber, 1, Said::Batch(batch(2, 5, 5, vec![]))).is_empty());
+        let outputs = hear(&mut subscriber, 2, Said::Batch(bad.clone()));
+        assert_eq!(outputs, [SubscriberOutput::Distrusted(why), SubscriberOutput::Leave(2)], "{bad:?}");
+        assert_eq!(subscriber.position().map(|at| (at.next, at.base)), Some((o(2), o(5))));
+        assert_eq!(subscriber.get(b"x").map(|held| held.offset), Some(o(1)));
+    }
+}
+
+#[test]
+fn a_keeper_that_stays_behind_is_left_whatever_signs_of_life_it_gives() {
+    let mut subscriber = Subscriber::new(name(), SubscriberSettings::default(), 1);
+    subscriber.handle(Duration::ZERO, SubscriberInput::Start);
+    let mut left = None;
+    for second in 0..8 {
+        let said = if second == 0 { Said::Behind { head: Offset(0) } } else { Said::Still };
+        let now = Duration::from_secs(second);
+        let told = Told { feed: 1, applied: 0, silent_ms: 0, said };
+        let mut outputs = subscriber.handle(now, SubscriberInput::Told(told));
+        outputs.extend(subscriber.handle(now, SubscriberInput::Tick));
+        if outputs.contains(&SubscriberOutput::Leave(1)) {
+            left.get_or_insert(second);
+        }
+    }
+    assert_eq!(left, Some(5));
+}
