Histories of real processes are checked as linearizable

Candidates write down what they ask and hear (`test_history`, tests only), and a small search in the manner of Wing and Gong looks for an order that explains it, with ends by time not before the lease's whole time. The checker first took a holder's own older request, come late, for one that could be done, and so explained a planted second holder: a request that comes after a later one of its holder's is not done.

--- a/crates/cli/tests/support/keepers.rs
+++ b/crates/cli/tests/support/keepers.rs
@@ -67,6 +67,9 @@
         if let Some(n) = keeper {
             text += &format!("  listen: {}\n  store: {}\n", self.addresses[n], self.folder(n).display());
         }
+        if keeper.is_none() && from.is_some() {
+            text += &format!("  test_history: {}\n", self.history().display());
+        }
         let path = self.dir.path().join(from.map_or("asks.yaml".into(), |n| format!("p{n}.yaml")));
         std::fs::write(&path, text).expect("written");
         path
@@ -85,6 +88,11 @@
         self.keepers[n] = None;
     }
 
+    /// What candidates have asked and heard.
+    pub fn history(&self) -> PathBuf {
+        self.dir.path().join("history")
+    }
+
     pub fn acts(&self) -> PathBuf {
         self.dir.path().join("acts")
     }
--- a/crates/fleet/keeper/src/client.rs
+++ b/crates/fleet/keeper/src/client.rs
@@ -9,6 +9,7 @@
 use beechloft_leases::{Heard, HolderInput, Name, Request, Route};
 use crossbeam_channel::{Receiver, Sender, bounded};
 
+use crate::history::Book;
 use crate::settings::FleetSettings;
 use crate::wire::{self, StatusLine, Word};
 
@@ -142,6 +143,7 @@
     conn: Option<(usize, TcpStream)>,
     hears: Sender<Word>,
     heard: Receiver<Word>,
+    book: Book,
 }
 
 impl Way {
@@ -149,7 +151,8 @@
     pub fn new(set: FleetSettings) -> Way {
         let route = Route::new(set.keepers.len(), rand::random_range(0..set.keepers.len().max(1)));
         let (hears, heard) = bounded(64);
-        Way { set, route, conn: None, hears, heard }
+        let book = Book::open(set.test_history.as_deref());
+        Way { set, route, conn: None, hears, heard, book }
     }
 
     /// Sends a request; what can't be sent is lost, as on any network.
@@ -158,6 +161,7 @@
         if self.conn.as_ref().is_none_or(|c| c.0 != at) {
             self.conn = self.open(at);
         }
+        self.book.asks(&request);
         let bytes = wire::encode(self.set.number(), &Word::Ask(request));
         if let (Some((_, stream)), Some(bytes)) = (&mut self.conn, bytes)
             && stream.write_all(&bytes).is_err()
@@ -193,6 +197,7 @@
         match self.heard.recv_timeout(within).ok()? {
             Word::Heard(heard) => {
                 self.route.answered();
+                self.book.hears(&heard);
                 Some(HolderInput::Heard(heard))
             }
             Word::NotLeader(leader) => {
--- a/crates/fleet/keeper/src/lib.rs
+++ b/crates/fleet/keeper/src/lib.rs
@@ -17,6 +17,7 @@
 mod agent;
 pub mod client;
 mod engine;
+pub mod history;
 mod links;
 mod peers;
 mod rows;
--- a/crates/fleet/keeper/src/peers.rs
+++ b/crates/fleet/keeper/src/peers.rs
@@ -18,6 +18,8 @@
 
 /// The longest that the thread waits for a packet before it looks whether it is over.
 const LOOK: Duration = Duration::from_millis(100);
+/// Bytes of a datagram's heads: UDP's and IP's.
+const HEADS: u64 = 28;
 /// Words that wait for an answer, at most.
 const QUEUE: usize = 256;
 
@@ -30,6 +32,8 @@
     clock: Box<dyn Fn() -> Duration + Send + Sync>,
     end: AtomicBool,
     refused: AtomicU64,
+    /// Datagrams, and their bytes with heads.
+    sent: (AtomicU64, AtomicU64),
     fronts: AtomicU32,
 }
 
@@ -54,9 +58,10 @@
         let rows = rows.map(|spread| Rows::new(id, set.zone.to_string(), spread, clock()));
         let swim = Mutex::new(Swim::new(id, about, set.seeds.clone(), rand::random(), clock()));
         info!(%id, %address, zone = %set.zone, "member is up");
-        let (end, refused) = (AtomicBool::new(false), AtomicU64::new(0));
+        let (end, refused, sent) = (AtomicBool::new(false), AtomicU64::new(0), Default::default());
         let fronts = AtomicU32::new(u32::from(kind == Kind::Front));
-        let shared = Arc::new(Shared { swim, rows, socket, set: set.clone(), clock, end, refused, fronts });
+        let shared =
+            Arc::new(Shared { swim, rows, socket, set: set.clone(), clock, end, refused, sent, fronts });
         let its = Arc::clone(&shared);
         thread::Builder::new().name("members".into()).stack_size(256 << 10).spawn(move || its.run())?;
         Ok(Peers { shared })
@@ -236,6 +241,8 @@
 
     fn send(&self, to: SocketAddr, packet: &Packet) {
         if let Some(bytes) = wire::datagram(self.set.number(), packet) {
+            self.sent.0.fetch_add(1, Ordering::Relaxed);
+            self.sent.1.fetch_add(bytes.len() as u64 + HEADS, Ordering::Relaxed);
             // What can't be sent is lost, as on any network.
             let _ = self.socket.send_to(&bytes, self.set.reach_member(to));
         }
@@ -262,6 +269,8 @@
             known_ms: millis(m.known_since),
             incarnation: m.incarnation.0,
             asked: id == swim.id(),
+            sent: if id == swim.id() { self.sent.0.load(Ordering::Relaxed) } else { 0 },
+            sent_bytes: if id == swim.id() { self.sent.1.load(Ordering::Relaxed) } else { 0 },
         };
         swim.roster().iter().map(line).collect()
     }
--- a/crates/fleet/keeper/src/settings.rs
+++ b/crates/fleet/keeper/src/settings.rs
@@ -41,6 +41,8 @@
     pub spread: Option<beechloft_spread::Settings>,
     /// For tests: this process's clock runs at this rate.
     pub test_clock_rate: f64,
+    /// For tests: what this process asks of keepers and hears is written down there.
+    pub test_history: Option<PathBuf>,
     /// For tests: keepers that are reached by way of another address.
     pub test_via: BTreeMap<SocketAddr, SocketAddr>,
     /// For tests: members that are reached by way of another address.
@@ -141,6 +143,7 @@
         restart: if s.has("restart") { restart(&s.section("restart"), drift) } else { None },
         spread: None,
         test_clock_rate: s.number("test_clock_rate", 0.5..=2.0).unwrap_or(1.0),
+        test_history: s.text("test_history").map(PathBuf::from),
         test_via: via(s, "test_via"),
         test_udp_via: via(s, "test_udp_via"),
     }
--- a/crates/fleet/keeper/src/wire.rs
+++ b/crates/fleet/keeper/src/wire.rs
@@ -178,6 +178,10 @@
     pub incarnation: u64,
     /// It is the one that was asked.
     pub asked: bool,
+    /// Datagrams that the one asked has sent since its start, rows not counted; of others it is not known.
+    pub sent: u64,
+    /// Their bytes, heads of UDP and IP counted.
+    pub sent_bytes: u64,
 }
 
 /// The bytes of a word; none: past the bound.
