--- a/crates/fleet/topic/src/feed.rs
+++ b/crates/fleet/topic/src/feed.rs
@@ -110,7 +110,7 @@
     pub feed: u64,
     /// The last entry of the keepers' log that this keeper has applied.
     pub applied: u64,
-    /// For how long this keeper has not heard from a leader, milliseconds; a leader says nought.
+    /// For how long this keeper may not have had all that was committed, milliseconds; a leader says nought.
     pub silent_ms: u32,
     /// What is said.
     pub said: Said,
