A front as a witness: its attempts are evidence, the fleet's verdicts narrow it

The machines of rows and verdicts were without a front.

fleet.verdicts in a front's settings starts a thread that puts the window of its attempts into its row, judges all rows each 100 ms, asks for the lease of trials when one is due, and narrows what the module is offered. The engine tells of attempts that show something of a box: not those dropped because their viewer left, and errors only once the same session plays elsewhere or is over with that one. Faulty settings are named with their key. Off otherwise, and not in a front node that run starts.

--- a/crates/cli/src/among.rs
+++ b/crates/cli/src/among.rs
@@ -7,14 +7,19 @@
 use std::time::Duration;
 
 use beechloft_core::api::Numbered;
-use beechloft_keeper::{Agent, FleetSettings, Keeping, Peers};
+use beechloft_front::Hooks;
+use beechloft_front::observe::Observer;
+use beechloft_keeper::{Agent, FleetSettings, Keeping, Peers, Verdicting};
 use beechloft_leases::Part;
 use beechloft_members::Kind;
 
+use crate::witness::Witness;
+
 /// What a front has of its fleet.
 pub struct Among {
     agent: Arc<Agent>,
     peers: Option<Arc<Peers>>,
+    verdicts: Option<Arc<Verdicting>>,
     /// A front may be a keeper besides, on a thread of its own.
     keeping: Option<(Arc<AtomicBool>, JoinHandle<()>)>,
 }
@@ -42,7 +47,13 @@
         } else {
             (Among::member(set)?, None)
         };
-        Ok(Among { agent: Arc::new(Agent::start(set, span)?), peers, keeping })
+        let verdicts = match (set.verdicts, &peers) {
+            (Some(verdicts), Some(peers)) => {
+                Some(Arc::new(Verdicting::start(set, verdicts, Arc::clone(peers))?))
+            }
+            _ => None,
+        };
+        Ok(Among { agent: Arc::new(Agent::start(set, span)?), peers, verdicts, keeping })
     }
 
     /// As a member, if its settings name seeds.
@@ -73,6 +84,13 @@
         })
     }
 
+    /// What a front is told by its fleet, and tells it.
+    pub fn hooks(&self) -> Hooks {
+        let observer =
+            self.verdicts.as_ref().map(|v| -> Box<dyn Observer> { Box::new(Witness::new(Arc::clone(v))) });
+        Hooks { numbers: Some(self.numbers()), observer }
+    }
+
     /// It is told to end: it asks for its turn, if fronts restart in turn; how long it is to wait at most.
     pub fn wants_end(&self) -> Option<Duration> {
         let restart = self.agent.restart()?;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -11,6 +11,7 @@
 mod node;
 mod serve;
 mod store;
+mod witness;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -55,7 +55,7 @@
         Err(e) => return fail(1, e),
     };
     let started = match &among {
-        Some(among) => Front::start_among(settings, among.numbers()),
+        Some(among) => Front::start_among(settings, among.hooks()),
         None => Front::start(settings, None),
     };
     let front = match started {
--- /dev/null
+++ b/crates/cli/src/witness.rs
@@ -0,0 +1,69 @@
+//! A front as a witness of its boxes: what its attempts showed goes to the fleet's evidence, and what the fleet holds of boxes narrows what
+//! its module is offered.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use beechloft_core::api::{Micros, ServerId, ServerState};
+use beechloft_core::catalog::Catalog;
+use beechloft_core::narrow::{Avoid, Narrowed, Shy};
+use beechloft_front::observe::{Observer, Showed, Tried};
+use beechloft_keeper::{Noted, Verdicting};
+use beechloft_verdicts::{Outcome, Place, title_key};
+
+/// Between a front's core and the fleet's evidence.
+pub struct Witness {
+    verdicts: Arc<Verdicting>,
+    seen: u64,
+    titles: BTreeMap<u32, Arc<str>>,
+}
+
+impl Witness {
+    pub fn new(verdicts: Arc<Verdicting>) -> Witness {
+        Witness { verdicts, seen: 0, titles: BTreeMap::new() }
+    }
+}
+
+impl Observer for Witness {
+    fn list(&mut self, catalog: &Catalog) {
+        let listed = catalog.boxes().filter(|b| b.state != ServerState::Gone);
+        let place = |zone, size: f64| Place { zone, size: if size > 0.0 { size } else { 1.0 } };
+        self.verdicts.list(listed.map(|b| (b.id.0, place(b.zone.0, b.size))).collect());
+        // Names change seldom, and there may be many.
+        if catalog.titles().count() == self.titles.len() {
+            return;
+        }
+        self.titles = catalog.titles().map(|name| (title_key(name), name.clone())).collect();
+    }
+
+    fn life(&mut self, server: ServerId, boot: u64) {
+        self.verdicts.life(server.0, boot);
+    }
+
+    fn tried(&mut self, tried: Tried, now: Micros) {
+        let outcome = match tried.showed {
+            Showed::Taken(took) if Duration::from_micros(took.0) > self.verdicts.slow() => Outcome::Slow,
+            Showed::Taken(_) => Outcome::Well,
+            Showed::Error => Outcome::Error,
+            Showed::Hang => Outcome::Hang,
+            Showed::Declined => Outcome::Declined,
+        };
+        let ago = Duration::from_micros((now - tried.sent).0);
+        self.verdicts.tried(Noted { server: tried.server.0, title: title_key(&tried.title), outcome, ago });
+    }
+
+    fn narrowed(&mut self) -> Option<Narrowed> {
+        let (version, outlook) = self.verdicts.outlook(self.seen)?;
+        self.seen = version;
+        let shy = |key: &beechloft_verdicts::BoxKey, share| Shy { server: ServerId(key.server), share };
+        let mut titles: BTreeMap<Arc<str>, Vec<Shy>> = BTreeMap::new();
+        for (key, title) in &outlook.titles {
+            if let Some(name) = self.titles.get(title) {
+                titles.entry(name.clone()).or_default().push(shy(key, 0));
+            }
+        }
+        let boxes = outlook.avoid.iter().map(|s| shy(&s.key, s.share)).collect();
+        Some(Narrowed::Avoid(Avoid { boxes, titles, at_most: self.verdicts.part() }))
+    }
+}
--- a/crates/fleet/keeper/src/lib.rs
+++ b/crates/fleet/keeper/src/lib.rs
@@ -22,11 +22,13 @@
 mod rows;
 mod settings;
 mod store;
+mod verdicts;
 pub mod wire;
 
 pub use agent::Agent;
 pub use engine::{Keeping, StartError};
 pub use peers::Peers;
 pub use rows::RowSeen;
-pub use settings::{FleetSettings, Restart};
+pub use settings::{FleetSettings, Restart, VerdictSettings};
 pub use store::{LogStore, OpenError};
+pub use verdicts::{Noted, Verdicting};
--- a/crates/fleet/keeper/src/settings.rs
+++ b/crates/fleet/keeper/src/settings.rs
@@ -9,6 +9,10 @@
 use beechloft_leases::{Drift, Name, Terms};
 use beechloft_members::Zone;
 
+mod verdicts;
+
+pub use verdicts::VerdictSettings;
+
 /// Keepers at most.
 const MOST_KEEPERS: usize = 9;
 /// Seeds at most.
@@ -37,6 +41,10 @@
     pub restart: Option<Restart>,
     /// How fronts spread rows, if anything that is asked for needs them.
     pub spread: Option<beechloft_spread::Settings>,
+    /// How verdicts on boxes are shared, if they are.
+    pub verdicts: Option<VerdictSettings>,
+    /// The zones that there are, as far as the file names them.
+    pub zones: Vec<String>,
     /// For tests: this process's clock runs at this rate.
     pub test_clock_rate: f64,
     /// For tests: keepers that are reached by way of another address.
@@ -126,6 +134,13 @@
     let ppm = s.whole("drift_ppm", 0..=99_999).unwrap_or(10_000) as u32;
     // Within bounds by the range above; a file with a fault there is not used.
     let drift = Drift::ppm(ppm).unwrap_or_default();
+    let spread = shares(s).then(|| verdicts::rows(&s.section("rows"), most_fronts(s), ppm));
+    let verdicts = spread
+        .filter(|_| s.has("verdicts"))
+        .map(|rows| verdicts::verdicts(&s.section("verdicts"), rows.staleness(most_fronts(s))));
+    if spread.is_some() && (!s.has("seeds") || listen.is_none()) {
+        s.fault("verdicts", "fronts share them as members: fleet.seeds and fleet.listen are needed");
+    }
     FleetSettings {
         name,
         zone: zone(s, zones),
@@ -136,7 +151,9 @@
         drift,
         number: number(s, drift),
         restart: if s.has("restart") { restart(&s.section("restart"), drift) } else { None },
-        spread: None,
+        spread,
+        verdicts,
+        zones: zones.map(<[String]>::to_vec).unwrap_or_else(|| s.texts("zones")),
         test_clock_rate: s.number("test_clock_rate", 0.5..=2.0).unwrap_or(1.0),
         test_via: via(s, "test_via"),
         test_udp_via: via(s, "test_udp_via"),
@@ -153,9 +170,19 @@
     Some(terms)
 }
 
+/// Fronts at most.
+fn most_fronts(s: &Section<'_>) -> usize {
+    s.whole("most_fronts", 1..=4_096).unwrap_or(1_024) as usize
+}
+
+/// Whether anything is asked for that needs rows.
+fn shares(s: &Section<'_>) -> bool {
+    s.has("verdicts")
+}
+
 fn number(s: &Section<'_>, drift: Drift) -> Option<Terms> {
     s.choice("number", &[("lease", ())])?;
-    let places = s.whole("most_fronts", 1..=4_096).unwrap_or(1_024) as u16;
+    let places = most_fronts(s) as u16;
     terms(s, "front/number", places, ("number_ttl_ms", 10_000), drift)
 }
 
@@ -210,6 +237,31 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn verdicts_are_off_unless_asked_for_and_their_faults_are_named() {
+        let head = "fleet:\n  name: market\n  listen: 127.0.0.1:7009\n  keepers: ['127.0.0.1:7000']\n";
+        let off = FleetSettings::read(head).expect("sound");
+        assert_eq!((off.spread, off.verdicts), (None, None));
+        let on =
+            FleetSettings::read(&format!("{head}  seeds: ['127.0.0.1:7000']\n  verdicts:\n    part: 0.4\n"));
+        let on = on.expect("sound");
+        assert_eq!(on.verdicts.map(|v| v.rules.part), Some(400));
+        assert_eq!(on.spread, Some(beechloft_spread::Settings::default()));
+        let bad = format!(
+            "{head}  rows:\n    round_ms: 5\n  verdicts:\n    fresh_ms: 100\n    fronts: 1\n    party: 1\n"
+        );
+        let faults = FleetSettings::read(&bad).expect_err("faulty").to_string();
+        for said in [
+            "round of at least 10 ms",
+            "evidence is fresh for 100ms",
+            "fronts",
+            "party: unknown key",
+            "fleet.seeds",
+        ] {
+            assert!(faults.contains(said), "{said} is not in {faults}");
+        }
+    }
+
     #[test]
     fn a_sound_section_is_read_and_all_faults_are_named() {
         let text = "fleet:\n  name: market\n  listen: 127.0.0.1:7000\n  keepers: ['127.0.0.1:7000', '127.0.0.1:7001', '127.0.0.1:7002']\n  store: /tmp/x\n  drift_ppm: 200\n";
--- /dev/null
+++ b/crates/fleet/keeper/src/settings/verdicts.rs
@@ -0,0 +1,69 @@
+//! The `rows:` and `verdicts:` sections of `fleet:`.
+
+use std::time::Duration;
+
+use beechloft_config::Section;
+use beechloft_spread::Settings;
+use beechloft_verdicts::Rules;
+
+/// How verdicts are shared.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct VerdictSettings {
+    /// What a verdict needs, and how long it holds.
+    pub rules: Rules,
+    /// An attempt that took longer than this is slow.
+    pub slow: Duration,
+    /// The lease of trials, milliseconds.
+    pub trial_ttl_ms: u32,
+    /// For tests: this front says the contrary of what it has seen.
+    pub test_lies: bool,
+    /// For tests: it tells others of what it has seen and acts on nothing.
+    pub test_alone: bool,
+}
+
+fn span(s: &Section<'_>, key: &'static str, default: Duration) -> Duration {
+    s.millis(key, 1..=3_600_000).unwrap_or(default)
+}
+
+/// How rows are spread among so many fronts at most.
+pub(super) fn rows(s: &Section<'_>, fronts: usize, drift_ppm: u32) -> Settings {
+    let default = Settings::default();
+    let set = Settings {
+        round: span(s, "round_ms", default.round),
+        peers: s.whole("peers", 1..=8).map_or(default.peers, |n| n as usize),
+        refresh: span(s, "refresh_ms", default.refresh),
+        forget: span(s, "forget_ms", default.forget),
+        bytes: s.whole("bytes_per_s", 4_096..=1 << 30).map_or(default.bytes, |n| n as u32),
+        drift_ppm,
+    };
+    if let Err(why) = set.check(fronts) {
+        s.fault("round_ms", why.to_string());
+    }
+    set
+}
+
+/// How verdicts are shared where rows are around within `staleness`.
+pub(super) fn verdicts(s: &Section<'_>, staleness: Duration) -> VerdictSettings {
+    let default = Rules::default();
+    let mut rules = default;
+    rules.fronts = s.whole("fronts", 2..=64).map_or(default.fronts, |n| n as usize);
+    rules.failures = s.whole("failures", 1..=1_000).map_or(default.failures, |n| n as u32);
+    rules.part = s.number("part", 0.01..=0.9).map_or(default.part, |p| (p * 1_000.0) as u16);
+    rules.window = span(s, "window_ms", default.window);
+    rules.fresh = span(s, "fresh_ms", default.fresh);
+    rules.hold = span(s, "hold_ms", default.hold);
+    rules.quiet = span(s, "quiet_ms", default.quiet);
+    rules.trial_gap = span(s, "trial_gap_ms", default.trial_gap);
+    rules.trial_for = span(s, "trial_for_ms", default.trial_for);
+    rules.step = span(s, "step_ms", default.step);
+    if let Err(why) = rules.check(staleness) {
+        s.fault("window_ms", why.to_string());
+    }
+    VerdictSettings {
+        rules,
+        slow: span(s, "slow_ms", Duration::from_millis(500)),
+        trial_ttl_ms: s.whole("trial_ttl_ms", 500..=3_600_000).unwrap_or(3_000) as u32,
+        test_lies: s.choice("test_lies", &[("yes", true), ("no", false)]).unwrap_or(false),
+        test_alone: s.choice("test_alone", &[("yes", true), ("no", false)]).unwrap_or(false),
+    }
+}
--- /dev/null
+++ b/crates/fleet/keeper/src/verdicts.rs
@@ -0,0 +1,313 @@
+//! A front's part in the fleet's verdicts, on a thread of its own: its evidence goes into its row, all rows are judged, and the lease of
+//! trials is asked for when one is due. The front tells of its attempts and looks at the outlook at any moment, and never waits.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use beechloft_leases::{Holder, HolderId, HolderInput, HolderOutput, Name, Request, Terms};
+use beechloft_spread::Kind;
+use beechloft_verdicts::{
+    BoxKey, BoxLine, Change, Evidence, FrontLife, Ledger, Outcome, Outlook, Places, Report, Seen, Tried,
+    Verdicts, Witness, judge_viewers,
+};
+use tracing::{info, warn};
+
+use crate::client::Way;
+use crate::peers::Peers;
+use crate::settings::{FleetSettings, VerdictSettings};
+
+/// The longest that the thread listens before it looks at the clock.
+const LISTEN: Duration = Duration::from_millis(20);
+/// How often rows are judged.
+const JUDGE: Duration = Duration::from_millis(100);
+/// A zone that the settings do not name.
+const ELSEWHERE: u16 = u16::MAX;
+
+/// An attempt that is over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Noted {
+    /// At which box.
+    pub server: u32,
+    /// For which title: see [`beechloft_verdicts::title_key`].
+    pub title: u32,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// How long ago it went out.
+    pub ago: Duration,
+}
+
+struct State {
+    ledger: Ledger,
+    verdicts: Verdicts,
+    evidence: Evidence,
+    places: Places,
+    /// The run that each box's process names, and since when.
+    lives: BTreeMap<u32, (u64, Duration)>,
+    outlook: Outlook,
+    viewers: Vec<u64>,
+}
+
+struct Shared {
+    set: VerdictSettings,
+    zones: Vec<String>,
+    peers: Arc<Peers>,
+    state: Mutex<State>,
+    version: AtomicU64,
+    end: AtomicBool,
+}
+
+/// A front's part in verdicts. It ends when it is dropped.
+pub struct Verdicting {
+    shared: Arc<Shared>,
+}
+
+impl Verdicting {
+    /// Begins to judge.
+    ///
+    /// # Errors
+    /// There is no thread.
+    pub fn start(
+        set: &FleetSettings,
+        verdicts: VerdictSettings,
+        peers: Arc<Peers>,
+    ) -> io::Result<Verdicting> {
+        let state = State {
+            ledger: Ledger::new(verdicts.rules.window),
+            verdicts: Verdicts::new(verdicts.rules),
+            evidence: Evidence::default(),
+            places: Places::new(),
+            lives: BTreeMap::new(),
+            outlook: Outlook::default(),
+            viewers: Vec::new(),
+        };
+        let shared = Arc::new(Shared {
+            set: verdicts,
+            zones: set.zones.clone(),
+            peers,
+            state: Mutex::new(state),
+            version: AtomicU64::new(0),
+            end: AtomicBool::new(false),
+        });
+        let name = Name::try_from("verdict/trial".to_owned()).map_err(io::Error::other)?;
+        let terms = Terms { name, places: 1, ttl_ms: verdicts.trial_ttl_ms };
+        let holder = Holder::new(HolderId(rand::random()), terms, set.drift, rand::random());
+        let (its, way) = (Arc::clone(&shared), Way::new(set.clone()));
+        thread::Builder::new()
+            .name("verdicts".into())
+            .stack_size(256 << 10)
+            .spawn(move || its.run(holder, way))?;
+        Ok(Verdicting { shared })
+    }
+
+    /// The boxes of the list.
+    pub fn list(&self, places: Places) {
+        self.shared.state().places = places;
+    }
+
+    /// A box's process names its run.
+    pub fn life(&self, server: u32, boot: u64) {
+        let now = self.shared.peers.now();
+        let mut state = self.shared.state();
+        if state.lives.get(&server).is_none_or(|l| l.0 != boot) {
+            state.lives.insert(server, (boot, now));
+        }
+    }
+
+    /// An attempt is over.
+    pub fn tried(&self, noted: Noted) {
+        let now = self.shared.peers.now();
+        let mut state = self.shared.state();
+        let life = state.lives.get(&noted.server).copied();
+        // It may have met the process before.
+        if life.is_some_and(|(_, since)| now.saturating_sub(noted.ago) < since) {
+            return;
+        }
+        let key = BoxKey::new(noted.server, life.map(|l| l.0));
+        let trial = state.verdicts.on_trial() == Some(key);
+        let (title, outcome) = (noted.title, noted.outcome);
+        state.ledger.note(now, Tried { key, title, viewer: None, outcome, trial });
+        if trial && outcome != Outcome::Declined {
+            let well = outcome == Outcome::Well;
+            info!(server = key.server, well, "trial is over");
+            state.verdicts.tried(now, key, well);
+            drop(state);
+            // So that no second attempt goes there before this thread's next turn.
+            self.shared.look(now, false);
+        }
+    }
+
+    /// What is to be avoided, if that has changed since a version.
+    pub fn outlook(&self, since: u64) -> Option<(u64, Outlook)> {
+        let version = self.shared.version.load(Ordering::Acquire);
+        if version == since {
+            return None;
+        }
+        let state = self.shared.state();
+        Some((self.shared.version.load(Ordering::Acquire), state.outlook.clone()))
+    }
+
+    /// Of a thousand ready holders of a title so many are avoided at most.
+    pub fn part(&self) -> u16 {
+        self.shared.set.rules.part
+    }
+
+    /// From which time on an attempt is slow.
+    pub fn slow(&self) -> Duration {
+        self.shared.set.slow
+    }
+}
+
+impl Drop for Verdicting {
+    fn drop(&mut self) {
+        self.shared.end.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Everything the other way round, as a front that lies says it.
+fn lie(mut report: Report, places: &Places, lives: impl Fn(u32) -> BoxKey) -> Report {
+    let line = |server: &u32| {
+        let key = lives(*server);
+        let bad = report.of(key).is_some_and(Seen::accuses);
+        let errors = if bad { 0 } else { 9 };
+        BoxLine { key, seen: Seen { tries: 9, errors, trials_well: u8::from(bad), ..Seen::default() } }
+    };
+    report.boxes = places.keys().take(20).map(line).collect();
+    report.zones.iter_mut().for_each(|z| (z.tried, z.well) = (9, 9));
+    report
+}
+
+impl Shared {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn run(&self, mut holder: Holder, mut way: Way) {
+        let mut judge_at = Duration::ZERO;
+        while !self.end.load(Ordering::Relaxed) {
+            let input = way.hear(LISTEN).unwrap_or(HolderInput::Tick);
+            let now = self.peers.now();
+            let mut requests = take(&mut holder, now, input);
+            if now >= judge_at {
+                judge_at = now + JUDGE;
+                self.read();
+                let wants = self.look(now, holder.permit(now).is_some());
+                let wish = if wants { HolderInput::Want } else { HolderInput::GiveBack };
+                requests.extend(take(&mut holder, now, wish));
+                self.write(now);
+            }
+            for request in requests {
+                way.send(request);
+            }
+        }
+    }
+
+    /// Takes in all rows.
+    fn read(&self) {
+        let rows = self.peers.rows(Kind::EVIDENCE);
+        let mut ages = BTreeMap::new();
+        let mut state = self.state();
+        for row in rows {
+            let front = FrontLife(row.life.0);
+            ages.insert(front, row.age);
+            if state.evidence.get(front).is_some_and(|w| w.version >= row.version) {
+                continue;
+            }
+            let Ok(report) = Report::decode(&row.bytes) else { continue };
+            let zone = self.zones.iter().position(|z| *z == row.zone).map_or(ELSEWHERE, |n| n as u16);
+            let witness = Witness { version: row.version, zone, report };
+            state.evidence.put(&self.set.rules, front, witness);
+        }
+        let rules = self.set.rules;
+        let fresh = state.evidence.fresh(&rules, |f| ages.get(&f).copied());
+        state.evidence = fresh;
+    }
+
+    /// Judges, and says what changed; whether the lease of trials is wanted.
+    fn look(&self, now: Duration, leased: bool) -> bool {
+        let mut state = self.state();
+        let State { verdicts, evidence, places, lives, outlook, .. } = &mut *state;
+        let of = |server: u32| BoxKey::new(server, lives.get(&server).map(|l| l.0));
+        let mut new = verdicts.look(now, evidence, places, of, leased);
+        let changes = std::mem::take(&mut new.changes);
+        let differs = new != *outlook;
+        let wants = new.wants_trial;
+        *outlook = new;
+        let viewers = judge_viewers(&self.set.rules, evidence);
+        let news: Vec<u64> = viewers.iter().filter(|v| !state.viewers.contains(v)).copied().collect();
+        state.viewers = viewers;
+        if differs {
+            self.version.fetch_add(1, Ordering::Release);
+        }
+        drop(state);
+        changes.iter().for_each(told);
+        for viewer in news {
+            warn!(
+                viewer = format_args!("{viewer:016x}"),
+                "most of this viewer's requests are declined, at several fronts"
+            );
+        }
+        wants
+    }
+
+    /// Says what was seen here.
+    fn write(&self, now: Duration) {
+        let mut state = self.state();
+        let accused: BTreeSet<u32> = state
+            .evidence
+            .iter()
+            .flat_map(|(_, w)| &w.report.boxes)
+            .filter(|b| b.seen.accuses())
+            .map(|b| b.key.server)
+            .collect();
+        let State { ledger, places, lives, .. } = &mut *state;
+        let mut report = ledger.report(now, |server| places.get(&server).map(|p| p.zone), &accused);
+        if self.set.test_lies {
+            report = lie(report, places, |server| BoxKey::new(server, lives.get(&server).map(|l| l.0)));
+        }
+        drop(state);
+        if let Err(why) = self.peers.write_row(Kind::EVIDENCE, report.encode()) {
+            warn!("evidence is not told to others: {why}");
+        }
+    }
+}
+
+fn take(holder: &mut Holder, now: Duration, input: HolderInput) -> Vec<Request> {
+    let mut requests = Vec::new();
+    for output in holder.handle(now, input) {
+        match output {
+            HolderOutput::Send(request) => requests.push(request),
+            HolderOutput::Held(token) => info!(token = token.0, "the lease of trials is held"),
+            HolderOutput::Lost(token) => info!(token = token.0, "the lease of trials is lost"),
+            HolderOutput::Never(why) => warn!("the lease of trials can't be had: {why}"),
+        }
+    }
+    requests
+}
+
+fn told(change: &Change) {
+    match change {
+        Change::Condemned(j) => info!(
+            server = j.key.server,
+            life = j.key.life,
+            accusers = j.accusers,
+            absolvers = j.absolvers,
+            bad = j.bad,
+            "judged bad: avoided from now on"
+        ),
+        Change::Spared(j) => warn!(
+            server = j.key.server,
+            accusers = j.accusers,
+            absolvers = j.absolvers,
+            bad = j.bad,
+            "judged bad and offered nonetheless: too much of its zone is avoided already"
+        ),
+        Change::Restored(key) => info!(server = key.server, "trials went well: it comes back in steps"),
+        Change::Lapsed(key) => info!(server = key.server, "the verdict is old: it comes back in steps"),
+        Change::Back(key) => info!(server = key.server, "it is back for all sessions"),
+        Change::Replaced(key) => info!(server = key.server, "another process runs there: it starts clean"),
+    }
+}
--- a/crates/front/daemon/src/engine.rs
+++ b/crates/front/daemon/src/engine.rs
@@ -20,6 +20,7 @@
 
 use crate::calls::{Calls, Job};
 use crate::clock::Clock;
+use crate::observe::{Observer, Observing};
 use crate::watch::Watchers;
 
 /// Streams of one session's events at once; a further one takes the place of the last.
@@ -177,6 +178,15 @@
 /// A front's number among others, now; none: as its settings say. It is asked before each input and must not wait.
 pub type Numbers = Box<dyn Fn() -> Option<Numbered> + Send>;
 
+/// What a front is told by its fleet, and tells it.
+#[derive(Default)]
+pub struct Hooks {
+    /// Its number among others; none: as its settings say.
+    pub numbers: Option<Numbers>,
+    /// Who keeps evidence of boxes, and narrows by it what the module is offered.
+    pub observer: Option<Box<dyn Observer>>,
+}
+
 /// The engine's thread and its helpers.
 pub struct Engine {
     sender: Sender<Message>,
@@ -191,7 +201,7 @@
         settings: Arc<FrontSettings>,
         pool: Arc<Pool>,
         record: bool,
-        numbers: Option<Numbers>,
+        hooks: Hooks,
     ) -> io::Result<(Engine, Handle)> {
         let (sender, receiver) = unbounded();
         let handle = Handle {
@@ -206,8 +216,22 @@
         let (waiting, followers) = (BTreeMap::new(), BTreeMap::new());
         let ended = handle.ended.clone();
         let (out, sip, numbered) = (Vec::new(), None, None);
-        let run =
-            Run { core, clock, calls, watchers, waiting, followers, out, recording, sip, numbers, numbered };
+        let Hooks { numbers, observer } = hooks;
+        let observing = observer.map(Observing::new);
+        let run = Run {
+            core,
+            clock,
+            calls,
+            watchers,
+            waiting,
+            followers,
+            out,
+            recording,
+            sip,
+            numbers,
+            numbered,
+            observing,
+        };
         let thread = thread::Builder::new().name("core".into()).spawn(move || {
             let recording = run.run(&receiver);
             ended.store(true, Ordering::SeqCst);
@@ -235,6 +259,7 @@
     sip: Option<Sender<agent::Input>>,
     numbers: Option<Numbers>,
     numbered: Option<Numbered>,
+    observing: Option<Observing>,
 }
 
 impl Run {
@@ -325,8 +350,16 @@
         }
     }
 
+    /// Has the core offer what is to be offered now.
+    fn narrow(&mut self) {
+        if let Some(narrowed) = self.observing.as_mut().and_then(Observing::narrowed) {
+            self.handle(Input::Narrowed(narrowed));
+        }
+    }
+
     fn input(&mut self, input: Input) {
         self.renumber();
+        self.narrow();
         self.handle(input);
     }
 
@@ -336,7 +369,17 @@
         if let Some(recording) = &mut self.recording {
             recording.inputs.push((now, input.clone()));
         }
+        let listed = matches!(input, Input::List(_));
+        if let Some(observing) = &mut self.observing {
+            observing.input(now, &input);
+        }
         self.core.handle(now, input, &mut self.out);
+        if let Some(observing) = &mut self.observing {
+            self.out.iter().for_each(|output| observing.output(now, output));
+            if listed {
+                observing.listed(self.core.catalog());
+            }
+        }
         if let Some(recording) = &mut self.recording {
             recording.outputs.extend(self.out.iter().cloned());
         }
--- a/crates/front/daemon/src/lib.rs
+++ b/crates/front/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 mod engine;
 mod lanes;
 mod list;
+pub mod observe;
 mod player;
 mod sip;
 mod streams;
@@ -30,7 +31,7 @@
 
 use crate::clock::Clock;
 use crate::engine::{Engine, Handle};
-pub use crate::engine::{Numbers, Recording, Status};
+pub use crate::engine::{Hooks, Numbers, Recording, Status};
 
 /// What the parts of a front share.
 #[derive(Clone)]
@@ -60,28 +61,28 @@
 impl Front {
     /// Starts a front on its listener's port, or on one that is given.
     pub fn start(settings: FrontSettings, listener: Option<TcpListener>) -> io::Result<Front> {
-        Front::begin(settings, listener, false, None)
+        Front::begin(settings, listener, false, Hooks::default())
     }
 
-    /// The same, as one of a fleet that tells it its number.
+    /// The same, as one of a fleet.
     ///
     /// # Errors
     /// No socket or no thread.
-    pub fn start_among(settings: FrontSettings, numbers: Numbers) -> io::Result<Front> {
-        Front::begin(settings, None, false, Some(numbers))
+    pub fn start_among(settings: FrontSettings, hooks: Hooks) -> io::Result<Front> {
+        Front::begin(settings, None, false, hooks)
     }
 
     /// The same, keeping in mind all that its core is told and does, for [`Front::stop`] to give out. Its memory
     /// grows with its life.
     pub fn start_recorded(settings: FrontSettings) -> io::Result<Front> {
-        Front::begin(settings, None, true, None)
+        Front::begin(settings, None, true, Hooks::default())
     }
 
     fn begin(
         settings: FrontSettings,
         listener: Option<TcpListener>,
         record: bool,
-        numbers: Option<Numbers>,
+        hooks: Hooks,
     ) -> io::Result<Front> {
         let listener = match listener {
             Some(listener) => listener,
@@ -92,7 +93,7 @@
         let core = Core::new(settings.settings.clone(), seed);
         let settings = Arc::new(settings);
         let pool = Arc::new(Pool::default());
-        let (engine, handle) = Engine::start(core, clock, settings.clone(), pool.clone(), record, numbers)?;
+        let (engine, handle) = Engine::start(core, clock, settings.clone(), pool.clone(), record, hooks)?;
         let shared = Shared { handle, clock, pool, settings };
         list::start(&shared, seed)?;
         let sip = match shared.settings.sip {
