--- a/crates/fleet/keeper/src/settings/verdicts.rs
+++ b/crates/fleet/keeper/src/settings/verdicts.rs
@@ -17,8 +17,6 @@
     pub trial_ttl_ms: u32,
     /// For tests: this front says the contrary of what it has seen.
     pub test_lies: bool,
-    /// For tests: it tells others of what it has seen and acts on nothing.
-    pub test_alone: bool,
 }
 
 fn span(s: &Section<'_>, key: &'static str, default: Duration) -> Duration {
@@ -64,6 +62,5 @@
         slow: span(s, "slow_ms", Duration::from_millis(500)),
         trial_ttl_ms: s.whole("trial_ttl_ms", 500..=3_600_000).unwrap_or(3_000) as u32,
         test_lies: s.choice("test_lies", &[("yes", true), ("no", false)]).unwrap_or(false),
-        test_alone: s.choice("test_alone", &[("yes", true), ("no", false)]).unwrap_or(false),
     }
 }
--- a/crates/fleet/keeper/src/verdicts.rs
+++ b/crates/fleet/keeper/src/verdicts.rs
@@ -75,8 +75,10 @@
         verdicts: VerdictSettings,
         peers: Arc<Peers>,
     ) -> io::Result<Verdicting> {
+        let own = set.zone.to_string();
+        let zone = set.zones.iter().position(|z| *z == own).map_or(ELSEWHERE, |n| n as u16);
         let state = State {
-            ledger: Ledger::new(verdicts.rules.window),
+            ledger: Ledger::new(verdicts.rules.window, zone),
             verdicts: Verdicts::new(verdicts.rules),
             evidence: Evidence::default(),
             places: Places::new(),
@@ -129,7 +131,8 @@
         let key = BoxKey::new(noted.server, life.map(|l| l.0));
         let trial = state.verdicts.on_trial() == Some(key);
         let (title, outcome) = (noted.title, noted.outcome);
-        state.ledger.note(now, Tried { key, title, viewer: None, outcome, trial });
+        let zone = state.places.get(&noted.server).map_or(ELSEWHERE, |p| p.zone);
+        state.ledger.note(now, Tried { key, zone, title, viewer: None, outcome, trial });
         if trial && outcome != Outcome::Declined {
             let well = outcome == Outcome::Well;
             info!(server = key.server, well, "trial is over");
@@ -173,10 +176,12 @@
         let key = lives(*server);
         let bad = report.of(key).is_some_and(Seen::accuses);
         let errors = if bad { 0 } else { 9 };
-        BoxLine { key, seen: Seen { tries: 9, errors, trials_well: u8::from(bad), ..Seen::default() } }
+        BoxLine {
+            key,
+            seen: Seen { tries: 9, errors, beside_well: 9, trials_well: u8::from(bad), ..Seen::default() },
+        }
     };
     report.boxes = places.keys().take(20).map(line).collect();
-    report.zones.iter_mut().for_each(|z| (z.tried, z.well) = (9, 9));
     report
 }
 
@@ -264,7 +269,7 @@
             .map(|b| b.key.server)
             .collect();
         let State { ledger, places, lives, .. } = &mut *state;
-        let mut report = ledger.report(now, |server| places.get(&server).map(|p| p.zone), &accused);
+        let mut report = ledger.report(now, &accused);
         if self.set.test_lies {
             report = lie(report, places, |server| BoxKey::new(server, lives.get(&server).map(|l| l.0)));
         }
--- a/crates/fleet/verdicts/src/ledger.rs
+++ b/crates/fleet/verdicts/src/ledger.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use crate::report::{BoxKey, BoxLine, Report, Seen, TitleLine, ViewerLine, ZoneLine};
+use crate::report::{BoxKey, BoxLine, Report, Seen, TitleLine, ViewerLine};
 
 /// Slices of a window.
 const SLICES: u32 = 10;
@@ -30,6 +30,8 @@
 pub struct Tried {
     /// At which box.
     pub key: BoxKey,
+    /// The box's zone.
+    pub zone: u16,
     /// For which title.
     pub title: u32,
     /// Whose, if that is known: a print of the viewer's address.
@@ -47,21 +49,114 @@
     viewers: BTreeMap<u64, (u16, u16)>,
 }
 
+/// Attempts so far, well and bad.
+#[derive(Debug, Clone, Copy, Default)]
+struct Sum {
+    well: u64,
+    bad: u64,
+}
+
+impl Sum {
+    fn add(&mut self, well: bool) {
+        if well { self.well += 1 } else { self.bad += 1 }
+    }
+
+    fn less(self, other: Sum) -> Sum {
+        Sum { well: self.well.saturating_sub(other.well), bad: self.bad.saturating_sub(other.bad) }
+    }
+}
+
+/// How things stood at a bad attempt: at its zone's boxes, at all, and at the box itself.
+#[derive(Debug, Clone, Copy)]
+struct Mark {
+    at: Duration,
+    zone: Sum,
+    all: Sum,
+    own: Sum,
+}
+
+/// The bad attempts at a box: the oldest ones that are remembered, and the last.
+#[derive(Debug, Clone, Default)]
+struct Run {
+    zone: u16,
+    own: Sum,
+    marks: VecDeque<Mark>,
+}
+
 /// Own counts.
 #[derive(Debug, Clone)]
 pub struct Ledger {
     slice: Duration,
+    window: Duration,
+    zone: u16,
     slices: VecDeque<(u64, Slice)>,
+    zones: BTreeMap<u16, Sum>,
+    all: Sum,
+    runs: BTreeMap<BoxKey, Run>,
 }
 
+/// Bad attempts at a box that are remembered one by one.
+const MOST_MARKS: usize = 64;
+
 fn more(count: &mut u16) {
     *count = count.saturating_add(1);
 }
 
 impl Ledger {
-    /// Nothing was tried yet.
-    pub fn new(window: Duration) -> Ledger {
-        Ledger { slice: (window / SLICES).max(Duration::from_millis(1)), slices: VecDeque::new() }
+    /// Nothing was tried yet, by a front of this zone.
+    pub fn new(window: Duration, zone: u16) -> Ledger {
+        Ledger {
+            slice: (window / SLICES).max(Duration::from_millis(1)),
+            window,
+            zone,
+            slices: VecDeque::new(),
+            zones: BTreeMap::new(),
+            all: Sum::default(),
+            runs: BTreeMap::new(),
+        }
+    }
+
+    /// Notes how others stand at each bad attempt, so that it can be told what they were like between the first and the last.
+    fn run(&mut self, now: Duration, tried: &Tried) {
+        let well = tried.outcome == Outcome::Well;
+        self.zones.entry(tried.zone).or_default().add(well);
+        self.all.add(well);
+        let window = self.window;
+        let old = |m: &Mark| now.saturating_sub(m.at) >= window;
+        if self.runs.len() >= MOST {
+            self.runs.retain(|_, run| run.marks.back().is_some_and(|m| !old(m)));
+        }
+        let (zone, all) = (self.zones.get(&tried.zone).copied().unwrap_or_default(), self.all);
+        if well && !self.runs.contains_key(&tried.key) {
+            return;
+        }
+        let run = self.runs.entry(tried.key).or_default();
+        run.zone = tried.zone;
+        run.own.add(well);
+        while run.marks.front().is_some_and(old) {
+            run.marks.pop_front();
+        }
+        if !well {
+            if run.marks.len() >= MOST_MARKS {
+                // The last one moves on.
+                run.marks.pop_back();
+            }
+            run.marks.push_back(Mark { at: now, zone, all, own: run.own });
+        }
+    }
+
+    /// What others were like between the first bad attempt at a box and the last: of its zone; of all, if the zone is this
+    /// front's own and no other box of it was tried.
+    fn beside(&self, key: BoxKey) -> Sum {
+        let Some(run) = self.runs.get(&key) else { return Sum::default() };
+        let (Some(first), Some(last)) = (run.marks.front(), run.marks.back()) else { return Sum::default() };
+        let own = last.own.less(first.own);
+        let zone = last.zone.less(first.zone).less(own);
+        if zone.well + zone.bad == 0 && run.zone == self.zone {
+            last.all.less(first.all).less(own)
+        } else {
+            zone
+        }
     }
 
     fn number(&self, now: Duration) -> u64 {
@@ -118,6 +213,7 @@
                 more(bad);
             }
         }
+        self.run(now, &tried);
     }
 
     /// What was seen of all boxes in the window.
@@ -133,27 +229,20 @@
             sum.trials_well = sum.trials_well.saturating_add(s.trials_well);
             sum.trials_badly = sum.trials_badly.saturating_add(s.trials_badly);
         }
+        for (key, seen) in &mut all {
+            if seen.bad() > 0 {
+                let beside = self.beside(*key);
+                let few = |n: u64| u8::try_from(n).unwrap_or(u8::MAX);
+                (seen.beside_well, seen.beside_bad) = (few(beside.well), few(beside.bad));
+            }
+        }
         all
     }
 
-    /// What goes to the others. `zone` tells a box's zone; `asked` are boxes that somebody accuses: what was seen of them goes out
+    /// What goes to the others. `asked` are boxes that somebody accuses: what was seen of them goes out
     /// even if all was well.
-    pub fn report(
-        &mut self,
-        now: Duration,
-        zone: impl Fn(u32) -> Option<u16>,
-        asked: &BTreeSet<u32>,
-    ) -> Report {
+    pub fn report(&mut self, now: Duration, asked: &BTreeSet<u32>) -> Report {
         let boxes = self.boxes(now);
-        let mut zones: BTreeMap<u16, ZoneLine> = BTreeMap::new();
-        for (key, seen) in &boxes {
-            let Some(zone) = zone(key.server) else { continue };
-            let line = zones.entry(zone).or_insert(ZoneLine { zone, tried: 0, well: 0 });
-            more(&mut line.tried);
-            if seen.absolves() {
-                more(&mut line.well);
-            }
-        }
         // Bad ones and those that are asked for first, then the most tried.
         let mut lines: Vec<BoxLine> =
             boxes.iter().map(|(key, seen)| BoxLine { key: *key, seen: *seen }).collect();
@@ -189,6 +278,6 @@
             .collect();
         viewers.sort_by_key(|v| (u16::MAX - v.bad, v.viewer));
         viewers.truncate(4);
-        Report { zones: zones.into_values().collect(), boxes: lines, titles, viewers }
+        Report { boxes: lines, titles, viewers }
     }
 }
--- a/crates/fleet/verdicts/src/lib.rs
+++ b/crates/fleet/verdicts/src/lib.rs
@@ -19,8 +19,6 @@
 pub use judge::{Judged, Place, Places, judge, judge_titles, judge_viewers};
 pub use ledger::{Ledger, Outcome, Tried};
 pub use planted::Fault;
-pub use report::{
-    BoxKey, BoxLine, MOST_REPORT, Report, ReportError, Seen, TitleLine, ViewerLine, ZoneLine, title_key,
-};
+pub use report::{BoxKey, BoxLine, MOST_REPORT, Report, ReportError, Seen, TitleLine, ViewerLine, title_key};
 pub use rules::{Rules, RulesError};
 pub use standing::{Change, Outlook, Shy, Verdicts};
--- a/crates/fleet/verdicts/src/report.rs
+++ b/crates/fleet/verdicts/src/report.rs
@@ -8,7 +8,6 @@
 const MOST_BOXES: usize = 24;
 const MOST_TITLES: usize = 8;
 const MOST_VIEWERS: usize = 4;
-const MOST_ZONES: usize = 16;
 
 /// A box's process: another one at the same address is another box.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -38,6 +37,10 @@
     pub hangs: u16,
     /// ... that were taken late.
     pub slow: u16,
+    /// Between the first bad attempt and the last, attempts at the other boxes of its zone that were well ...
+    pub beside_well: u8,
+    /// ... and that were bad.
+    pub beside_bad: u8,
     /// Trials that went well.
     pub trials_well: u8,
     /// Trials that did not.
@@ -99,22 +102,9 @@
     pub bad: u16,
 }
 
-/// How a zone's boxes were, all that were tried.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct ZoneLine {
-    /// Which.
-    pub zone: u16,
-    /// Boxes tried.
-    pub tried: u16,
-    /// ... of which most attempts were well.
-    pub well: u16,
-}
-
 /// What a front says of its window.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct Report {
-    /// Zones.
-    pub zones: Vec<ZoneLine>,
     /// Boxes.
     pub boxes: Vec<BoxLine>,
     /// Titles.
@@ -136,7 +126,6 @@
 impl Report {
     /// Its bytes; what is worth least is left out where it does not fit.
     pub fn encode(mut self) -> Vec<u8> {
-        self.zones.truncate(MOST_ZONES);
         self.boxes.truncate(MOST_BOXES);
         self.titles.truncate(MOST_TITLES);
         self.viewers.truncate(MOST_VIEWERS);
@@ -159,11 +148,9 @@
         }
         let report: Report = postcard::from_bytes(bytes).map_err(|_| ReportError)?;
         let bounded = report.boxes.len() <= MOST_BOXES
-            && report.zones.len() <= MOST_ZONES
             && report.titles.len() <= MOST_TITLES
             && report.viewers.len() <= MOST_VIEWERS;
         let sound = report.boxes.iter().all(|b| b.seen.sound())
-            && report.zones.iter().all(|z| z.well <= z.tried)
             && report.titles.iter().all(|t| t.bad <= t.tries)
             && report.viewers.iter().all(|v| v.bad <= v.tries);
         // A box that is there twice would count twice.
