--- a/crates/fleet/keeper/src/verdicts.rs
+++ b/crates/fleet/keeper/src/verdicts.rs
@@ -240,6 +240,9 @@
         let changes = std::mem::take(&mut new.changes);
         let differs = new != *outlook;
         let wants = new.wants_trial;
+        if let Some(key) = new.trial.filter(|key| outlook.trial != Some(*key)) {
+            info!(server = key.server, "on trial here: offered until one attempt has ended");
+        }
         *outlook = new;
         let viewers = judge_viewers(&self.set.rules, evidence);
         let news: Vec<u64> = viewers.iter().filter(|v| !state.viewers.contains(v)).copied().collect();
--- a/crates/fleet/verdicts/src/rules.rs
+++ b/crates/fleet/verdicts/src/rules.rs
@@ -46,7 +46,7 @@
             hold: Duration::from_secs(60),
             quiet: Duration::from_secs(16),
             trial_gap: Duration::from_secs(10),
-            trial_for: Duration::from_secs(5),
+            trial_for: Duration::from_secs(8),
             trials: 2,
             step: Duration::from_secs(5),
             fault: None,
