--- a/crates/fleet/keeper/src/lib.rs
+++ b/crates/fleet/keeper/src/lib.rs
@@ -19,6 +19,7 @@
 mod agent;
 pub mod client;
 mod engine;
+pub mod history;
 mod links;
 mod peers;
 mod rows;
--- a/crates/front/daemon/src/lib.rs
+++ b/crates/front/daemon/src/lib.rs
@@ -10,12 +10,14 @@
 mod calls;
 mod clock;
 mod engine;
+mod handle;
 mod lanes;
 mod list;
 pub mod observe;
 mod player;
 mod sip;
 mod streams;
+mod told;
 mod watch;
 
 use std::io;
@@ -30,8 +32,9 @@
 use tracing::info;
 
 use crate::clock::Clock;
-use crate::engine::{Engine, Handle};
-pub use crate::engine::{Hooks, Numbers, Recording, Status};
+use crate::engine::Engine;
+use crate::handle::Handle;
+pub use crate::told::{Hooks, Numbers, Recording, Status};
 
 /// What the parts of a front share.
 #[derive(Clone)]
