The placement is a part of what keepers replicate, and its records go to a topic by the log

Placement stood by itself. Records are written to the topic fleet/placement by the entry that makes them, and wait in the replicated state where the topic is missing or full. Keepers take commands by the word Place.

--- a/crates/fleet/group/src/asked.rs
+++ b/crates/fleet/group/src/asked.rs
@@ -25,6 +25,10 @@
     Publish(ClientId, TopicRequest),
     /// There is to be a topic, or it is to have other terms: drawn life, name, terms. Nobody hears of it but by the log.
     Declare(u64, Name, beechloft_topic::Terms),
+    /// A command for the placement, by a number that its answer is matched by.
+    Place(ClientId, u64, Box<beechloft_placement::Command>),
+    /// The placement as of now: once this is answered, the keeper's has all that was committed before.
+    ReadPlacement(ClientId, u64),
     /// Whoever asked over this connection is gone.
     Closed(ClientId),
     /// Anything else for the log's machine: changes of members, the lead handed over.
@@ -52,6 +56,12 @@
     NotPublished(ClientId, PublisherId, Refused),
     /// What has changed with the topics.
     TopicEvent(TopicEvent),
+    /// What became of a command for the placement, or that the state has all that was committed before it was asked for.
+    Placed(ClientId, u64, beechloft_placement::Answer),
+    /// A command or a read was not taken: this keeper does not lead, or has too much to do.
+    NotPlaced(ClientId, u64, Refused),
+    /// What has changed with the placement.
+    PlacementEvent(beechloft_placement::Event),
     /// What became of something for the log's machine.
     Group(Ticket, Result<LogPos, Refused>),
 }
--- a/crates/fleet/group/src/command.rs
+++ b/crates/fleet/group/src/command.rs
@@ -9,6 +9,8 @@
     Leases(beechloft_leases::Command),
     /// For the topics.
     Topics(TopicCommand),
+    /// For the placement.
+    Placement(beechloft_placement::Command),
 }
 
 /// The parts' numbers, in logs and snapshots. One is never used for another part.
@@ -22,6 +24,8 @@
     pub const FIRST: u8 = 16;
     /// The topics.
     pub const TOPICS: u8 = 16;
+    /// The placement.
+    pub const PLACEMENT: u8 = 18;
 }
 
 impl Command {
@@ -30,6 +34,7 @@
         match self {
             Command::Leases(command) => postcard::to_allocvec(command).ok(),
             Command::Topics(command) => postcard::to_extend(command, vec![tag::TOPICS]).ok(),
+            Command::Placement(command) => postcard::to_extend(command, vec![tag::PLACEMENT]).ok(),
         }
     }
 
@@ -40,6 +45,7 @@
         match *first {
             untagged if untagged < tag::FIRST => postcard::from_bytes(bytes).ok().map(Command::Leases),
             tag::TOPICS => postcard::from_bytes(rest).ok().map(Command::Topics),
+            tag::PLACEMENT => postcard::from_bytes(rest).ok().map(Command::Placement),
             _ => None,
         }
     }
--- a/crates/fleet/group/src/keeper.rs
+++ b/crates/fleet/group/src/keeper.rs
@@ -10,7 +10,7 @@
 
 use crate::asked::{Asked, KeeperOutput};
 use crate::command::Command;
-use crate::parts::{LeasesWait, Moment, State, TopicsWait, Waits};
+use crate::parts::{LeasesWait, Moment, PlacementWait, State, TopicsWait, Waits};
 use crate::planted::Fault;
 use crate::snapshot::StateError;
 use crate::waiting::Waiting;
@@ -104,6 +104,11 @@
         self.state.topics.topics()
     }
 
+    /// Its placement, which may be behind.
+    pub fn placements(&self) -> &beechloft_placement::Placements {
+        self.state.pinned.placements()
+    }
+
     /// The last entry that is in its state.
     pub fn applied(&self) -> Index {
         self.applied
@@ -164,6 +169,13 @@
                 let command = Command::Topics(TopicCommand::Declare { topic, life, terms });
                 self.propose(&command, Waits::Topics(TopicsWait::Nobody), out);
             }
+            Asked::Place(client, number, command) => {
+                let waits = Waits::Placement(PlacementWait::Command(client, number));
+                self.propose(&Command::Placement(*command), waits, out);
+            }
+            Asked::ReadPlacement(client, number) => {
+                self.read(Waits::Placement(PlacementWait::Read(client, number)), out);
+            }
             Asked::Closed(client) => self.state.closed(client),
             Asked::Group(input) => self.raft.handle(now, input, out),
         }
--- a/crates/fleet/group/src/keeper/tests.rs
+++ b/crates/fleet/group/src/keeper/tests.rs
@@ -6,6 +6,8 @@
 use crate::parts::MOST_WATCHERS;
 use crate::waiting::MOST_WAITING;
 
+mod placement;
+
 struct Nowhere;
 
 impl Disk for Nowhere {
--- /dev/null
+++ b/crates/fleet/group/src/keeper/tests/placement.rs
@@ -0,0 +1,85 @@
+//! The placement as a part of what a keeper replicates.
+
+use std::sync::Arc;
+
+use beechloft_leases::{Name, Token};
+use beechloft_placement::names::*;
+use beechloft_placement::plan::inventory::{BoxLine, RackLine};
+use beechloft_placement::words::request::{First, OnLoss, WhenFull};
+use beechloft_placement::{
+    Answer, Change, Command, Operate, Outcome, Quota, Renew, Renewed, Request, Room, Step, Titles, What,
+};
+
+use super::*;
+
+fn name<T: TryFrom<String, Error: std::fmt::Debug>>(text: &str) -> T {
+    T::try_from(text.to_owned()).expect("a name")
+}
+
+fn place(k: &mut Keeper, at_ms: u64, command: Command) -> Vec<Answer> {
+    let out = does(k, at_ms, Asked::Place(ClientId(1), at_ms, Box::new(command)));
+    let answer = |o| match o {
+        KeeperOutput::Placed(ClientId(1), number, answer) if number == at_ms => Some(answer),
+        _ => None,
+    };
+    out.into_iter().filter_map(answer).collect()
+}
+
+fn put() -> Command {
+    let request = Request {
+        titles: Titles::Range { from: 0, to: u64::MAX },
+        bytes: 10,
+        digest: Digest([1; 32]),
+        streams: 1,
+        kb_s: 1,
+        regions: [(name("south"), 1)].into(),
+        first: First::Nearest,
+        on_loss: OnLoss::Refuse,
+        when_full: WhenFull::Refuse,
+    };
+    let shard = ShardId { customer: name("ann"), name: name("a") };
+    Command::Change(Change { shard, key: name("k"), if_match: None, what: What::Put(Arc::new(request)) })
+}
+
+#[test]
+fn records_are_written_to_their_topic_by_the_log_itself_and_rights_run_out() {
+    let mut k = alone();
+    does(&mut k, 2_000, Asked::Tick);
+    let room = Room { bytes: 100, streams: 10, kb_s: 10 };
+    let line = BoxLine { zone: name("z"), rack: RackId(1), has: room, held: Room::default() };
+    let quota = Quota { bytes: 100, regions: [name("south")].into(), changes_an_hour: 9, shards: 9 };
+    let words = [
+        Operate::Region(name("south"), [name("z")].into()),
+        Operate::Rack(RackId(1), RackLine { uplink_kb_s: 10, held_kb_s: 0 }),
+        Operate::Box(BoxId(1), line),
+        Operate::Quota(name("ann"), quota),
+    ];
+    for (at_ms, operate) in (2_001..).zip(words) {
+        assert_eq!(place(&mut k, at_ms, Command::Operate(operate)), [Answer::Done]);
+    }
+    let met = Step::Met { id: BoxId(1), life: Life(1), disk: DiskId(1) };
+    assert_eq!(place(&mut k, 2_010, Command::Step(Token(1), met)), [Answer::Done]);
+    let admitted = Answer::Asked(AskId(1), Outcome::Admitted(Version(1)));
+    assert_eq!(place(&mut k, 2_011, put()), std::slice::from_ref(&admitted));
+    // There is no topic yet: the record waits, in the state that a snapshot has.
+    let mut read = State::read(&k.state.write()).expect("it reads back");
+    assert_eq!(read.write(), k.state.write());
+    let topic: Name = name("fleet/placement");
+    let written = |k: &Keeper| k.topics().all().find(|(n, _)| **n == topic).map(|(_, t)| t.head().0);
+    assert_eq!(written(&k), None);
+    does(&mut k, 2_012, Asked::Declare(7, topic.clone(), beechloft_topic::Terms::default()));
+    assert_eq!(written(&k), Some(1));
+    // Sent again it is done once, and nothing more is written; a state that was read goes on as this one.
+    assert_eq!(place(&mut k, 2_013, put()), [admitted]);
+    assert_eq!(written(&k), Some(1));
+    read.restore(&k.state.write(), None).expect("it reads back");
+    assert_eq!(read.write(), k.state.write());
+    // A front's right runs out by the leader's clock, some time after its own.
+    let renew = Renew { front: FrontId(5), seq: 1, has: Some(Revision(1)), ttl_ms: 1_000 };
+    let right = Answer::Front { front: FrontId(5), seq: 1, renewed: Renewed::Right };
+    assert_eq!(place(&mut k, 2_020, Command::Renew(renew)), [right]);
+    does(&mut k, 3_000, Asked::Tick);
+    assert_eq!(k.placements().fronts().len(), 1);
+    does(&mut k, 3_040, Asked::Tick);
+    assert_eq!(k.placements().fronts().len(), 0);
+}
--- a/crates/fleet/group/src/lib.rs
+++ b/crates/fleet/group/src/lib.rs
@@ -1,7 +1,8 @@
 //! What a few keepers agree on: one log, and the replicated state that it makes.
 //!
 //! The state is composed of parts, each a crate of its own that knows neither the log nor the others: leases
-//! (`beechloft_leases`) and topics (`beechloft_topic`). Each has a module here that says how its commands are applied, what the keeper that leads does
+//! (`beechloft_leases`),
+//! topics (`beechloft_topic`) and the placement (`beechloft_placement`). Each has a module here that says how its commands are applied, what the keeper that leads does
 //! about time for it, and who is told. [`Keeper`] is a member of the group with all of them. No sockets, no clock, no
 //! threads, no files: what must last before anything goes out is so by the types of `beechloft_consensus`.
 //!
--- a/crates/fleet/group/src/parts.rs
+++ b/crates/fleet/group/src/parts.rs
@@ -11,11 +11,13 @@
 use crate::snapshot::{self, StateError};
 
 mod leases;
+mod placement;
 mod topics;
 
 #[cfg(test)]
 pub(crate) use leases::MOST_WATCHERS;
 pub(crate) use leases::{Leases, LeasesWait};
+pub(crate) use placement::{Pinned, PlacementWait};
 pub(crate) use topics::{KeyedLogs, TopicsWait};
 
 /// What a part goes by at a moment.
@@ -68,6 +70,7 @@
 pub(crate) enum Waits {
     Leases(LeasesWait),
     Topics(TopicsWait),
+    Placement(PlacementWait),
 }
 
 /// All parts at this keeper.
@@ -75,6 +78,7 @@
 pub(crate) struct State {
     pub leases: Leases,
     pub topics: KeyedLogs,
+    pub pinned: Pinned,
 }
 
 impl State {
@@ -88,18 +92,25 @@
     /// The replicated part of it alone.
     pub fn write(&self) -> Rope {
         let leases = vec![Chunk::new(self.leases.table().write())];
-        snapshot::write([(tag::LEASES, leases), (tag::TOPICS, self.topics.write())])
+        snapshot::write([
+            (tag::LEASES, leases),
+            (tag::TOPICS, self.topics.write()),
+            (tag::PLACEMENT, self.pinned.write()),
+        ])
     }
 
     /// Takes the replicated state of a snapshot; who watches here goes on.
     pub fn restore(&mut self, state: &Rope, fault: Option<Fault>) -> Result<(), StateError> {
         let parts = snapshot::read(state, tag::LEASES)?;
         let of = |tag| parts.iter().find(|(t, _)| *t == tag).map_or(&[][..], |(_, chunks)| chunks);
-        if let Some((unknown, _)) = parts.iter().find(|(t, _)| ![tag::LEASES, tag::TOPICS].contains(t)) {
+        if let Some((unknown, _)) =
+            parts.iter().find(|(t, _)| ![tag::LEASES, tag::TOPICS, tag::PLACEMENT].contains(t))
+        {
             return Err(StateError::Unknown(*unknown));
         }
         self.leases.restore(of(tag::LEASES).first().map_or(&[][..], |c| c.bytes()))?;
         self.topics.restore(of(tag::TOPICS))?;
+        self.pinned.restore(of(tag::PLACEMENT))?;
         if let Some(fault) = fault {
             self.plant(fault);
         }
@@ -111,6 +122,7 @@
         match fault {
             Fault::Leases(fault) => self.leases.plant(fault),
             Fault::Topics(fault) => self.topics.plant(fault),
+            Fault::Placement(fault) => self.pinned.plant(fault),
         }
     }
 
@@ -129,6 +141,16 @@
                     _ => None,
                 };
                 self.topics.apply(at, command, waits, out);
+                // The topic may be there now, or have room.
+                self.pinned.publish(&mut self.topics, at, out);
+            }
+            Command::Placement(command) => {
+                let waits = match waits {
+                    Some(Waits::Placement(waits)) => Some(waits),
+                    _ => None,
+                };
+                self.pinned.apply(at, command, waits, out);
+                self.pinned.publish(&mut self.topics, at, out);
             }
         }
     }
@@ -137,6 +159,7 @@
         match waits {
             Waits::Leases(waits) => self.leases.read(waits, out),
             Waits::Topics(waits) => self.topics.read(waits, out),
+            Waits::Placement(waits) => self.pinned.read(waits, out),
         }
     }
 
@@ -144,16 +167,18 @@
         match waits {
             Waits::Leases(waits) => self.leases.refuse(waits, why, out),
             Waits::Topics(waits) => self.topics.refuse(waits, why, out),
+            Waits::Placement(waits) => self.pinned.refuse(waits, why, out),
         }
     }
 
     pub fn lead(&mut self, at: Moment) {
         self.leases.lead(at);
         self.topics.lead(at);
+        self.pinned.lead(at);
     }
 
     pub fn next_due(&self) -> Option<Duration> {
-        [self.leases.next_due(), self.topics.next_due()].into_iter().flatten().min()
+        [self.leases.next_due(), self.topics.next_due(), self.pinned.next_due()].into_iter().flatten().min()
     }
 
     /// What is due by now, and who waits for it.
@@ -161,16 +186,21 @@
         let leases = self.leases.due(now).into_iter();
         let leases = leases.map(|c| (Command::Leases(c), Waits::Leases(LeasesWait::Expiry)));
         let topics = self.topics.due(now).into_iter();
-        leases.chain(topics.map(|c| (Command::Topics(c), Waits::Topics(TopicsWait::Nobody)))).collect()
+        let topics = topics.map(|c| (Command::Topics(c), Waits::Topics(TopicsWait::Nobody)));
+        let pinned = self.pinned.due(now).into_iter();
+        let pinned = pinned.map(|c| (Command::Placement(c), Waits::Placement(PlacementWait::Nobody)));
+        leases.chain(topics).chain(pinned).collect()
     }
 
     pub fn told(&mut self, out: &mut Vec<KeeperOutput>) {
         self.leases.told(out);
         self.topics.told(out);
+        self.pinned.told(out);
     }
 
     pub fn closed(&mut self, client: ClientId) {
         self.leases.closed(client);
         self.topics.closed(client);
+        self.pinned.closed(client);
     }
 }
--- a/crates/fleet/group/src/parts/topics.rs
+++ b/crates/fleet/group/src/parts/topics.rs
@@ -4,7 +4,8 @@
 
 use beechloft_consensus::{Chunk, ChunkName, Refused};
 use beechloft_topic::{
-    ChunkError, Fault, Layout, PublisherId, Retention, TopicAsk, TopicCommand, TopicHeard, Topics,
+    ChunkError, Fault, Layout, PublisherId, Retention, TopicAnswer, TopicAsk, TopicCommand, TopicHeard,
+    Topics,
 };
 
 use super::{Moment, Part};
@@ -87,6 +88,26 @@
         &self.topics
     }
 
+    /// Does a command, of the log's or of another part's that writes a topic.
+    pub fn command(
+        &mut self,
+        at: Moment,
+        command: &TopicCommand,
+        out: &mut Vec<KeeperOutput>,
+    ) -> Option<TopicAnswer> {
+        if let TopicCommand::Ask(request) = command {
+            self.to_clean += size(request);
+        }
+        let (answer, event) = self.topics.apply(command);
+        if let Some(event) = event {
+            if let Some(counting) = &mut self.counting {
+                counting.look_at.get_or_insert(at.now + LOOK);
+            }
+            out.push(KeeperOutput::TopicEvent(event));
+        }
+        answer
+    }
+
     /// Has the cleaners work off what has been applied, in a bounded step; whether there is more to do.
     pub fn clean(&mut self) -> bool {
         let bytes = std::mem::take(&mut self.to_clean);
@@ -105,20 +126,11 @@
         waits: Option<TopicsWait>,
         out: &mut Vec<KeeperOutput>,
     ) {
-        if let TopicCommand::Ask(request) = &command {
-            self.to_clean += size(request);
-        }
-        let (answer, event) = self.topics.apply(&command);
+        let answer = self.command(at, &command, out);
         if let (Some(TopicsWait::Publish(client, publisher, ask)), Some(answer)) = (waits, answer) {
             let heard = TopicHeard { publisher, ask, answer };
             out.push(KeeperOutput::TopicHeard(client, heard));
         }
-        if let Some(event) = event {
-            if let Some(counting) = &mut self.counting {
-                counting.look_at.get_or_insert(at.now + LOOK);
-            }
-            out.push(KeeperOutput::TopicEvent(event));
-        }
     }
 
     fn read(&mut self, _: TopicsWait, _: &mut Vec<KeeperOutput>) {}
--- a/crates/fleet/group/src/planted.rs
+++ b/crates/fleet/group/src/planted.rs
@@ -7,6 +7,8 @@
     Leases(beechloft_leases::Fault),
     /// Of the topics.
     Topics(beechloft_topic::Fault),
+    /// Of the placement.
+    Placement(beechloft_placement::Fault),
 }
 
 impl From<beechloft_leases::Fault> for Fault {
@@ -20,3 +22,9 @@
         Fault::Topics(fault)
     }
 }
+
+impl From<beechloft_placement::Fault> for Fault {
+    fn from(fault: beechloft_placement::Fault) -> Fault {
+        Fault::Placement(fault)
+    }
+}
--- a/crates/fleet/group/src/snapshot.rs
+++ b/crates/fleet/group/src/snapshot.rs
@@ -15,6 +15,9 @@
     /// Of the topics.
     #[error(transparent)]
     Topics(#[from] ChunkError),
+    /// Of the placement.
+    #[error(transparent)]
+    Placement(#[from] beechloft_placement::state::StateError),
     /// What says which pieces are whose.
     #[error("a snapshot whose pieces do not fit together")]
     Pieces,
--- a/crates/fleet/group/tests/support/mod.rs
+++ b/crates/fleet/group/tests/support/mod.rs
@@ -343,6 +343,9 @@
                 | KeeperOutput::TopicHeard(..)
                 | KeeperOutput::NotPublished(..)
                 | KeeperOutput::TopicEvent(_)
+                | KeeperOutput::Placed(..)
+                | KeeperOutput::NotPlaced(..)
+                | KeeperOutput::PlacementEvent(_)
                 | KeeperOutput::Group(..) => {}
             }
         }
--- a/crates/fleet/keeper/src/engine/words.rs
+++ b/crates/fleet/keeper/src/engine/words.rs
@@ -5,6 +5,7 @@
 use beechloft_consensus::{MemberId, Outputs, Refused};
 use beechloft_group::{Asked, ClientId, KeeperOutput};
 use beechloft_leases::{Event, Heard};
+use beechloft_placement::Event as PlacementEvent;
 use beechloft_topic::TopicEvent;
 use tracing::{info, warn};
 
@@ -43,10 +44,16 @@
                     self.say(conn, &Word::Heard(busy));
                 }
             }
-            Word::Allow { feed, total } => self.serving.allow(conn, feed, total, now),
-            Word::Ask(_) | Word::List | Word::Watch(_) | Word::Publish(_) | Word::Subscribe { .. } => {
-                self.say(conn, &Word::Heard(Heard::Busy))
+            Word::Place { number, command } if self.serves() => {
+                self.keeper.handle(now, Asked::Place(client, number, command), out)
             }
+            Word::Allow { feed, total } => self.serving.allow(conn, feed, total, now),
+            Word::Ask(_)
+            | Word::List
+            | Word::Watch(_)
+            | Word::Publish(_)
+            | Word::Subscribe { .. }
+            | Word::Place { .. } => self.say(conn, &Word::Heard(Heard::Busy)),
             Word::Status => self.say(conn, &Word::StatusIs(self.status())),
             Word::Replace { old, new } => self.replace(conn, old, new, out),
             Word::Members => {
@@ -61,6 +68,7 @@
             | Word::StatusIs(_)
             | Word::TopicHeard(_)
             | Word::Told(_)
+            | Word::Placed { .. }
             | Word::Replacing(_) => {}
         }
     }
@@ -101,13 +109,20 @@
                 }
             }
             KeeperOutput::TopicHeard(client, heard) => self.say(ConnId(client.0), &Word::TopicHeard(heard)),
-            KeeperOutput::NotPublished(client, _, Refused::NotLeader(leader)) => {
+            KeeperOutput::NotPublished(client, _, Refused::NotLeader(leader))
+            | KeeperOutput::NotPlaced(client, _, Refused::NotLeader(leader)) => {
                 let address = leader.and_then(|l| self.address_of(l)).map(|a| a.to_string());
                 self.say(ConnId(client.0), &Word::NotLeader(address));
             }
-            KeeperOutput::NotPublished(client, ..) => {
+            KeeperOutput::NotPublished(client, ..) | KeeperOutput::NotPlaced(client, ..) => {
                 self.say(ConnId(client.0), &Word::Heard(Heard::Busy));
             }
+            KeeperOutput::Placed(client, number, answer) => {
+                self.say(ConnId(client.0), &Word::Placed { number, answer });
+            }
+            // Rights are renewed all the time; what changes is said.
+            KeeperOutput::PlacementEvent(PlacementEvent::Right { .. }) => {}
+            KeeperOutput::PlacementEvent(event) => info!(?event, "placement"),
             KeeperOutput::TopicEvent(event) => {
                 self.serving.changed((self.clock)());
                 if !matches!(event, TopicEvent::Appended(..)) {
--- a/crates/fleet/keeper/src/wire.rs
+++ b/crates/fleet/keeper/src/wire.rs
@@ -179,6 +179,20 @@
     },
     /// What a subscription is told.
     Told(Told),
+    /// A command for the placement: a front's right, a customer's change, an operator's word, a step of the worker's.
+    Place {
+        /// By which its answer is matched.
+        number: u64,
+        /// What.
+        command: Box<beechloft_placement::Command>,
+    },
+    /// What became of it.
+    Placed {
+        /// Of which.
+        number: u64,
+        /// What.
+        answer: beechloft_placement::Answer,
+    },
 }
 
 /// Why a word could not be read.
--- a/crates/fleet/placement/src/state/mod.rs
+++ b/crates/fleet/placement/src/state/mod.rs
@@ -93,6 +93,13 @@
 #[error("a state of placements that can't be read: {0}")]
 pub struct StateError(String);
 
+impl StateError {
+    /// Of what keeps this state beside its own.
+    pub fn of(why: String) -> StateError {
+        StateError(why)
+    }
+}
+
 /// The state.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
 pub struct Placements {
