--- a/crates/front/daemon/src/engine/mod.rs
+++ b/crates/front/daemon/src/engine/mod.rs
@@ -17,7 +17,8 @@
 use crate::calls::Calls;
 use crate::clock::Clock;
 use crate::handle::{Handle, Message};
-use crate::told::{Numbers, Recording};
+use crate::observe::Observing;
+use crate::told::{Hooks, Recording};
 use crate::watch::Watchers;
 
 /// The engine's thread and its helpers.
@@ -34,7 +35,7 @@
         settings: Arc<FrontSettings>,
         pool: Arc<Pool>,
         record: bool,
-        numbers: Option<Numbers>,
+        hooks: Hooks,
     ) -> io::Result<(Engine, Handle)> {
         let (sender, receiver) = unbounded();
         let handle = Handle::new(sender.clone());
@@ -44,8 +45,22 @@
         let (waiting, followers) = (BTreeMap::new(), BTreeMap::new());
         let ended = handle.ended.clone();
         let (out, sip, numbered) = (Vec::new(), None, None);
-        let run =
-            Run { core, clock, calls, watchers, waiting, followers, out, recording, sip, numbers, numbered };
+        let Hooks { numbers, observer } = hooks;
+        let observing = observer.map(Observing::new);
+        let run = Run {
+            core,
+            clock,
+            calls,
+            watchers,
+            waiting,
+            followers,
+            out,
+            recording,
+            sip,
+            numbers,
+            numbered,
+            observing,
+        };
         let thread = thread::Builder::new().name("core".into()).spawn(move || {
             let recording = run.run(&receiver);
             ended.store(true, Ordering::SeqCst);
