--- a/crates/front/daemon/src/told.rs
+++ b/crates/front/daemon/src/told.rs
@@ -6,6 +6,8 @@
 use beechloft_core::api::{Micros, Numbered, ServerId};
 use beechloft_core::io::{Answer, AttemptId, Input, Output};
 
+use crate::observe::Observer;
+
 /// An attempt to be made by the thread of its viewer.
 #[derive(Debug, Clone)]
 pub struct SetUp {
@@ -60,3 +62,12 @@
 
 /// A front's number among others, now; none: as its settings say. It is asked before each input and must not wait.
 pub type Numbers = Box<dyn Fn() -> Option<Numbered> + Send>;
+
+/// What a front is told by its fleet, and tells it.
+#[derive(Default)]
+pub struct Hooks {
+    /// Its number among others; none: as its settings say.
+    pub numbers: Option<Numbers>,
+    /// Who keeps evidence of boxes, and narrows by it what the module is offered.
+    pub observer: Option<Box<dyn Observer>>,
+}
