--- a/crates/cli/src/among.rs
+++ b/crates/cli/src/among.rs
@@ -7,12 +7,15 @@
 use std::time::Duration;
 
 use beechloft_core::api::Numbered;
-use beechloft_front::Boxes;
-use beechloft_keeper::{Agent, FleetSettings, Keeping, Limiter, Peers};
+use beechloft_front::observe::Observer;
+use beechloft_front::{Boxes, Hooks};
+use beechloft_keeper::{Agent, FleetSettings, Keeping, Limiter, Peers, Verdicting};
 use beechloft_leases::Part;
 use beechloft_limits::Gate;
 use beechloft_members::Kind;
 
+use crate::witness::Witness;
+
 /// How long a front waits until what it leaves playing is in the keepers' log; after that its whole share stays counted for it.
 const CLOSE_WITHIN: Duration = Duration::from_secs(1);
 
@@ -22,6 +25,7 @@
     peers: Option<Arc<Peers>>,
     /// Limits that hold for all fronts, if its settings ask for any.
     limiter: Option<Limiter>,
+    verdicts: Option<Arc<Verdicting>>,
     /// A front may be a keeper besides, on a thread of its own.
     keeping: Option<(Arc<AtomicBool>, JoinHandle<()>)>,
 }
@@ -51,7 +55,13 @@
         };
         let limits = set.limits.as_ref();
         let limiter = limits.map(|limits| Limiter::start(set, limits, peers.clone())).transpose()?;
-        Ok(Among { agent: Arc::new(Agent::start(set, span)?), peers, limiter, keeping })
+        let verdicts = match (set.verdicts, &peers) {
+            (Some(verdicts), Some(peers)) => {
+                Some(Arc::new(Verdicting::start(set, verdicts, Arc::clone(peers))?))
+            }
+            _ => None,
+        };
+        Ok(Among { agent: Arc::new(Agent::start(set, span)?), peers, limiter, verdicts, keeping })
     }
 
     /// As a member, if its settings name seeds.
@@ -82,6 +92,13 @@
         })
     }
 
+    /// What a front is told by its fleet, and tells it.
+    pub fn hooks(&self) -> Hooks {
+        let observer =
+            self.verdicts.as_ref().map(|v| -> Box<dyn Observer> { Box::new(Witness::new(Arc::clone(v))) });
+        Hooks { numbers: Some(self.numbers()), observer, gate: self.gate() }
+    }
+
     /// It is told to end: it asks for its turn, if fronts restart in turn; how long it is to wait at most.
     pub fn wants_end(&self) -> Option<Duration> {
         let restart = self.agent.restart()?;
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use beechloft_config::{FrontSettings, Section, reader};
-use beechloft_front::{Fleet, Front};
+use beechloft_front::Front;
 use beechloft_keeper::{FleetSettings, Known};
 use beechloft_limits::bounds;
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -61,9 +61,7 @@
         Err(e) => return fail(1, e),
     };
     let started = match &among {
-        Some(among) => {
-            Front::start_in(settings, Fleet { numbers: Some(among.numbers()), gate: among.gate() })
-        }
+        Some(among) => Front::start_among(settings, among.hooks()),
         None => Front::start(settings, None),
     };
     let front = match started {
--- a/crates/fleet/group/src/command.rs
+++ b/crates/fleet/group/src/command.rs
@@ -9,6 +9,8 @@
     Leases(beechloft_leases::Command),
     /// For the topics.
     Topics(TopicCommand),
+    /// For the placement.
+    Placement(beechloft_placement::Command),
     /// For the limits.
     Limits(beechloft_limits::Command),
 }
@@ -24,6 +26,8 @@
     pub const FIRST: u8 = 16;
     /// The topics.
     pub const TOPICS: u8 = 16;
+    /// The placement.
+    pub const PLACEMENT: u8 = 18;
     /// The limits.
     pub const LIMITS: u8 = 17;
 }
@@ -34,6 +38,7 @@
         match self {
             Command::Leases(command) => postcard::to_allocvec(command).ok(),
             Command::Topics(command) => postcard::to_extend(command, vec![tag::TOPICS]).ok(),
+            Command::Placement(command) => postcard::to_extend(command, vec![tag::PLACEMENT]).ok(),
             Command::Limits(command) => postcard::to_extend(command, vec![tag::LIMITS]).ok(),
         }
     }
@@ -45,6 +50,7 @@
         match *first {
             untagged if untagged < tag::FIRST => postcard::from_bytes(bytes).ok().map(Command::Leases),
             tag::TOPICS => postcard::from_bytes(rest).ok().map(Command::Topics),
+            tag::PLACEMENT => postcard::from_bytes(rest).ok().map(Command::Placement),
             tag::LIMITS => postcard::from_bytes(rest).ok().map(Command::Limits),
             _ => None,
         }
--- a/crates/fleet/group/src/parts.rs
+++ b/crates/fleet/group/src/parts.rs
@@ -13,12 +13,14 @@
 
 mod leases;
 mod limits;
+mod placement;
 mod topics;
 
 #[cfg(test)]
 pub(crate) use leases::MOST_WATCHERS;
 pub(crate) use leases::{Leases, LeasesWait};
 pub(crate) use limits::{Limits, LimitsWait};
+pub(crate) use placement::{Pinned, PlacementWait};
 pub(crate) use topics::{KeyedLogs, TopicsWait};
 
 /// What a part goes by at a moment.
@@ -72,6 +74,7 @@
     Leases(LeasesWait),
     Topics(TopicsWait),
     Limits(LimitsWait),
+    Placement(PlacementWait),
 }
 
 /// All parts at this keeper.
@@ -80,6 +83,7 @@
     pub leases: Leases,
     pub topics: KeyedLogs,
     pub limits: Limits,
+    pub pinned: Pinned,
 }
 
 impl State {
@@ -93,8 +97,12 @@
     /// The replicated part of it alone.
     pub fn write(&self) -> Rope {
         let leases = vec![Chunk::new(self.leases.table().write())];
-        let (topics, limits) = (self.topics.write(), self.limits.write());
-        snapshot::write([(tag::LEASES, leases), (tag::TOPICS, topics), (tag::LIMITS, limits)])
+        snapshot::write([
+            (tag::LEASES, leases),
+            (tag::TOPICS, self.topics.write()),
+            (tag::LIMITS, self.limits.write()),
+            (tag::PLACEMENT, self.pinned.write()),
+        ])
     }
 
     /// Takes the replicated state of a snapshot; who watches here goes on.
@@ -102,13 +110,14 @@
         let parts = snapshot::read(state, tag::LEASES)?;
         let of = |tag| parts.iter().find(|(t, _)| *t == tag).map_or(&[][..], |(_, chunks)| chunks);
         if let Some((unknown, _)) =
-            parts.iter().find(|(t, _)| ![tag::LEASES, tag::TOPICS, tag::LIMITS].contains(t))
+            parts.iter().find(|(t, _)| ![tag::LEASES, tag::TOPICS, tag::LIMITS, tag::PLACEMENT].contains(t))
         {
             return Err(StateError::Unknown(*unknown));
         }
         self.leases.restore(of(tag::LEASES).first().map_or(&[][..], |c| c.bytes()))?;
         self.topics.restore(of(tag::TOPICS))?;
         self.limits.restore(of(tag::LIMITS))?;
+        self.pinned.restore(of(tag::PLACEMENT))?;
         if let Some(fault) = fault {
             self.plant(fault);
         }
@@ -121,6 +130,7 @@
             Fault::Leases(fault) => self.leases.plant(fault),
             Fault::Topics(fault) => self.topics.plant(fault),
             Fault::Limits(fault) => self.limits.plant(fault),
+            Fault::Placement(fault) => self.pinned.plant(fault),
         }
     }
 
@@ -142,6 +152,16 @@
                 let told = out.len();
                 self.topics.apply(at, command, waits, out);
                 self.defined(at, defines, told, out);
+                // The topic may be there now, or have room.
+                self.pinned.publish(&mut self.topics, at, out);
+            }
+            Command::Placement(command) => {
+                let waits = match waits {
+                    Some(Waits::Placement(waits)) => Some(waits),
+                    _ => None,
+                };
+                self.pinned.apply(at, command, waits, out);
+                self.pinned.publish(&mut self.topics, at, out);
             }
             Command::Limits(command) => {
                 let waits = match waits {
@@ -170,6 +190,7 @@
             Waits::Leases(waits) => self.leases.read(waits, out),
             Waits::Topics(waits) => self.topics.read(waits, out),
             Waits::Limits(waits) => self.limits.read(waits, out),
+            Waits::Placement(waits) => self.pinned.read(waits, out),
         }
     }
 
@@ -178,6 +199,7 @@
             Waits::Leases(waits) => self.leases.refuse(waits, why, out),
             Waits::Topics(waits) => self.topics.refuse(waits, why, out),
             Waits::Limits(waits) => self.limits.refuse(waits, why, out),
+            Waits::Placement(waits) => self.pinned.refuse(waits, why, out),
         }
     }
 
@@ -185,10 +207,13 @@
         self.leases.lead(at);
         self.topics.lead(at);
         self.limits.lead(at);
+        self.pinned.lead(at);
     }
 
     pub fn next_due(&self) -> Option<Duration> {
-        [self.leases.next_due(), self.topics.next_due(), self.limits.next_due()].into_iter().flatten().min()
+        let all =
+            [self.leases.next_due(), self.topics.next_due(), self.limits.next_due(), self.pinned.next_due()];
+        all.into_iter().flatten().min()
     }
 
     /// What is due by now, and who waits for it.
@@ -199,19 +224,23 @@
         let topics = topics.map(|c| (Command::Topics(c), Waits::Topics(TopicsWait::Nobody)));
         let limits = self.limits.due(now).into_iter();
         let limits = limits.map(|c| (Command::Limits(c), Waits::Limits(LimitsWait::Nobody)));
-        leases.chain(topics).chain(limits).collect()
+        let pinned = self.pinned.due(now).into_iter();
+        let pinned = pinned.map(|c| (Command::Placement(c), Waits::Placement(PlacementWait::Nobody)));
+        leases.chain(topics).chain(limits).chain(pinned).collect()
     }
 
     pub fn told(&mut self, out: &mut Vec<KeeperOutput>) {
         self.leases.told(out);
         self.topics.told(out);
         self.limits.told(out);
+        self.pinned.told(out);
     }
 
     pub fn closed(&mut self, client: ClientId) {
         self.leases.closed(client);
         self.topics.closed(client);
         self.limits.closed(client);
+        self.pinned.closed(client);
     }
 }
 
--- a/crates/fleet/group/src/snapshot.rs
+++ b/crates/fleet/group/src/snapshot.rs
@@ -15,6 +15,9 @@
     /// Of the topics.
     #[error(transparent)]
     Topics(#[from] ChunkError),
+    /// Of the placement.
+    #[error(transparent)]
+    Placement(#[from] beechloft_placement::state::StateError),
     /// Of the limits.
     #[error(transparent)]
     Limits(#[from] beechloft_limits::LedgerError),
--- a/crates/fleet/keeper/src/client.rs
+++ b/crates/fleet/keeper/src/client.rs
@@ -9,6 +9,7 @@
 use beechloft_leases::{Heard, HolderInput, Name, Request, Route};
 use crossbeam_channel::{Receiver, Sender, bounded};
 
+use crate::history::Book;
 use crate::settings::FleetSettings;
 use crate::wire::{self, StatusLine, Word};
 
@@ -142,6 +143,7 @@
     conn: Option<(usize, TcpStream)>,
     hears: Sender<Word>,
     heard: Receiver<Word>,
+    book: Book,
 }
 
 impl Way {
@@ -149,7 +151,8 @@
     pub fn new(set: FleetSettings) -> Way {
         let route = Route::new(set.keepers.len(), rand::random_range(0..set.keepers.len().max(1)));
         let (hears, heard) = bounded(64);
-        Way { set, route, conn: None, hears, heard }
+        let book = Book::open(set.test_history.as_deref());
+        Way { set, route, conn: None, hears, heard, book }
     }
 
     /// Sends a request; what can't be sent is lost, as on any network.
@@ -163,6 +166,9 @@
         if self.conn.as_ref().is_none_or(|c| c.0 != at) {
             self.conn = self.open(at);
         }
+        if let Word::Ask(request) = word {
+            self.book.asks(request);
+        }
         let bytes = wire::encode(self.set.number(), word);
         if let (Some((_, stream)), Some(bytes)) = (&mut self.conn, bytes)
             && stream.write_all(&bytes).is_err()
@@ -196,7 +202,10 @@
     /// What a keeper has said to a holder, if one says something by then.
     pub fn hear(&mut self, within: Duration) -> Option<HolderInput> {
         match self.hear_word(within)? {
-            Word::Heard(heard) => Some(HolderInput::Heard(heard)),
+            Word::Heard(heard) => {
+                self.book.hears(&heard);
+                Some(HolderInput::Heard(heard))
+            }
             Word::NotLeader(_) => Some(HolderInput::Heard(Heard::NotLeader(None))),
             _ => None,
         }
--- a/crates/fleet/keeper/src/lib.rs
+++ b/crates/fleet/keeper/src/lib.rs
@@ -19,6 +19,7 @@
 mod agent;
 pub mod client;
 mod engine;
+pub mod history;
 mod limiter;
 mod links;
 mod peers;
@@ -26,6 +27,7 @@
 mod settings;
 mod store;
 pub mod topics;
+mod verdicts;
 pub mod wire;
 
 pub use agent::Agent;
@@ -33,5 +35,6 @@
 pub use limiter::Limiter;
 pub use peers::Peers;
 pub use rows::RowSeen;
-pub use settings::{FleetSettings, Known, LimitsSettings, Restart, TopicSpec};
+pub use settings::{FleetSettings, Known, LimitsSettings, Restart, TopicSpec, VerdictSettings};
 pub use store::{LogStore, OpenError};
+pub use verdicts::{Noted, Verdicting};
--- a/crates/front/daemon/src/lib.rs
+++ b/crates/front/daemon/src/lib.rs
@@ -10,12 +10,15 @@
 mod calls;
 mod clock;
 mod engine;
+mod handle;
 mod lanes;
 mod limits;
 mod list;
+pub mod observe;
 mod player;
 mod sip;
 mod streams;
+mod told;
 mod watch;
 
 use std::io;
@@ -27,12 +30,12 @@
 use beechloft_core::{Core, Input};
 use beechloft_http::client::Pool;
 use beechloft_http::server::Server;
-use beechloft_limits::Gate;
 use tracing::info;
 
 use crate::clock::Clock;
-use crate::engine::{Engine, Handle};
-pub use crate::engine::{Numbers, Recording, Status};
+use crate::engine::Engine;
+use crate::handle::Handle;
+pub use crate::told::{Hooks, Numbers, Recording, Status};
 
 /// What the parts of a front share.
 #[derive(Clone)]
@@ -65,15 +68,6 @@
     }
 }
 
-/// What a front has of its fleet.
-#[derive(Default)]
-pub struct Fleet {
-    /// It tells it its number.
-    pub numbers: Option<Numbers>,
-    /// It admits by limits that hold for all fronts.
-    pub gate: Option<Gate>,
-}
-
 /// A front that serves.
 pub struct Front {
     shared: Shared,
@@ -85,28 +79,28 @@
 impl Front {
     /// Starts a front on its listener's port, or on one that is given.
     pub fn start(settings: FrontSettings, listener: Option<TcpListener>) -> io::Result<Front> {
-        Front::begin(settings, listener, false, Fleet::default())
+        Front::begin(settings, listener, false, Hooks::default())
     }
 
-    /// The same, with all that a fleet gives it.
+    /// The same, as one of a fleet.
     ///
     /// # Errors
     /// No socket or no thread.
-    pub fn start_in(settings: FrontSettings, fleet: Fleet) -> io::Result<Front> {
-        Front::begin(settings, None, false, fleet)
+    pub fn start_among(settings: FrontSettings, hooks: Hooks) -> io::Result<Front> {
+        Front::begin(settings, None, false, hooks)
     }
 
     /// The same, keeping in mind all that its core is told and does, for [`Front::stop`] to give out. Its memory
     /// grows with its life.
     pub fn start_recorded(settings: FrontSettings) -> io::Result<Front> {
-        Front::begin(settings, None, true, Fleet::default())
+        Front::begin(settings, None, true, Hooks::default())
     }
 
     fn begin(
         settings: FrontSettings,
         listener: Option<TcpListener>,
         record: bool,
-        fleet: Fleet,
+        hooks: Hooks,
     ) -> io::Result<Front> {
         let listener = match listener {
             Some(listener) => listener,
@@ -117,9 +111,7 @@
         let core = Core::new(settings.settings.clone(), seed);
         let settings = Arc::new(settings);
         let pool = Arc::new(Pool::default());
-        let Fleet { numbers, gate } = fleet;
-        let (engine, handle) =
-            Engine::start(core, clock, settings.clone(), pool.clone(), record, numbers, gate)?;
+        let (engine, handle) = Engine::start(core, clock, settings.clone(), pool.clone(), record, hooks)?;
         let shared = Shared { handle, clock, pool, settings };
         list::start(&shared, seed)?;
         let sip = match shared.settings.sip {
--- a/crates/front/daemon/src/player.rs
+++ b/crates/front/daemon/src/player.rs
@@ -23,8 +23,8 @@
 
 use crate::Shared;
 use crate::attempt;
-use crate::engine::{SetUp, Told};
 use crate::limits;
+use crate::told::{SetUp, Told};
 
 /// How far past the viewer's patience a thread waits for the core. The core answers long before.
 const PAST: Duration = Duration::from_secs(5);
