--- a/crates/fleet/keeper/src/lib.rs
+++ b/crates/fleet/keeper/src/lib.rs
@@ -19,17 +19,20 @@
 mod agent;
 pub mod client;
 mod engine;
+pub mod history;
 mod links;
 mod peers;
 mod rows;
 mod settings;
 mod store;
 pub mod topics;
+mod verdicts;
 pub mod wire;
 
 pub use agent::Agent;
 pub use engine::{Keeping, StartError};
 pub use peers::Peers;
 pub use rows::RowSeen;
-pub use settings::{FleetSettings, Restart, TopicSpec};
+pub use settings::{FleetSettings, Restart, TopicSpec, VerdictSettings};
 pub use store::{LogStore, OpenError};
+pub use verdicts::{Noted, Verdicting};
