--- a/crates/fleet/keeper/src/lib.rs
+++ b/crates/fleet/keeper/src/lib.rs
@@ -1,4 +1,4 @@
-//! A keeper on sockets and disk around `beechloft_leases::Keeper`, and the way to keepers for those who ask for leases.
+//! A keeper on sockets and disk around `beechloft_group::Keeper`, and the way to keepers for those who ask.
 //!
 //! One thread has the machine and the disk: it takes what has come, up to a bound, handles all of it into one set of outputs,
 //! has the disk save once (group commit), and sends. Each connection has a thread that reads and one that writes, with a bounded
@@ -19,6 +19,7 @@
 mod engine;
 mod links;
 mod peers;
+mod rows;
 mod settings;
 mod store;
 pub mod wire;
@@ -26,5 +27,6 @@
 pub use agent::Agent;
 pub use engine::{Keeping, StartError};
 pub use peers::Peers;
+pub use rows::RowSeen;
 pub use settings::{FleetSettings, Restart};
 pub use store::{LogStore, OpenError};
