--- a/crates/fleet/consensus/src/types.rs
+++ b/crates/fleet/consensus/src/types.rs
@@ -1,59 +1,14 @@
 //! Names and figures that all parts share.
 
-use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+pub use crate::ids::{Index, LogPos, MemberId, Term, Ticket};
 use crate::membership::Membership;
-
-macro_rules! number {
-    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {$(
-        $(#[$doc])*
-        #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
-        pub struct $name(pub u64);
-    )*};
-}
-
-number! {
-    /// A member, by the id that was drawn with its folder.
-    MemberId,
-    /// A term: at most one leader each.
-    Term,
-    /// A place in the log; the first entry is at 1.
-    Index,
-    /// Names a proposal, a read or a change to whoever made it.
-    Ticket,
-}
-
-impl fmt::Display for MemberId {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}", self.0)
-    }
-}
-
-impl Index {
-    /// The place after it.
-    pub fn next(self) -> Index {
-        Index(self.0 + 1)
-    }
-
-    /// The place before it; none before the first.
-    pub fn before(self) -> Index {
-        Index(self.0.saturating_sub(1))
-    }
-}
-
-/// An entry's place and term. Of two logs the one whose last is greater is the more up to date (section 5.4.1).
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
-pub struct LogPos {
-    /// The term in which it was made.
-    pub term: Term,
-    /// Its place.
-    pub index: Index,
-}
+use crate::rope::Rope;
 
 /// What an entry says.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -87,14 +42,14 @@
 }
 
 /// The replicated state up to an entry.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Snapshot {
     /// The last entry that is in it.
     pub at: LogPos,
     /// The members as of that entry.
     pub members: Membership,
     /// The state, not read here.
-    pub state: Arc<[u8]>,
+    pub state: Rope,
 }
 
 /// Times and bounds of a member.
@@ -115,10 +70,16 @@
     pub uncommitted_bytes: usize,
     /// Bytes of one proposal.
     pub proposal_bytes: usize,
-    /// Bytes of a snapshot that a member takes.
+    /// Bytes of a snapshot that a member takes. Whatever makes the state keeps it under this: a member whose disk was lost could
+    /// never be replaced otherwise.
     pub snapshot_bytes: usize,
     /// Entries kept behind a snapshot, for members that are a little late.
     pub kept_entries: u64,
+    /// Bytes of them at most.
+    pub kept_bytes: usize,
+    /// Bytes of the log past its newest snapshot that a leader puts up with while a member is being sent that snapshot. Guards
+    /// against a member that is never done, as a newer snapshot comes each time before it has the last one.
+    pub held_bytes: usize,
     /// Reads that wait for their round.
     pub reads: usize,
 }
@@ -132,9 +93,11 @@
             chunk_bytes: 64 << 10,
             window: 16,
             uncommitted_bytes: 1 << 20,
-            proposal_bytes: 32 << 10,
-            snapshot_bytes: 16 << 20,
+            proposal_bytes: 72 << 10,
+            snapshot_bytes: 200 << 20,
             kept_entries: 256,
+            kept_bytes: 4 << 20,
+            held_bytes: 32 << 20,
             reads: 1024,
         }
     }
--- a/crates/fleet/group/src/asked.rs
+++ b/crates/fleet/group/src/asked.rs
@@ -2,6 +2,7 @@
 
 use beechloft_consensus::{Input, LogPos, Message, Refused, Ticket};
 use beechloft_leases::{Event, Heard, Name, Request, Table};
+use beechloft_topic::{PublisherId, TopicEvent, TopicHeard, TopicRequest};
 
 /// Whoever asked over one connection, as the shell names it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -20,6 +21,14 @@
     List(ClientId),
     /// All grants, as of now, and from then on each that is made or ends; of one task or of all.
     Watch(ClientId, Option<Name>),
+    /// A publisher's request.
+    Publish(ClientId, TopicRequest),
+    /// There is to be a topic, or it is to have other terms: drawn life, name, terms. Nobody hears of it but by the log.
+    Declare(u64, Name, beechloft_topic::Terms),
+    /// A command for the placement, by a number that its answer is matched by.
+    Place(ClientId, u64, Box<beechloft_placement::Command>),
+    /// The placement as of now: once this is answered, the keeper's has all that was committed before.
+    ReadPlacement(ClientId, u64),
     /// Whoever asked over this connection is gone.
     Closed(ClientId),
     /// Anything else for the log's machine: changes of members, the lead handed over.
@@ -41,6 +50,18 @@
     Told(ClientId, Event),
     /// One who watches hears nothing here any more, and is to ask the keeper that leads: this one may be cut off.
     Unwatched(ClientId),
+    /// For a publisher.
+    TopicHeard(ClientId, TopicHeard),
+    /// A publisher's request was not taken: this keeper does not lead, or has too much to do.
+    NotPublished(ClientId, PublisherId, Refused),
+    /// What has changed with the topics.
+    TopicEvent(TopicEvent),
+    /// What became of a command for the placement, or that the state has all that was committed before it was asked for.
+    Placed(ClientId, u64, beechloft_placement::Answer),
+    /// A command or a read was not taken: this keeper does not lead, or has too much to do.
+    NotPlaced(ClientId, u64, Refused),
+    /// What has changed with the placement.
+    PlacementEvent(beechloft_placement::Event),
     /// What became of something for the log's machine.
     Group(Ticket, Result<LogPos, Refused>),
 }
--- a/crates/fleet/group/src/planted.rs
+++ b/crates/fleet/group/src/planted.rs
@@ -5,6 +5,10 @@
 pub enum Fault {
     /// Of the leases.
     Leases(beechloft_leases::Fault),
+    /// Of the topics.
+    Topics(beechloft_topic::Fault),
+    /// Of the placement.
+    Placement(beechloft_placement::Fault),
 }
 
 impl From<beechloft_leases::Fault> for Fault {
@@ -12,3 +16,15 @@
         Fault::Leases(fault)
     }
 }
+
+impl From<beechloft_topic::Fault> for Fault {
+    fn from(fault: beechloft_topic::Fault) -> Fault {
+        Fault::Topics(fault)
+    }
+}
+
+impl From<beechloft_placement::Fault> for Fault {
+    fn from(fault: beechloft_placement::Fault) -> Fault {
+        Fault::Placement(fault)
+    }
+}
--- a/crates/fleet/group/tests/support/mod.rs
+++ b/crates/fleet/group/tests/support/mod.rs
@@ -340,6 +340,12 @@
                 | KeeperOutput::Event(_)
                 | KeeperOutput::Told(..)
                 | KeeperOutput::Unwatched(_)
+                | KeeperOutput::TopicHeard(..)
+                | KeeperOutput::NotPublished(..)
+                | KeeperOutput::TopicEvent(_)
+                | KeeperOutput::Placed(..)
+                | KeeperOutput::NotPlaced(..)
+                | KeeperOutput::PlacementEvent(_)
                 | KeeperOutput::Group(..) => {}
             }
         }
--- a/crates/fleet/keeper/src/engine.rs
+++ b/crates/fleet/keeper/src/engine.rs
@@ -9,6 +9,8 @@
 use beechloft_consensus::{MemberId, Outputs, Settings, Ticket};
 use beechloft_group::{Asked, Keeper};
 use beechloft_members::Kind;
+#[cfg(feature = "planted")]
+use beechloft_topic::Fault;
 use crossbeam_channel::{Receiver, RecvTimeoutError, bounded};
 use tracing::info;
 
@@ -21,16 +23,21 @@
 mod errors;
 mod forming;
 mod lines;
+mod serving;
 mod words;
 
 pub use errors::StartError;
 use forming::has_formed;
+use serving::Serving;
 
 /// Words taken before one commit.
 const A_TURN: usize = 256;
 /// From one look at who belongs to the group to the next.
 const LOOK: Duration = Duration::from_millis(250);
 
+/// From one step of the topics' cleaners to the next while nothing comes.
+const CLEANS: Duration = Duration::from_millis(2);
+
 /// What other keepers have said of themselves.
 #[derive(Debug, Clone, Copy)]
 struct Met {
@@ -59,6 +66,11 @@
     clock: Box<dyn Fn() -> Duration + Send>,
     /// As a member, if its settings name seeds.
     members: Option<Arc<Peers>>,
+    serving: Serving,
+    /// There is more for the topics' cleaners to do.
+    unclean: bool,
+    #[cfg(feature = "planted")]
+    fault: Option<Fault>,
 }
 
 impl Keeping {
@@ -126,9 +138,21 @@
             asked: BTreeMap::new(),
             clock,
             members,
+            serving: Serving::default(),
+            unclean: false,
+            #[cfg(feature = "planted")]
+            fault: None,
         })
     }
 
+    /// Plants a fault in what it keeps of topics.
+    #[cfg(feature = "planted")]
+    pub fn plant(&mut self, fault: Fault) {
+        self.fault = Some(fault);
+        self.keeper.plant(fault);
+        self.serving.plant(fault);
+    }
+
     /// This process as a member, if it is one.
     pub fn members(&self) -> Option<Arc<Peers>> {
         self.members.clone()
@@ -140,7 +164,10 @@
     /// The disk, or a snapshot that is no table: it must not go on.
     pub fn run(&mut self) -> Result<(), StartError> {
         while !self.end.load(Ordering::Relaxed) {
-            let due = self.keeper.next_due().min(self.look_at).saturating_sub((self.clock)());
+            let due = self.keeper.next_due().min(self.look_at).min(self.serving.next_due());
+            let due = due.saturating_sub((self.clock)());
+            // With nothing else to do the cleaners go on.
+            let due = if self.unclean { due.min(CLEANS) } else { due };
             let mut out = Outputs::default();
             match self.came.recv_timeout(due.min(Duration::from_millis(100))) {
                 Ok(came) => {
@@ -164,6 +191,8 @@
             for output in self.keeper.released((self.clock)(), released)? {
                 self.put_out(output);
             }
+            self.unclean = self.keeper.clean();
+            self.serving.serve((self.clock)(), &self.keeper, &self.conns, self.set.number());
             let formed = self.keeper.status().members.iter().next().is_some();
             *self.formed.lock().unwrap_or_else(PoisonError::into_inner) |= formed;
         }
--- a/crates/fleet/keeper/src/settings.rs
+++ b/crates/fleet/keeper/src/settings.rs
@@ -9,6 +9,12 @@
 use beechloft_leases::{Drift, Name, Terms};
 use beechloft_members::Zone;
 
+mod topics;
+mod verdicts;
+
+pub use topics::TopicSpec;
+pub use verdicts::VerdictSettings;
+
 /// Keepers at most.
 const MOST_KEEPERS: usize = 9;
 /// Seeds at most.
@@ -37,10 +43,18 @@
     pub seat: Option<Name>,
     /// How fronts restart in turn, if they do.
     pub restart: Option<Restart>,
+    /// Topics that there are to be, by the keepers' settings.
+    pub topics: Vec<TopicSpec>,
     /// How fronts spread rows, if anything that is asked for needs them.
     pub spread: Option<beechloft_spread::Settings>,
+    /// How verdicts on boxes are shared, if they are.
+    pub verdicts: Option<VerdictSettings>,
+    /// The zones that there are, as far as the file names them.
+    pub zones: Vec<String>,
     /// For tests: this process's clock runs at this rate.
     pub test_clock_rate: f64,
+    /// For tests: what this process asks of keepers and hears is written down there.
+    pub test_history: Option<PathBuf>,
     /// For tests: keepers that are reached by way of another address.
     pub test_via: BTreeMap<SocketAddr, SocketAddr>,
     /// For tests: members that are reached by way of another address.
@@ -128,6 +142,13 @@
     let ppm = s.whole("drift_ppm", 0..=99_999).unwrap_or(10_000) as u32;
     // Within bounds by the range above; a file with a fault there is not used.
     let drift = Drift::ppm(ppm).unwrap_or_default();
+    let spread = shares(s).then(|| verdicts::rows(&s.section("rows"), most_fronts(s), ppm));
+    let verdicts = spread
+        .filter(|_| s.has("verdicts"))
+        .map(|rows| verdicts::verdicts(&s.section("verdicts"), rows.staleness(most_fronts(s))));
+    if spread.is_some() && (!s.has("seeds") || listen.is_none()) {
+        s.fault("verdicts", "fronts share them as members: fleet.seeds and fleet.listen are needed");
+    }
     FleetSettings {
         name,
         zone: zone(s, zones),
@@ -139,8 +160,12 @@
         number: number(s, drift),
         seat: seat(s),
         restart: if s.has("restart") { restart(&s.section("restart"), drift) } else { None },
-        spread: None,
+        spread,
+        verdicts,
+        zones: zones.map(<[String]>::to_vec).unwrap_or_else(|| s.texts("zones")),
+        topics: topics::read(s),
         test_clock_rate: s.number("test_clock_rate", 0.5..=2.0).unwrap_or(1.0),
+        test_history: s.text("test_history").map(PathBuf::from),
         test_via: via(s, "test_via"),
         test_udp_via: via(s, "test_udp_via"),
     }
@@ -156,9 +181,19 @@
     Some(terms)
 }
 
+/// Fronts at most.
+fn most_fronts(s: &Section<'_>) -> usize {
+    s.whole("most_fronts", 1..=4_096).unwrap_or(1_024) as usize
+}
+
+/// Whether anything is asked for that needs rows.
+fn shares(s: &Section<'_>) -> bool {
+    s.has("verdicts")
+}
+
 fn number(s: &Section<'_>, drift: Drift) -> Option<Terms> {
     s.choice("number", &[("lease", ())])?;
-    let places = s.whole("most_fronts", 1..=4_096).unwrap_or(1_024) as u16;
+    let places = most_fronts(s) as u16;
     terms(s, "front/number", places, ("number_ttl_ms", 10_000), drift)
 }
 
@@ -221,12 +256,37 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn verdicts_are_off_unless_asked_for_and_their_faults_are_named() {
+        let head = "fleet:\n  name: market\n  listen: 127.0.0.1:7009\n  keepers: ['127.0.0.1:7000']\n";
+        let off = FleetSettings::read(head).expect("sound");
+        assert_eq!((off.spread, off.verdicts), (None, None));
+        let on =
+            FleetSettings::read(&format!("{head}  seeds: ['127.0.0.1:7000']\n  verdicts:\n    part: 0.4\n"));
+        let on = on.expect("sound");
+        assert_eq!(on.verdicts.map(|v| v.rules.part), Some(400));
+        assert_eq!(on.spread, Some(beechloft_spread::Settings::default()));
+        let bad = format!(
+            "{head}  rows:\n    round_ms: 5\n  verdicts:\n    fresh_ms: 100\n    fronts: 1\n    party: 1\n"
+        );
+        let faults = FleetSettings::read(&bad).expect_err("faulty").to_string();
+        for said in [
+            "round of at least 10 ms",
+            "evidence is fresh for 100ms",
+            "fronts",
+            "party: unknown key",
+            "fleet.seeds",
+        ] {
+            assert!(faults.contains(said), "{said} is not in {faults}");
+        }
+    }
+
     #[test]
     fn a_sound_section_is_read_and_all_faults_are_named() {
         let text = "fleet:\n  name: market\n  listen: 127.0.0.1:7000\n  keepers: ['127.0.0.1:7000', '127.0.0.1:7001', '127.0.0.1:7002']\n  store: /tmp/x\n  drift_ppm: 200\n";
         let read = FleetSettings::read(text).expect("sound");
         assert_eq!((read.keepers.len(), read.name.as_str(), read.test_clock_rate), (3, "market", 1.0));
-        let bad = "fleet:\n  keepers: ['127.0.0.1:7000', '127.0.0.1:7000', 'x', '127.0.0.1:7002']\n  drift_ppm: 99999\n  seed: 3\n  zones: [a, b]\n  zone: c\n  seeds: ['127.0.0.1:1', y]\n  number: lease\n  number_ttl_ms: 460\n  seat: no space\n  restart:\n    at_least: 1\n    back_ms: 100\n";
+        let bad = "fleet:\n  keepers: ['127.0.0.1:7000', '127.0.0.1:7000', 'x', '127.0.0.1:7002']\n  drift_ppm: 99999\n  seed: 3\n  zones: [a, b]\n  zone: c\n  seeds: ['127.0.0.1:1', y]\n  number: lease\n  number_ttl_ms: 460\n  seat: no space\n  restart:\n    at_least: 1\n    back_ms: 100\n  topics:\n    - name: limits\n      retention_ms: 1\n      bytes: 60000000\n    - name: limits\n      bytes: 60000000\n    - name: a b\n      bytes: 1\n";
         let faults = FleetSettings::read(bad).expect_err("faulty").to_string();
         let all = [
             "name",
@@ -242,6 +302,10 @@
             "at_least: unknown key",
             "at_most: missing",
             "back_ms: 100 ms leave",
+            "topics[0].retention_ms",
+            "topics[1].name: limits is there twice",
+            "topics[2].name: a name has 1 to 96 letters",
+            "topics: 120000000 bytes together are more than 100663296",
         ];
         for said in all {
             assert!(faults.contains(said), "{said} is not in {faults}");
