--- a/crates/cli/tests/verdicts.rs
+++ b/crates/cli/tests/verdicts.rs
@@ -324,9 +324,12 @@
 
 const MICROS: u64 = 1_000_000;
 
+/// By box: when an offer reached it, and of which front.
+type Offers = BTreeMap<u32, Vec<(u64, u32)>>;
+
 /// One box errs, one hangs, one is slow, each in another zone, for a while: attempts that each got, and when the last of its first
 /// fronts stopped.
-fn three_bad(shared: bool, span: u64) -> (Rig, u64, BTreeMap<u32, Vec<(u64, u32)>>) {
+fn three_bad(shared: bool, span: u64) -> (Rig, u64, Offers) {
     let mut rig = Rig::new(shared, shared.then_some(FRONTS - 1), false);
     rig.play();
     thread::sleep(5 * SECOND);
@@ -336,7 +339,7 @@
     rig.boxes.fault(3, Fault::Late { ms: 600 });
     thread::sleep(Duration::from_secs(span));
     let to = rig.now();
-    let all = (1..=BOXES).map(|id| (id, rig.offers(id, began, to))).collect();
+    let all: Offers = (1..=BOXES).map(|id| (id, rig.offers(id, began, to))).collect();
     (rig, began, all)
 }
 
