--- a/crates/fleet/keeper/src/lib.rs
+++ b/crates/fleet/keeper/src/lib.rs
@@ -26,11 +26,13 @@
 mod settings;
 mod store;
 pub mod topics;
+mod verdicts;
 pub mod wire;
 
 pub use agent::Agent;
 pub use engine::{Keeping, StartError};
 pub use peers::Peers;
 pub use rows::RowSeen;
-pub use settings::{FleetSettings, Restart, TopicSpec};
+pub use settings::{FleetSettings, Restart, TopicSpec, VerdictSettings};
 pub use store::{LogStore, OpenError};
+pub use verdicts::{Noted, Verdicting};
--- a/crates/front/daemon/src/engine/run.rs
+++ b/crates/front/daemon/src/engine/run.rs
@@ -14,6 +14,7 @@
 use crate::calls::{Calls, Job};
 use crate::clock::Clock;
 use crate::handle::Message;
+use crate::observe::Observing;
 use crate::told::{Numbers, Recording, SetUp, Status, Told};
 use crate::watch::Watchers;
 
@@ -32,6 +33,7 @@
     pub(super) sip: Option<Sender<agent::Input>>,
     pub(super) numbers: Option<Numbers>,
     pub(super) numbered: Option<Numbered>,
+    pub(super) observing: Option<Observing>,
 }
 
 impl Run {
@@ -122,8 +124,16 @@
         }
     }
 
+    /// Has the core offer what is to be offered now.
+    fn narrow(&mut self) {
+        if let Some(narrowed) = self.observing.as_mut().and_then(Observing::narrowed) {
+            self.handle(Input::Narrowed(narrowed));
+        }
+    }
+
     fn input(&mut self, input: Input) {
         self.renumber();
+        self.narrow();
         self.handle(input);
     }
 
@@ -133,7 +143,17 @@
         if let Some(recording) = &mut self.recording {
             recording.inputs.push((now, input.clone()));
         }
+        let listed = matches!(input, Input::List(_));
+        if let Some(observing) = &mut self.observing {
+            observing.input(now, &input);
+        }
         self.core.handle(now, input, &mut self.out);
+        if let Some(observing) = &mut self.observing {
+            self.out.iter().for_each(|output| observing.output(now, output));
+            if listed {
+                observing.listed(self.core.catalog());
+            }
+        }
         if let Some(recording) = &mut self.recording {
             recording.outputs.extend(self.out.iter().cloned());
         }
