A test of exit codes waits until the command runs

Two of the runs of the suite beside others never ended: the keepers were gone before the holder had heard of its grant, which the list has earlier, and a holder that is told of no time waits for ever. The test waits for a file that the command makes.

--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -361,9 +361,13 @@
     let out = hold("b", &["--holders", "2"], &["true"]).output().expect("it runs");
     assert_eq!(out.status.code(), Some(2), "{}", text_of(&out));
     // Its command goes on past SIGTERM; with no keeper left it is ended before the lease can run out.
-    let mut lost = hold("c", &[], &["sh", "-c", "trap '' TERM; while :; do sleep 0.05; done"]);
+    let place = tempfile::tempdir().expect("a folder");
+    let runs = place.path().join("runs").display().to_string();
+    let mut lost =
+        hold("c", &[], &["sh", "-c", "trap '' TERM; touch $0; while :; do sleep 0.05; done", &runs]);
     let mut lost = Process::start(lost.stderr(Stdio::null()));
-    listed("c");
+    // On the list it is before its holder has heard so.
+    support::until(|| if Path::new(&runs).exists() { Ok(()) } else { Err("it does not run".into()) });
     drop(fleet);
     let began = Instant::now();
     let status = lost.0.wait().expect("it ends");
