Tests of the keepers' group know what it tells of limits

The merge of the limits left the group's test support without two of the keepers' new outputs, so that its tests did not build.

--- a/crates/fleet/group/tests/support/mod.rs
+++ b/crates/fleet/group/tests/support/mod.rs
@@ -346,6 +346,8 @@
                 | KeeperOutput::Placed(..)
                 | KeeperOutput::NotPlaced(..)
                 | KeeperOutput::PlacementEvent(_)
+                | KeeperOutput::LimitHeard(..)
+                | KeeperOutput::LimitEvent(_)
                 | KeeperOutput::Group(..) => {}
             }
         }
