Boxes are met, and orders taken, by the number of their presence

Each change of a box's presence takes a number of those of orders. A look tells it to the box and the answer says it back: a box is met only by an answer to the number that is replaced, so lives only go forward, and a box takes no order up to the number that it was told. Orders that are still wanted are given anew when it is met.

--- a/crates/fleet/group/src/keeper/tests/placement.rs
+++ b/crates/fleet/group/src/keeper/tests/placement.rs
@@ -57,7 +57,7 @@
     for (at_ms, operate) in (2_001..).zip(words) {
         assert_eq!(place(&mut k, at_ms, Command::Operate(operate)), [Answer::Done]);
     }
-    let met = Step::Met { id: BoxId(1), life: Life(1), disk: DiskId(1) };
+    let met = Step::Met { id: BoxId(1), life: Life(1), disk: DiskId(1), told: Order(0) };
     assert_eq!(place(&mut k, 2_010, Command::Step(Token(1), met)), [Answer::Done]);
     let admitted = Answer::Asked(AskId(1), Outcome::Admitted(Version(1)));
     assert_eq!(place(&mut k, 2_011, put()), std::slice::from_ref(&admitted));
--- a/crates/fleet/placement/src/boxes/mod.rs
+++ b/crates/fleet/placement/src/boxes/mod.rs
@@ -1,7 +1,7 @@
 //! A box's side: which orders it takes, what it holds, what it plays. Whoever drives it does the jobs, those of one shard in order.
 //!
 //! A process that starts plays nothing that is pinned before it is told to in this life; an order for another life, or one below the
-//! highest that was seen of its shard, is not taken. So a late word can't bring back what was deleted, and an old disk plays nothing.
+//! highest that was seen of its shard, or given before it was lost, is not taken. So a late word can't bring back what was deleted, and an old disk plays nothing.
 
 use std::collections::BTreeMap;
 
@@ -74,6 +74,8 @@
 pub struct Disk {
     life: Life,
     disk: DiskId,
+    /// Orders up to this one were given before the box was lost, or met: those that are still wanted are given anew.
+    told: Order,
     known: BTreeMap<ShardId, Known>,
     fault: Option<Fault>,
 }
@@ -85,7 +87,7 @@
             let known = Known { order: Order(0), news: News::Old, plays: None, holds: true, sessions: 0 };
             (shard, known)
         });
-        Disk { life, disk, known: found.collect(), fault: None }
+        Disk { life, disk, told: Order(0), known: found.collect(), fault: None }
     }
 
     /// Plants a fault.
@@ -111,17 +113,24 @@
     /// Who it is, and what it holds.
     pub fn here(&self) -> Said {
         let holds = self.known.iter().filter(|(_, k)| k.holds).map(|(s, _)| s.clone()).collect();
-        Said::Here { life: self.life, disk: self.disk, holds }
+        Said::Here { life: self.life, disk: self.disk, holds, told: self.told }
     }
 
     /// Takes a word; what it says to that, and what is to be done.
     pub fn handle(&mut self, tell: &Tell) -> (Said, Option<Job>) {
-        let Tell::Do { life, order, shard, what } = tell else { return (self.here(), None) };
+        let (life, order, shard, what) = match tell {
+            Tell::Look(told) => {
+                self.told = self.told.max(*told);
+                return (self.here(), None);
+            }
+            Tell::Do { life, order, shard, what } => (life, order, shard, what),
+        };
         if *life != self.life {
             // Whoever gives it learns of this life.
             return (self.here(), None);
         }
         self.bound();
+        let told = self.told;
         let any_order = self.planted(Fault::OldOrders);
         let known = self.known.entry(shard.clone()).or_insert(Known {
             order: Order(0),
@@ -141,6 +150,10 @@
             }
             return (said(known.news), None);
         }
+        // It was given before the box was lost, and nobody counts on it any more: what it was for may be over.
+        if *order <= told && !any_order {
+            return (said(News::Old), None);
+        }
         known.order = *order;
         let (shard, order) = (shard.clone(), *order);
         let (news, job) = match what {
--- a/crates/fleet/placement/src/state/loss.rs
+++ b/crates/fleet/placement/src/state/loss.rs
@@ -22,8 +22,17 @@
 
     /// A box is there. In another life it plays nothing before it is told to, and what it holds is checked before it counts: it may
     /// have come back with an old disk, or with an empty one.
-    pub(super) fn met(&mut self, id: BoxId, life: Life, disk: DiskId, events: &mut Vec<Event>) -> Option<()> {
-        if !self.inventory.boxes.contains_key(&id) {
+    ///
+    /// It has said so after it was told the number of the presence that is replaced. So it speaks of that life or a later one: a late
+    /// word of a life that is over does not bring that back, and the one that is does not then pass for a new one with an empty disk.
+    pub(super) fn met(
+        &mut self,
+        id: BoxId,
+        (life, disk): (Life, DiskId),
+        told: Order,
+        events: &mut Vec<Event>,
+    ) -> Option<()> {
+        if !self.inventory.boxes.contains_key(&id) || told != self.told(id) {
             return None;
         }
         let before = self.presence.get(&id).copied();
@@ -34,7 +43,7 @@
             Some(Presence::Up { life, disk } | Presence::Lost { life, disk, .. }) => Some((life, disk)),
             None => None,
         };
-        self.presence.insert(id, Presence::Up { life, disk });
+        self.set_presence(id, Presence::Up { life, disk });
         if self.planted(Fault::OldDiskServes) {
             return Some(());
         }
@@ -64,16 +73,17 @@
         events: &mut Vec<Event>,
     ) {
         let Some(state) = self.copy(shard, id).map(|c| c.state) else { return };
+        let anew = new_life || new_disk;
         match state {
-            CopyState::Copying { order, .. } if new_life => self.missed(shard, id, order, Miss::Lost, events),
-            CopyState::Serving | CopyState::Checked { .. } | CopyState::Checking { .. } if new_life => {
+            CopyState::Copying { order, .. } if anew => self.missed(shard, id, order, Miss::Lost, events),
+            CopyState::Serving | CopyState::Checked { .. } | CopyState::Checking { .. } if anew => {
                 self.turn(shard, id, CopyState::Unchecked, events);
             }
             CopyState::Draining { .. } | CopyState::Deleting { .. } if new_disk => {
                 self.let_go(shard, id, events);
             }
-            // Orders are given anew: those before were for another life. The grace goes on counting from where it began.
-            CopyState::Draining { .. } | CopyState::Deleting { .. } if new_life => {
+            // Orders are given anew: those before were for another life, or from before it was lost, and it takes them no more.
+            CopyState::Draining { .. } | CopyState::Deleting { .. } => {
                 let order = self.next_order();
                 if let Some(copy) = self.pins.get_mut(shard).and_then(|p| p.copies.get_mut(&id)) {
                     copy.state = match copy.state {
@@ -100,7 +110,8 @@
         if is != life {
             return None;
         }
-        self.presence.insert(id, Presence::Lost { life, disk, since: self.clock });
+        let since = self.clock;
+        self.set_presence(id, Presence::Lost { life, disk, since });
         for shard in self.shards_at(id) {
             match self.copy(&shard, id).map(|c| c.state) {
                 Some(CopyState::Serving | CopyState::Checked { .. } | CopyState::Checking { .. }) => {
--- a/crates/fleet/placement/src/state/mod.rs
+++ b/crates/fleet/placement/src/state/mod.rs
@@ -107,6 +107,8 @@
     inventory: Inventory,
     taken: Taken,
     presence: BTreeMap<BoxId, Presence>,
+    /// The number of each box's presence: it rises whenever that changes, and orders after it are of the presence that is.
+    told: BTreeMap<BoxId, Order>,
     accounts: BTreeMap<Customer, Account>,
     asks: BTreeMap<AskId, Ask>,
     pins: BTreeMap<ShardId, Pin>,
@@ -198,6 +200,17 @@
         self.presence.get(&id).copied()
     }
 
+    /// The number of a box's presence, of those of orders.
+    pub fn told(&self, id: BoxId) -> Order {
+        self.told.get(&id).copied().unwrap_or(Order(0))
+    }
+
+    fn set_presence(&mut self, id: BoxId, to: Presence) {
+        let order = self.next_order();
+        self.told.insert(id, order);
+        self.presence.insert(id, to);
+    }
+
     /// A customer's account.
     pub fn account(&self, customer: &Customer) -> Option<&Account> {
         self.accounts.get(customer)
--- a/crates/fleet/placement/src/state/operate.rs
+++ b/crates/fleet/placement/src/state/operate.rs
@@ -91,6 +91,8 @@
         if !self.holds(id) {
             self.inventory.boxes.remove(&id);
             self.presence.remove(&id);
+            let order = self.next_order();
+            self.told.insert(id, order);
         }
         Ok(())
     }
--- a/crates/fleet/placement/src/state/steps.rs
+++ b/crates/fleet/placement/src/state/steps.rs
@@ -20,7 +20,7 @@
                 let to = (*to).min(self.clock + MOST_CLOCK_MS);
                 (to > self.clock).then(|| self.clock = to)
             }
-            Step::Met { id, life, disk } => self.met(*id, *life, *disk, events),
+            Step::Met { id, life, disk, told } => self.met(*id, (*life, *disk), *told, events),
             Step::Lost { id, life } => self.lost(*id, *life, events),
             Step::Admit(id) => self.admit_held(*id, events),
             Step::Begin { shard, at, from } => self.begin(shard, *at, *from, events),
--- a/crates/fleet/placement/src/words/commands.rs
+++ b/crates/fleet/placement/src/words/commands.rs
@@ -137,6 +137,8 @@
         life: Life,
         /// Its disk.
         disk: DiskId,
+        /// The number of the presence that it was told of before it said so: it replaces that and no other.
+        told: Order,
     },
     /// A box that was met in this life is out of reach.
     Lost {
--- a/crates/fleet/placement/src/words/orders.rs
+++ b/crates/fleet/placement/src/words/orders.rs
@@ -9,8 +9,8 @@
 /// To a box.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Tell {
-    /// Who it is, and what it holds.
-    Look,
+    /// Who it is, and what it holds. The number is that of its presence in the state: from then on it takes no order up to it.
+    Look(Order),
     /// An order.
     Do {
         /// For the box in this life.
@@ -57,6 +57,8 @@
         disk: DiskId,
         /// All shards of which it has anything, by what it says.
         holds: Vec<ShardId>,
+        /// The highest number of its presence that it was told in this life.
+        told: Order,
     },
     /// How an order stands.
     Of {
--- a/crates/fleet/placement/src/worker/mod.rs
+++ b/crates/fleet/placement/src/worker/mod.rs
@@ -69,6 +69,8 @@
     heard: Option<Duration>,
     looked: Option<Duration>,
     here: Option<(Life, DiskId, BTreeSet<ShardId>)>,
+    /// The number of its presence that it had been told when it said so.
+    told: Order,
 }
 
 /// What it does under one token.
@@ -142,7 +144,11 @@
         let seen = self.boxes.entry(from).or_default();
         seen.heard = Some(now);
         match said {
-            Said::Here { life, disk, holds } => seen.here = Some((life, disk, holds.into_iter().collect())),
+            // One that was told less is an older word than what is known.
+            Said::Here { told, .. } if told < seen.told => {}
+            Said::Here { life, disk, holds, told } => {
+                (seen.here, seen.told) = (Some((life, disk, holds.into_iter().collect())), told);
+            }
             // The worker gave no such order, or its copy is old; what is true now, the state says.
             Said::Of { news: News::Old, .. } => {}
             Said::Of { shard, order, news } => {
@@ -214,15 +220,15 @@
             let seen = self.boxes.entry(*id).or_default();
             if seen.looked.is_none_or(|at| now >= at + self.set.look) {
                 seen.looked = Some(now);
-                out.push(WorkerOutput::Tell(*id, Tell::Look));
+                out.push(WorkerOutput::Tell(*id, Tell::Look(state.told(*id))));
             }
             let silent = now.saturating_sub(seen.heard.unwrap_or(began)) >= self.set.lost_after;
             match (state.presence(*id), &seen.here) {
                 (Some(Presence::Up { life, .. }), _) if silent => steps.push(Step::Lost { id: *id, life }),
-                (_, Some((life, disk, _))) if !silent => {
-                    let (life, disk) = (*life, *disk);
+                (_, Some((life, disk, _))) if !silent && seen.told == state.told(*id) => {
+                    let (life, disk, told) = (*life, *disk, seen.told);
                     if state.presence(*id) != Some(Presence::Up { life, disk }) {
-                        steps.push(Step::Met { id: *id, life, disk });
+                        steps.push(Step::Met { id: *id, life, disk, told });
                     }
                 }
                 _ => {}
--- a/crates/fleet/placement/tests/seeds.rs
+++ b/crates/fleet/placement/tests/seeds.rs
@@ -213,7 +213,8 @@
         Fault::OverAtOnce,
         Fault::NoTimeAnew,
     ] {
-        let found = (0..400).find_map(|seed| run(seed, 4, 200, Some(fault)).breach.map(|why| (seed, why)));
+        // The rarest, rights without the drift, shows in one run of some hundreds.
+        let found = (0..2_000).find_map(|seed| run(seed, 4, 200, Some(fault)).breach.map(|why| (seed, why)));
         let told = found
             .as_ref()
             .map(|(seed, why)| format!("seed {seed}: {}", why.lines().next().unwrap_or_default()));
--- a/crates/fleet/placement/tests/support/mod.rs
+++ b/crates/fleet/placement/tests/support/mod.rs
@@ -106,7 +106,8 @@
 pub fn meet_all(state: &mut Placements) {
     let ids: Vec<BoxId> = state.inventory().boxes.keys().copied().collect();
     for id in ids {
-        let met = Step::Met { id, life: Life(u64::from(id.0)), disk: DiskId(u64::from(id.0)) };
+        let met =
+            Step::Met { id, life: Life(u64::from(id.0)), disk: DiskId(u64::from(id.0)), told: Order(0) };
         assert_eq!(state.apply(&Command::Step(Token(1), met)).0, Answer::Done);
     }
 }
