--- a/crates/proof/checker/src/topic.rs
+++ b/crates/proof/checker/src/topic.rs
@@ -117,6 +117,12 @@
 }
 
 impl Record {
+    /// How often a subscriber was caught up so far.
+    pub fn caught_up(&self, subscriber: &str) -> usize {
+        let all = self.seen.get(subscriber).into_iter().flatten();
+        all.filter(|saw| matches!(saw, Saw::CaughtUp(_))).count()
+    }
+
     /// A message is to be written: what it is called from now on.
     pub fn sends(&mut self, key: &[u8], write: Write) -> usize {
         self.sent.push(Sent { key: key.to_vec(), write, told: Told::Unsure });
