--- a/crates/platform/node/src/lib.rs
+++ b/crates/platform/node/src/lib.rs
@@ -4,7 +4,7 @@
 #![forbid(unsafe_code)]
 
 mod actions;
-mod again;
+mod backoff;
 mod directory;
 pub mod io;
 mod node;
@@ -14,7 +14,7 @@
 mod timers;
 mod viewers;
 
-pub use again::Again;
+pub use backoff::Backoff;
 pub use io::{Broken, Input, Lane, Output, ViewerConn};
 pub use node::{Bounds, Counts, Node};
 pub use releases::Use;
--- a/crates/platform/shell/src/bus.rs
+++ b/crates/platform/shell/src/bus.rs
@@ -7,7 +7,7 @@
 use beechloft_http::limits::Limits;
 use beechloft_http::message::{self, Request};
 use beechloft_http::sse::Parser;
-use beechloft_node::{Again, Input};
+use beechloft_node::{Backoff, Input};
 use beechloft_proto::bus::Event;
 use http::{HeaderName, Method, StatusCode};
 use mio::net::TcpStream;
@@ -37,14 +37,14 @@
     last: u64,
     conn: Option<Conn>,
     again_at: Micros,
-    again: Again,
+    backoff: Backoff,
     bounds: Bounds,
 }
 
 impl Bus {
     pub fn new(addr: SocketAddr, last: u64, bounds: Bounds, seed: u64) -> Self {
-        let again = Again::new(bounds.bus_again, bounds.bus_again_most, seed);
-        Bus { addr, last, conn: None, again_at: Micros(0), again, bounds }
+        let backoff = Backoff::new(bounds.bus_again, bounds.bus_again_most, seed);
+        Bus { addr, last, conn: None, again_at: Micros(0), backoff, bounds }
     }
 
     pub fn has(&self, token: usize) -> bool {
@@ -58,7 +58,7 @@
             self.addr = addr;
             self.drop_conn(registry);
             self.again_at = now;
-            self.again.went_well();
+            self.backoff.reset();
         }
     }
 
@@ -71,7 +71,7 @@
     /// Asks again soon; an event cut off in the middle was not applied, and comes again.
     fn broke(&mut self, now: Micros, registry: &Registry) {
         self.drop_conn(registry);
-        self.again_at = now + self.again.failed();
+        self.again_at = now + self.backoff.failed();
     }
 
     /// Connects if it is time, and takes silence for a break.
@@ -166,7 +166,7 @@
                 // Events may be written twice; each counts once.
                 if number > self.last {
                     self.last = number;
-                    self.again.went_well();
+                    self.backoff.reset();
                     inputs.extend(told.topology.map(Input::Bus));
                 }
             }
