--- a/crates/platform/proto/src/bus.rs
+++ b/crates/platform/proto/src/bus.rs
@@ -1,6 +1,13 @@
 //! Events of the event bus: the list of media servers and its changes.
 
+use std::fmt;
+
 use serde::Deserialize;
+use serde::de::{Deserializer, SeqAccess, Visitor};
+use serde_json::Value;
+
+/// What is said of a line that can't be read is cut here, as it may repeat the line.
+const MOST_SAID: usize = 200;
 
 /// A media server's state on the list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
@@ -40,10 +47,9 @@
 }
 
 /// The list, or what has changed of it.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Topology {
     /// It is the whole list.
-    #[serde(default)]
     pub snapshot: bool,
     /// Its lines.
     pub endpoints: Vec<Endpoint>,
@@ -51,12 +57,91 @@
 
 /// An event; those of other kinds have no `topology`.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(from = "Form")]
 pub struct Event {
-    /// Its number.
-    #[serde(default)]
+    /// Its number; 0: it has none.
     pub offset: u64,
     /// The list, or what has changed.
     pub topology: Option<Topology>,
+    /// Lines that can't be read and are left out.
+    pub unread: Unread,
+}
+
+/// Lines of a list that can't be read.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Unread {
+    /// So many.
+    pub lines: usize,
+    /// What is wrong with the first.
+    pub first: String,
+}
+
+/// An event as it is written.
+#[derive(Deserialize)]
+struct Form {
+    #[serde(default)]
+    offset: u64,
+    topology: Option<Lines>,
+}
+
+#[derive(Deserialize)]
+struct Lines {
+    #[serde(default)]
+    snapshot: bool,
+    endpoints: OneByOne,
+}
+
+impl From<Form> for Event {
+    fn from(form: Form) -> Event {
+        let mut unread = Unread::default();
+        let topology = form.topology.map(|lines| {
+            unread = lines.endpoints.unread;
+            // A whole list some of whose lines can't be read is not whole: who stands on those would be taken for gone.
+            let snapshot = lines.snapshot && unread.lines == 0;
+            Topology { snapshot, endpoints: lines.endpoints.endpoints }
+        });
+        Event { offset: form.offset, topology, unread }
+    }
+}
+
+/// Endpoints of which each is read for itself. Guards against one of a state, or with a figure, that this version does not
+/// know, and which would cost all others of its event; only one that can't be read is held at a time.
+#[derive(Default)]
+struct OneByOne {
+    endpoints: Vec<Endpoint>,
+    unread: Unread,
+}
+
+impl<'de> Deserialize<'de> for OneByOne {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        from.deserialize_seq(Each)
+    }
+}
+
+struct Each;
+
+impl<'de> Visitor<'de> for Each {
+    type Value = OneByOne;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a list of endpoints")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut lines: A) -> Result<OneByOne, A::Error> {
+        let mut read = OneByOne::default();
+        while let Some(line) = lines.next_element::<Value>()? {
+            match Endpoint::deserialize(&line) {
+                Ok(endpoint) => read.endpoints.push(endpoint),
+                Err(e) => {
+                    if read.unread.lines == 0 {
+                        read.unread.first = e.to_string().chars().take(MOST_SAID).collect();
+                    }
+                    read.unread.lines += 1;
+                }
+            }
+        }
+        Ok(read)
+    }
 }
 
 /// The events of the start.
--- a/crates/platform/proto/tests/bus.rs
+++ b/crates/platform/proto/tests/bus.rs
@@ -13,3 +13,32 @@
     assert!(serde_json::from_str::<Event>(&text[..60]).is_err());
     assert_eq!(serde_json::from_str::<Event>(r#"{"offset":4,"other":1}"#).expect("sound").topology, None);
 }
+
+#[test]
+fn endpoints_that_cannot_be_read_are_left_out_and_counted() {
+    let good = r#"{"name":"a","address":"10.1.0.9:2905","status":"Ready"}"#;
+    let read = |text: String| serde_json::from_str::<Event>(&text);
+    let of = |lines: &str| {
+        read(format!(r#"{{"offset":4,"topology":{{"snapshot":true,"endpoints":[{lines}]}}}}"#))
+            .expect("the event is sound")
+    };
+    let event = of(&format!(r#"{{"name":"b"}},{good},{{"name":"c","address":"x","status":"Asleep"}},7"#));
+    let topology = event.topology.expect("a list");
+    assert_eq!((topology.endpoints.len(), event.unread.lines), (1, 3));
+    assert!(event.unread.first.contains("address"), "{}", event.unread.first);
+    // Those left out would be taken for gone.
+    assert!(!topology.snapshot);
+    let event = of(&format!("{good},{good}"));
+    assert_eq!(
+        (event.topology.map(|t| (t.snapshot, t.endpoints.len())), event.unread.lines),
+        (Some((true, 2)), 0)
+    );
+    assert_eq!(of("").topology.map(|t| t.snapshot), Some(true), "an empty list is whole");
+    // What is said of one that is long is short.
+    let event = of(&format!(r#"{{"name":"b","address":"x","status":"{}"}}"#, "é".repeat(5_000)));
+    assert!((1..=200).contains(&event.unread.first.chars().count()));
+    // A list that is none, or breaks off, costs the event.
+    assert!(read(r#"{"offset":4,"topology":{"endpoints":{}}}"#.into()).is_err());
+    assert!(read(format!(r#"{{"offset":4,"topology":{{"endpoints":[{good},{{"#)).is_err());
+    assert!(read(r#"{"offset":-4}"#.into()).is_err());
+}
--- a/crates/platform/shell/src/lib.rs
+++ b/crates/platform/shell/src/lib.rs
@@ -6,7 +6,8 @@
 #![forbid(unsafe_code)]
 
 pub mod bounds;
-mod bus;
+#[doc(hidden)]
+pub mod bus;
 mod run;
 mod servers;
 mod stream;
