--- a/crates/platform/shell/src/run.rs
+++ b/crates/platform/shell/src/run.rs
@@ -357,7 +357,7 @@
         let (servers, mut turn) = self.servers_turn(now);
         servers.sweep(&mut turn);
         if self.servers.take_refused() {
-            debug!("a media server that the list calls ready refuses connections");
+            self.bus.doubt(now);
         }
         self.bus.sweep(now, self.poll.registry(), &mut self.next);
         if self.read_again.is_some_and(|r| now >= r.0) {
