Cold servers stay under N through restarts; late repeats and empty lists are barred

Cause: a restart forgot what its front had sent (`sent`), so that a share went out twice within a span; set-ups counted from when they were sent, though one may wait for its connection and arrive with the next span's; a repeat of a keyed class was allowed until its window's end, without the time to arrive; an empty whole list emptied the front.

Change: for a span after its own start a front sends nothing to a server known to be cold from before; a set-up counts while it is out and for a span after it came back; a repeat is sent only if it can be given up 0.05 s before the window ends, with the time of one set-up; an empty whole list counts as failed while a server is known to be ready; what is sent at a server off the list is kept for a span at least.

`an_empty_list_and_a_flapping_one` asked that an empty whole list empties a front; that is the fault.

--- a/src/choice/attempts.rs
+++ b/src/choice/attempts.rs
@@ -4,6 +4,7 @@
 
 const FIRST_SHARE: f64 = 0.45; // part of the time left to the aim for an attempt that another may follow
 const LEAST_TRY: Micros = Micros(100_000); // with less time than this left to the aim, no further attempt
+const WAY: Micros = Micros(50_000); // a set-up given up may still arrive so much later: a long turn
 
 impl Choice {
     pub(super) fn send(&mut self, id: SessionId, server: ServerId, rung: Rung) {
@@ -16,23 +17,25 @@
         let last = !more || s.tried.len() >= self.set.limits.max_attempts as usize;
         let left = s.aim - self.now;
         let wait = if last { left } else { Micros::from_secs(left.secs() * FIRST_SHARE) };
+        let until = (self.now + wait).min(self.set.repeat_until(s) - WAY);
         (s.at, s.rung) = (Some(server), rung);
         s.ran.push((server, self.now));
         self.out.push(Action::SetRung(id, rung));
-        self.out.push(Action::SetUp(id, server, self.now + wait));
+        self.out.push(Action::SetUp(id, server, until));
         if let Some(t) = self.servers.get_mut(&server) {
             t.out += 1;
             self.trials -= if t.strikes > 0 { self.trials.min(1.0) } else { 0.0 };
-            t.sent.note(self.now, self.set.cold.span);
         }
         self.book(id, true);
     }
 
-    /// Whether one more attempt is allowed by time, count, budget and the class's effect.
+    /// Whether one more attempt is allowed by time, count, budget and the class's effect. A repeat has the
+    /// time of one set-up and is given up before its class's window ends: one that waits for a connection
+    /// until past the window would run as a second one, however early it was sent.
     pub(super) fn may_try(&self, s: &Session) -> bool {
         let safe = match self.set.class(s.req.class).effect {
             Effect::Repeatable => true,
-            Effect::Keyed { window, .. } => s.ran.iter().all(|r| self.now - r.1 < window),
+            Effect::Keyed { .. } => self.now + LEAST_TRY + WAY < self.set.repeat_until(s),
             Effect::Once => s.ran.is_empty(),
         };
         let further = s.aim - self.now > LEAST_TRY && s.tried.len() < self.set.limits.max_attempts as usize;
--- a/src/choice/list.rs
+++ b/src/choice/list.rs
@@ -4,7 +4,10 @@
 
 impl Choice {
     pub(super) fn list(&mut self, form: ListForm, entries: Vec<ServerEntry>) {
-        if form == ListForm::Failed {
+        // A whole list that names nobody is a directory that has lost its state, not a service without
+        // servers. It counts as failed: servers that are gone fail. A shorter list is believed.
+        let blank = form != ListForm::Delta && entries.is_empty();
+        if form == ListForm::Failed || (blank && self.servers.values().any(Server::ready)) {
             self.subscribe = self.set.discovery == Discovery::Ask;
             return;
         }
@@ -33,10 +36,10 @@
         self.stale = true;
     }
 
-    /// Lets go of servers off the list, with nothing of this front's there, for longer than any rest. Guards
-    /// against memory that grows by each server that is replaced; a list that flaps keeps what is known.
+    /// Lets go of servers off the list, with nothing of this front's there, for longer than any rest or span.
+    /// Guards against memory that grows by each server replaced; a list that flaps keeps what is known.
     fn forget(&mut self) {
-        let (now, rest) = (self.now, Micros(SHUT.0 << MAX_STRIKES));
+        let (now, rest) = (self.now, Micros(SHUT.0 << MAX_STRIKES).max(self.set.cold.span));
         self.servers.retain(|_, s| {
             let gone = s.entry.state == ServerState::Gone;
             s.gone_at = gone.then(|| s.gone_at.unwrap_or(now));
--- a/src/choice/mod.rs
+++ b/src/choice/mod.rs
@@ -39,7 +39,7 @@
     rng: Random,
     now: Micros,
     out: Vec<Action>,
-    born: bool,
+    born: Micros, // when its first event came; zero: not yet
     pub(crate) servers: BTreeMap<ServerId, Server>,
     pub(crate) racks: BTreeMap<u32, Gauge>,
     pub(crate) sessions: BTreeMap<SessionId, Session>,
@@ -65,7 +65,8 @@
     /// Takes one event and appends what is to be done, in order.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = now;
-        if !std::mem::replace(&mut self.born, true) {
+        if self.born == Micros(0) {
+            self.born = now.max(Micros(1));
             self.subscribe = self.set.discovery == Discovery::Ask;
             self.tick();
         }
--- a/src/choice/pace.rs
+++ b/src/choice/pace.rs
@@ -14,18 +14,33 @@
 
     /// The pace of a server that started lately, or may have: this front's part of what all fronts may send
     /// within the rule's span if each does the same. Where a part is under one set-up, only some fronts send,
-    /// chosen by the server's id and the front's number.
+    /// chosen by the server's id and the front's number. What this front's earlier self sent within the span
+    /// before its own start is not known: for a span, nothing goes to a server known to have started earlier.
+    /// It hurts where a whole service starts at once; servers that are only doubted get the part.
     pub(super) fn pace_allows(&self, s: &Server) -> bool {
         let c = &self.set.cold;
         if c.multiple <= 0.0 || (!s.witnessed && self.warmth(s) >= 1.0 && self.now >= s.doubt_until) {
             return true;
         }
+        let earlier = self.warmth(s) < 1.0 && s.cold_since.is_some_and(|t| t < self.born);
+        if earlier && self.now < self.born + c.span {
+            return false;
+        }
         let spans = c.span.secs() / c.warm_after.secs().max(1e-6);
         let all = COLD_SAFETY * c.multiple * c.from * s.streams.size * spans;
         let Some((number, fronts)) = self.turn else { return false };
         let part = (all / f64::from(fronts)) as usize;
         let turn = (u64::from(s.entry.server.0) + u64::from(number)) % u64::from(fronts);
         let mine = if part == 0 && (turn as f64) < all.floor() { 1 } else { part };
-        s.sent.within(self.now, c.span) < mine
+        s.sent.within(self.now, c.span) + (s.out as usize) < mine
+    }
+
+    /// A set-up is out no more. It arrived by now, but when is not known: it counts until a span from here.
+    /// Guards against those that wait for a connection and arrive together with the next span's.
+    pub(super) fn back(&mut self, id: ServerId) {
+        if let Some(s) = self.servers.get_mut(&id) {
+            s.out = s.out.saturating_sub(1);
+            s.sent.note(self.now, self.set.cold.span);
+        }
     }
 }
--- a/src/choice/request.rs
+++ b/src/choice/request.rs
@@ -38,7 +38,7 @@
             (s.phase, s.changed) = (Phase::Playing, self.now);
             // What plays here was sound: the errors before were the servers'.
             let erred = std::mem::take(&mut s.erred);
-            self.servers.entry(server).and_modify(|s| s.out = s.out.saturating_sub(1));
+            self.back(server);
             erred.into_iter().for_each(|(at, sent)| self.strike(at, sent, Outcome::Error));
         }
     }
@@ -55,7 +55,7 @@
         self.book(id, false);
         let Some(mut s) = self.sessions.remove(&id) else { return };
         if s.phase != Phase::Playing {
-            self.servers.entry(server).and_modify(|s| s.out = s.out.saturating_sub(1));
+            self.back(server);
         }
         s.at = None;
         if outcome.never_ran() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -62,7 +62,7 @@
     pub rack: u32,
     pub link: Gauge,
     pub streams: Gauge,
-    /// Attempts out, and when set-ups went out lately.
+    /// Attempts out, and when others lately came back.
     pub out: u32,
     pub sent: Recent,
     pub strikes: u32,
@@ -81,6 +81,11 @@
 }
 
 impl Server {
+    /// Whether the list has it as ready.
+    pub fn ready(&self) -> bool {
+        self.entry.state == ServerState::Ready
+    }
+
     /// Whether it is on the list, ready or draining.
     pub fn listed(&self) -> bool {
         self.entry.state != ServerState::Gone
@@ -219,6 +224,16 @@
         best
     }
 
+    /// Until when a further attempt of a session is recognised as a copy; never ends where that is not asked.
+    pub(crate) fn repeat_until(&self, s: &Session) -> Micros {
+        match self.class(s.req.class).effect {
+            Effect::Keyed { window, .. } => {
+                s.ran.iter().map(|r| r.1 + window).min().unwrap_or(Micros(u64::MAX))
+            }
+            _ => Micros(u64::MAX),
+        }
+    }
+
     /// The window of the budget for further attempts.
     pub(crate) fn budget_window(&self) -> Micros {
         self.budget.map_or(Micros(0), |b| b.window)
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -353,7 +353,12 @@
 
 #[test]
 fn an_empty_list_and_a_flapping_one() {
+    let mut f = Front::with_list(settings(), vec![]);
+    f.send(Event::Servers(ListForm::Full, vec![]));
+    assert!(refused(&f.ask(1)), "no server was ever known");
+    // An empty list says nothing of servers that are known (see the rules), but those told as gone stay gone.
     let mut f = Front::new(settings());
+    f.send(Event::Servers(ListForm::Delta, (0..4).map(|n| entry(n, ServerState::Gone, 0)).collect()));
     f.send(Event::Servers(ListForm::Full, vec![]));
     assert!(refused(&f.ask(1)));
     for n in 0..50 {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -93,6 +93,31 @@
     assert!(refused(&f.ended(1, server, Outcome::Error, false)), "past the window, harmless to refuse");
 }
 
+/// A repeat takes time to arrive: sent as the window ends, it would run as a second one.
+#[test]
+fn a_repeat_of_a_keyed_class_can_still_arrive_within_the_window() {
+    let mut repeats = 0;
+    for window in [50 * MS, 100 * MS, 250 * MS, 500 * MS, 2 * S] {
+        for failed_after in (0..700).step_by(10) {
+            let effect = Effect::Keyed { group: Group::All, window: Micros(window) };
+            let mut f = Front::new(Settings { classes: vec![class(effect)], ..settings() });
+            let first = f.now;
+            let (server, _) = set_up(&f.ask(1)).expect("sent");
+            f.wait(failed_after * MS);
+            let actions = f.ended(1, server, Outcome::Error, false);
+            if let Some((_, until)) = set_up(&actions) {
+                repeats += 1;
+                let left = first + window - f.now.min(first + window);
+                assert!(left >= 100 * MS, "{left} us before the end of a window of {window}");
+                assert!(until <= first + window, "it may wait for a connection past a window of {window}");
+            } else {
+                assert!(refused(&actions), "one answer at once");
+            }
+        }
+    }
+    assert!(repeats > 100, "{repeats} repeats, where there is time for them");
+}
+
 #[test]
 fn never_two_attempts_out() {
     let mut f = Front::new(settings());
@@ -188,6 +213,43 @@
     assert!((1.0..=ALLOWED).contains(&sent), "{sent}");
 }
 
+/// What its earlier self sent within the span is not known to a front that has just started.
+#[test]
+fn a_front_that_starts_anew_sends_nothing_for_a_span_to_a_server_that_started_before_it() {
+    let first = |started: u64| {
+        let list = vec![entry(0, ServerState::Ready, started)];
+        let mut f = Front::with_list(Settings { fronts: 1, ..settings() }, list);
+        let begin = f.now;
+        (1..400).find_map(|id| {
+            f.wait(10 * MS);
+            set_up(&f.ask(id)).map(|_| f.now - begin)
+        })
+    };
+    let cold = first(99 * S);
+    assert!(cold.is_some_and(|after| (2 * S..3 * S).contains(&after)), "{cold:?} us to the first set-up");
+    // One that is only doubted gets its part at once: a whole service that starts would stand still.
+    assert_eq!(first(0), Some(10 * MS));
+}
+
+/// A set-up may wait for its connection: it counts until a span from when it came back, and while it is out.
+#[test]
+fn set_ups_that_are_out_for_long_count_with_those_of_the_next_span() {
+    let mut f = Front::new(Settings { fronts: 1, ..settings() });
+    let now = f.now;
+    (1..4).for_each(|n| drop(f.list(n, ServerState::Gone, 0)));
+    f.list(0, ServerState::Ready, now);
+    let sent: Vec<u64> = (1..20).filter(|id| set_up(&f.ask(*id)).is_some()).collect();
+    assert!(!sent.is_empty() && sent.len() as f64 <= ALLOWED, "{sent:?}");
+    let all = sent.len();
+    // Most come back soon, one late.
+    sent[1..].iter().for_each(|id| drop((f.started(*id, 0), f.ended(*id, 0, Outcome::Ok, true))));
+    f.wait(700 * MS);
+    f.started(sent[0], 0);
+    f.wait(1_400 * MS);
+    let next = (100..120).filter(|id| set_up(&f.ask(*id)).is_some()).count();
+    assert_eq!(next, all - 1, "the late one may have arrived within the span");
+}
+
 #[test]
 fn a_server_seen_to_break_is_paced_before_the_list_tells() {
     for outcome in [Outcome::Reset, Outcome::ConnectFailed] {
