Property test draws the settings of any customer: deadlines, classes, windows, seats, cells

One to nine classes of all effects, deadlines of 0.2 to 20 s, keyed windows from 0 s on, no zones, no budget, seats of 0, one cell or none, discovery by asking, one to four attempts; empty whole lists among the moves. Each request has its one answer by its viewer's time and a tick. A repeat must be given up within the window, where the test asked only when it was sent. A refusal after a keyed set-up of the group of all that ran is allowed as in rules.rs; the old settings had no such class.

--- a/tests/property.rs
+++ b/tests/property.rs
@@ -1,11 +1,14 @@
 //! Random legal event orders: whatever happens, the rules hold and nothing crashes.
 
+#[path = "support/customers.rs"]
+mod customers;
 mod support;
 
 use std::collections::BTreeMap;
 
 use beechloft::choice::Choice;
 use beechloft::interface::*;
+use customers::{Odd, odd, settings_of};
 use proptest::prelude::*;
 use support::*;
 
@@ -31,7 +34,7 @@
     ];
     let one = prop_oneof![
         6 => (1_000..600_000u64).prop_map(Move::Wait),
-        6 => (0..3u16, 0..3u64, 0..6u32, 0..6u32, 0..5u8, 50_000..4_000_000u64).prop_map(
+        6 => (0..9u16, 0..3u64, 0..6u32, 0..6u32, 0..5u8, 50_000..20_000_000u64).prop_map(
             |(class, title, home, holders, top, patience)| Move::Ask {
                 class,
                 title,
@@ -41,7 +44,7 @@
                 patience
             }
         ),
-        1 => (0..3u16, 0..6u32, 0..4u8).prop_map(|(class, server, rung)| Move::HandOver {
+        1 => (0..9u16, 0..6u32, 0..4u8).prop_map(|(class, server, rung)| Move::HandOver {
             class,
             server,
             rung
@@ -49,7 +52,7 @@
         4 => any::<usize>().prop_map(Move::Start),
         6 => (any::<usize>(), 0..8u8).prop_map(|(i, o)| Move::End(i, o)),
         1 => any::<usize>().prop_map(Move::Leave),
-        2 => (0..4u8, 0..6u32, 0..3u8, any::<bool>()).prop_map(|(f, s, st, n)| Move::List(f, s, st, n)),
+        2 => (0..6u8, 0..6u32, 0..3u8, any::<bool>()).prop_map(|(f, s, st, n)| Move::List(f, s, st, n)),
         2 => (0..7u32, 0..4u8, level.clone()).prop_map(|(s, k, l)| Move::Note(s, k, l)),
         1 => (0..7u32, 0..8u8, level).prop_map(|(s, o, l)| Move::Probed(s, o, l)),
         3 => Just(Move::Tick),
@@ -63,39 +66,6 @@
     [Ok, Error, Full, Timeout, ConnectFailed, Reset, Cancelled, Moot][usize::from(n % 8)]
 }
 
-fn settings_of(kind: u8) -> Settings {
-    let keyed = |group| class(Effect::Keyed { group, window: Micros(2 * S) });
-    let floored = Class { floor: Rung(1), top: Rung(2), seats: Some(2), ..class(Effect::Once) };
-    let live = Class { join: 0.2, ..keyed(Group::Zone) };
-    let mut s = Settings {
-        classes: vec![class(Effect::Repeatable), floored, live],
-        budget: Some(RetryBudget { free: 2.0, share: 0.2, window: Micros(3 * S) }),
-        ..settings()
-    };
-    match kind % 4 {
-        0 => {}
-        1 => {
-            s.discovery = Discovery::Ask;
-            s.reporting = Reporting::InProbes;
-            s.limits = Limits { max_attempts: 2, probes: true, cancel: false, retry_after: None };
-            s.tenants = vec![Tenant { quota_per_s: Some(0.5) }];
-            s.over_share_worth = 0.1;
-        }
-        2 => {
-            s.reporting = Reporting::Silent;
-            (s.all_links_kb, s.link_unit_kb, s.uplink_kb) = (None, None, None);
-            s.budget = None;
-        }
-        _ => {
-            s.ladder = Ladder { rates_kb: vec![], worth: vec![], change_cost_s: 0.0 };
-            s.kind_streams = vec![];
-            (s.cells, s.racks, s.fronts) = (0, 0, 0);
-            s.cold.warm_after = Micros(0);
-        }
-    }
-    s
-}
-
 /// What the outside world knows of a request.
 #[derive(Default)]
 struct Life {
@@ -112,6 +82,7 @@
 
 struct World {
     set: Settings,
+    zones: bool,
     front: Front,
     lives: BTreeMap<u64, Life>,
     states: BTreeMap<u32, ServerState>,
@@ -137,9 +108,16 @@
                     assert!(life.attempts < self.set.limits.max_attempts);
                     match class.effect {
                         Effect::Once => assert!(life.ran.is_empty(), "once, twice"),
-                        Effect::Keyed { window, .. } => {
-                            let kin = |r: &(u32, u64)| r.0 % 2 == server.0 % 2 && now - r.1 < window.0;
-                            assert!(life.ran.iter().all(kin), "outside the group or window");
+                        Effect::Keyed { group, window } => {
+                            let kin = |r: &(u32, u64)| match group {
+                                Group::All => true,
+                                Group::Zone => !self.zones || r.0 % 2 == server.0 % 2,
+                                Group::Cell => r.0 % 4 == server.0 % 4,
+                            };
+                            // It runs once more if it arrives past the window, whenever it was sent.
+                            let inside = |r: &(u32, u64)| now < until.0 && until.0 < r.1 + window.0;
+                            let sound = |r: &(u32, u64)| kin(r) && inside(r);
+                            assert!(life.ran.iter().all(sound), "outside the group or window");
                         }
                         Effect::Repeatable => {}
                     }
@@ -163,7 +141,9 @@
                     let life = self.lives.get_mut(&id.0).expect("a known request");
                     assert!(life.out.is_none() || life.left, "refused with an attempt out");
                     let effect = self.set.classes[life.class].effect;
-                    assert!(effect == Effect::Repeatable || life.ran.is_empty(), "refused after it ran");
+                    let harmless =
+                        matches!(effect, Effect::Repeatable | Effect::Keyed { group: Group::All, .. });
+                    assert!(harmless || life.ran.is_empty(), "refused after it ran");
                     life.answers += 1;
                 }
                 Action::Fail(id) => {
@@ -221,6 +201,8 @@
             }
             Move::Ask { class, title, home, holders, top, patience } => {
                 let now = self.front.now;
+                let class = class % self.set.classes.len() as u16;
+                let patience = patience.min(self.set.classes[usize::from(class)].deadline.0);
                 let life = Life { class: class.into(), top, gives_up: now + patience, ..Life::default() };
                 let req = Request {
                     class: ClassId(class),
@@ -237,6 +219,7 @@
                 self.apply(actions);
             }
             Move::HandOver { class, server, rung } => {
+                let class = class % self.set.classes.len() as u16;
                 let floor = self.set.classes[usize::from(class)].floor;
                 let life = Life {
                     class: class.into(),
@@ -275,16 +258,19 @@
             Move::List(form, n, state, new) => {
                 let state =
                     [ServerState::Ready, ServerState::Draining, ServerState::Gone][usize::from(state)];
-                let form =
-                    [ListForm::Delta, ListForm::Full, ListForm::Cached, ListForm::Failed][usize::from(form)];
-                if matches!(form, ListForm::Full | ListForm::Cached) {
-                    self.states.clear();
-                }
-                let entries = if form == ListForm::Failed {
+                use ListForm::*;
+                let empty = form >= 3;
+                let form = [Delta, Full, Cached, Failed, Full, Cached][usize::from(form)];
+                // A whole list that names nobody changes nothing.
+                let entries = if empty {
                     vec![]
                 } else {
+                    if form != Delta {
+                        self.states.clear();
+                    }
                     self.states.insert(n, state);
-                    vec![entry(n, state, if new { self.front.now } else { 0 })]
+                    let started = if new { self.front.now } else { 0 };
+                    vec![placed(self.zones, n, state, started)]
                 };
                 let actions = self.front.send(Event::Servers(form, entries));
                 self.apply(actions);
@@ -330,23 +316,35 @@
     }
 }
 
-fn play(kind: u8, seed: u64, list: &[Move]) -> Vec<String> {
-    let set = settings_of(kind);
+fn placed(zones: bool, n: u32, state: ServerState, started: u64) -> ServerEntry {
+    let usual = entry(n, state, started);
+    ServerEntry { zone: if zones { usual.zone } else { ZoneId(0) }, ..usual }
+}
+
+fn play(odd: &Odd, seed: u64, list: &[Move]) -> Vec<String> {
+    let set = settings_of(odd);
     let front = Front { choice: Choice::new(set.clone(), seed), now: 50 * S };
     let mut world = World {
         set,
+        zones: odd.zones,
         front,
         lives: BTreeMap::new(),
         states: (0..4).map(|n| (n, ServerState::Ready)).collect(),
         extra: vec![],
         taken: vec![],
     };
-    let entries = (0..4).map(|n| entry(n, ServerState::Ready, 0)).collect();
+    let entries = (0..4).map(|n| placed(odd.zones, n, ServerState::Ready, 0)).collect();
     let first = world.front.send(Event::Servers(ListForm::Cached, entries));
     world.apply(first);
     for (i, m) in list.iter().enumerate() {
         world.step(i as u64 + 1, m.clone());
     }
+    // Past the longest deadline, and a tick later, no request is without its one answer.
+    world.step(0, Move::Wait(21 * S));
+    world.step(0, Move::Tick);
+    for (id, life) in &world.lives {
+        assert!(life.left || life.playing || life.answers == 1, "request {id} has no answer");
+    }
     world.lives.iter().map(|(id, l)| format!("{id} {} {:?} {}", l.answers, l.ran, l.attempts)).collect()
 }
 
@@ -359,8 +357,8 @@
     })]
 
     #[test]
-    fn rules_hold_for_any_order(kind in 0..4u8, seed: u64, list in moves()) {
-        let once = play(kind, seed, &list);
-        prop_assert_eq!(once, play(kind, seed, &list), "same events, same actions");
+    fn rules_hold_for_any_order_and_any_settings(odd in odd(), seed: u64, list in moves()) {
+        let once = play(&odd, seed, &list);
+        prop_assert_eq!(once, play(&odd, seed, &list), "same events, same actions");
     }
 }
--- /dev/null
+++ b/tests/support/customers.rs
@@ -0,0 +1,92 @@
+//! Settings as any customer might have them, drawn by chance.
+
+use beechloft::interface::*;
+use proptest::prelude::*;
+
+use crate::support::{MS, class, settings};
+
+/// Settings of any customer: what the drawn settings change in the usual ones.
+#[derive(Debug, Clone)]
+pub struct Odd {
+    kind: u8,
+    classes: usize,
+    deadline_ms: u64,
+    window_ms: u64,
+    pub zones: bool,
+    budget: Option<(f64, f64, u64)>,
+    seats: Option<u32>,
+    cells: u32,
+    ask: bool,
+    attempts: u32,
+}
+
+pub fn odd() -> impl Strategy<Value = Odd> {
+    let deadline = prop_oneof![2 => Just(4_000), 1 => Just(200), 1 => Just(20_000), 1 => 200..20_000u64];
+    let window = prop_oneof![2 => Just(2_000), 2 => 0..400u64, 1 => 400..20_000u64];
+    let budget = prop_oneof![1 => Just(None), 2 => (0.0..3.0f64, 0.0..0.5f64, 1..4_000u64).prop_map(Some)];
+    let seats = prop_oneof![Just(None), (0..3u32).prop_map(Some)];
+    let cells = prop_oneof![3 => Just(4), 1 => Just(1), 1 => 0..9u32];
+    let rest = (seats, cells, any::<bool>(), 1..5u32);
+    (0..4u8, 1..10usize, deadline, window, any::<bool>(), budget, rest).prop_map(
+        |(kind, classes, deadline_ms, window_ms, zones, budget, (seats, cells, ask, attempts))| Odd {
+            kind,
+            classes,
+            deadline_ms,
+            window_ms,
+            zones,
+            budget,
+            seats,
+            cells,
+            ask,
+            attempts,
+        },
+    )
+}
+
+pub fn settings_of(odd: &Odd) -> Settings {
+    let window = Micros(odd.window_ms * MS);
+    let deadline = Micros(odd.deadline_ms * MS);
+    let one = |n: usize| {
+        let effect = match n % 5 {
+            0 => Effect::Repeatable,
+            1 => Effect::Once,
+            2 => Effect::Keyed { group: Group::Zone, window },
+            3 => Effect::Keyed { group: Group::All, window },
+            _ => Effect::Keyed { group: Group::Cell, window },
+        };
+        let mut class = Class { deadline, aim: Micros(deadline.0 / 5), ..class(effect) };
+        if n % 3 == 1 {
+            (class.floor, class.top, class.seats) = (Rung(1), Rung(2), odd.seats);
+        }
+        if n % 3 == 2 {
+            class.join = 0.2;
+        }
+        class
+    };
+    let mut s = Settings { classes: (0..odd.classes).map(one).collect(), cells: odd.cells, ..settings() };
+    s.budget = odd.budget.map(|(free, share, ms)| RetryBudget { free, share, window: Micros(ms * MS) });
+    s.limits.max_attempts = odd.attempts;
+    if odd.ask {
+        s.discovery = Discovery::Ask;
+    }
+    match odd.kind % 4 {
+        0 => {}
+        1 => {
+            s.reporting = Reporting::InProbes;
+            s.limits = Limits { probes: true, cancel: false, retry_after: None, ..s.limits };
+            s.tenants = vec![Tenant { quota_per_s: Some(0.5) }];
+            s.over_share_worth = 0.1;
+        }
+        2 => {
+            s.reporting = Reporting::Silent;
+            (s.all_links_kb, s.link_unit_kb, s.uplink_kb) = (None, None, None);
+        }
+        _ => {
+            s.ladder = Ladder { rates_kb: vec![], worth: vec![], change_cost_s: 0.0 };
+            s.kind_streams = vec![];
+            (s.racks, s.fronts) = (0, 0);
+            s.cold.warm_after = Micros(0);
+        }
+    }
+    s
+}
