An empty whole list ends nothing in the machine either, and SIGTERM comes in any order of its inputs

Cause: the machine marked each server that a whole list leaves out as gone before the module had heard the list (node.rs `lines`), so that the module's disbelief of an empty one was undone. It now asks the module which servers are listed (`Choice::lists`).

Tests: an empty list, a set-up for which nobody waits any more, the time by which a repeat must have left; the property test of the machine has empty lists and SIGTERM at any point, after which all is answered by the last call and nothing is begun.

--- a/crates/platform/node/src/node.rs
+++ b/crates/platform/node/src/node.rs
@@ -249,6 +249,9 @@
         let mut entries: Vec<api::ServerEntry> = Vec::new();
         for topology in all {
             let lines = self.lines(topology);
+            if topology.snapshot && !lines.is_empty() {
+                self.leave_out(|server| lines.iter().all(|l| l.server != server));
+            }
             entries.retain(|x| lines.iter().all(|l| l.server != x.server));
             entries.extend(lines);
         }
@@ -265,23 +268,28 @@
         let form = if topology.snapshot { api::ListForm::Full } else { api::ListForm::Delta };
         self.feed(Event::Servers(form, entries));
         self.started = true;
+        if topology.snapshot {
+            // What a whole list leaves out is gone if the module believes it; one that names nobody it does not.
+            self.decide();
+            let believed: Vec<_> =
+                self.directory.listed().into_iter().filter(|s| self.choice.lists(*s)).collect();
+            self.leave_out(|server| !believed.contains(&server));
+        }
     }
 
-    /// Takes the lines of a list, and ends what has lost its media server.
-    fn lines(&mut self, topology: &Topology) -> Vec<api::ServerEntry> {
-        let mut entries = Vec::with_capacity(topology.endpoints.len());
-        if topology.snapshot {
-            let named: Vec<_> =
-                topology.endpoints.iter().filter_map(|e| self.directory.server(&e.name)).collect();
-            for server in self.directory.listed() {
-                if !named.contains(&server)
-                    && let Some(lane) = self.directory.lane(server)
-                {
-                    self.directory.lanes.entry(lane).and_modify(|l| l.gone = true);
-                    self.lane_gone(lane);
-                }
+    /// Servers that the list has no more, without having said so by name.
+    fn leave_out(&mut self, out: impl Fn(api::ServerId) -> bool) {
+        for server in self.directory.listed().into_iter().filter(|s| out(*s)) {
+            if let Some(lane) = self.directory.lane(server) {
+                self.directory.lanes.entry(lane).and_modify(|l| l.gone = true);
+                self.lane_gone(lane);
             }
         }
+    }
+
+    /// Takes the lines of a list, and ends what has lost its media server by them.
+    fn lines(&mut self, topology: &Topology) -> Vec<api::ServerEntry> {
+        let mut entries = Vec::with_capacity(topology.endpoints.len());
         for e in &topology.endpoints {
             let Some((entry, change)) = self.directory.take(e, &self.names) else { continue };
             entries.push(entry);
--- a/crates/platform/node/tests/cases.rs
+++ b/crates/platform/node/tests/cases.rs
@@ -2,12 +2,13 @@
 
 mod support;
 
+use beechloft::interface::Micros;
 use beechloft_node::{Broken, Input, Output, Use, ViewerConn};
 use beechloft_proto::bus::{Status, Topology};
 use beechloft_proto::server::{FromServer, Line};
 use beechloft_proto::viewer::{FromViewer, SetUpError, ToViewer};
 use beechloft_proto::{CallId, Cause};
-use support::{Rig, endpoint, line, set_up};
+use support::{Rig, SETTINGS, endpoint, line, set_up};
 
 fn told(outputs: &[Output]) -> Vec<(u64, ToViewer)> {
     let told = |o: &Output| match o {
@@ -299,3 +300,54 @@
     rig.hear(Input::Broken(first, CallId(7), Broken::NoConnection));
     assert_ne!(rig.out[&CallId(7)], first);
 }
+
+/// A whole list that names nobody says nothing of the servers that are known: those that play there play on, and new sessions are
+/// set up. Seen before: each was taken for gone, and every session was refused.
+#[test]
+fn an_empty_list_stops_nothing() {
+    let mut rig = Rig::new(1, 4);
+    rig.ask(1, 1, 3_000);
+    rig.accept(1);
+    let out = rig.hear(Input::Bus(Topology { snapshot: true, endpoints: Vec::new() }));
+    assert_eq!(out, [], "it ends nothing");
+    for id in 2..20 {
+        rig.ask(1, id, 3_000);
+        rig.accept(id);
+    }
+    assert_eq!(rig.node.counts().standing, 19);
+}
+
+/// Nobody waits for a set-up any more: it is taken back if it has not left, also where cancelling is not allowed.
+#[test]
+fn a_set_up_for_which_nobody_waits_is_taken_back() {
+    for cancel in ["true", "false"] {
+        let mut rig =
+            Rig::with(&SETTINGS.replace("\"cancel\": true", &format!("\"cancel\": {cancel}")), 1, 4);
+        rig.ask(1, 1, 3_000);
+        let lane = rig.out[&CallId(1)];
+        let out = rig.hear(Input::Viewer(ViewerConn(1), FromViewer::Release(CallId(1))));
+        assert!(out.contains(&Output::Unwanted(lane, CallId(1))), "{out:?}");
+        let closes = rig.ask(2, 2, 3_000);
+        assert!(!closes.is_empty());
+        let lane = rig.out[&CallId(2)];
+        let out = rig.hear(Input::ViewerClosed(ViewerConn(2)));
+        assert!(out.contains(&Output::Unwanted(lane, CallId(2))), "{out:?}");
+    }
+}
+
+/// A repeat of a keyed set-up that waits for its connection must not leave once its window is over.
+#[test]
+fn a_repeat_states_by_when_it_must_have_left() {
+    let keyed = "\"effect\": \"by_key\", \"group\": \"all\", \"window_us\": 500000";
+    let mut rig = Rig::with(&SETTINGS.replace("\"effect\": \"repeatable\"", keyed), 1, 4);
+    let began = rig.now;
+    rig.ask(1, 1, 3_000);
+    rig.pass(100);
+    let out = rig.hear(Input::Broken(rig.out[&CallId(1)], CallId(1), Broken::Reset));
+    let by = out.iter().find_map(|o| match o {
+        Output::SetUp { leave_by, .. } => Some(*leave_by),
+        _ => None,
+    });
+    let by = by.expect("a further attempt inside the window");
+    assert!(by <= began + Micros(480_000), "{} us after the first", (by - began).0);
+}
--- a/crates/platform/node/tests/orders.rs
+++ b/crates/platform/node/tests/orders.rs
@@ -8,7 +8,7 @@
 use beechloft_proto::viewer::{FromViewer, SetUpError, ToViewer};
 use beechloft_proto::{CallId, Cause};
 use proptest::prelude::*;
-use support::{Rig, endpoint, line, set_up};
+use support::{LAST_CALL_MS, Rig, endpoint, line, set_up};
 
 #[derive(Debug, Clone)]
 enum Step {
@@ -26,6 +26,8 @@
     Break { which: usize, how: u8 },
     Lose { lane: u32 },
     List { n: u16, status: u8, restart: bool, snapshot: bool },
+    EmptyList,
+    Terminate,
     Pass { ms: u64 },
     HandOver { conn: u64, n: u16 },
 }
@@ -49,6 +51,8 @@
         1 => (0..8u32).prop_map(|lane| Step::Lose { lane }),
         2 => (0..6u16, 0..3u8, any::<bool>(), prop::bool::weighted(0.2))
             .prop_map(|(n, status, restart, snapshot)| Step::List { n, status, restart, snapshot }),
+        1 => Just(Step::EmptyList),
+        1 => prop::bool::weighted(0.1).prop_map(|ends| if ends { Step::Terminate } else { Step::Pass { ms: 1 } }),
         5 => (0..900u64).prop_map(|ms| Step::Pass { ms }),
         1 => (conn(), 0..6u16).prop_map(|(conn, n)| Step::HandOver { conn, n }),
     ]
@@ -142,6 +146,12 @@
             }
             rig.hear(Input::Bus(Topology { snapshot, endpoints }));
         }
+        Step::EmptyList => {
+            rig.hear(Input::Bus(Topology { snapshot: true, endpoints: Vec::new() }));
+        }
+        Step::Terminate => {
+            rig.hear(Input::Terminate);
+        }
         Step::Pass { ms } => rig.pass(ms),
         Step::HandOver { conn, n } => {
             *made += 1;
@@ -172,6 +182,14 @@
             let waiting = rig.standing.len() - counts.standing.min(rig.standing.len());
             prop_assert!(waiting <= counts.releases && counts.standing <= rig.standing.len());
         }
+        // After SIGTERM all is answered by the last call, whatever was asked for when; without it, in time.
+        if let Some(since) = rig.node.terminated() {
+            let call = since + beechloft::interface::Micros(LAST_CALL_MS * 1000);
+            rig.pass((call - rig.now).0.div_ceil(1000));
+            prop_assert!(rig.owed.is_empty() && rig.node.counts().owed == 0, "after the last call: {:?}", rig.owed);
+            rig.ask(0, 1 << 50, 3_000);
+            prop_assert!(rig.owed.is_empty() && rig.out.is_empty(), "begun after the last call");
+        }
         // All that was taken is answered in time, and all that stands ends when its media servers do.
         rig.pass(5_000);
         prop_assert!(rig.owed.is_empty() && rig.out.is_empty(), "{:?} {:?}", rig.owed, rig.out);
--- a/crates/platform/node/tests/support/mod.rs
+++ b/crates/platform/node/tests/support/mod.rs
@@ -26,6 +26,9 @@
     "weights": "rough"
 }"#;
 
+/// So long after SIGTERM all is answered.
+pub const LAST_CALL_MS: u64 = 2_000;
+
 pub fn endpoint(n: u16, status: Status) -> Endpoint {
     Endpoint {
         name: format!("s-{n:08x}"),
@@ -87,7 +90,7 @@
             transit: Micros(20_000),
             probe_within: Micros(250_000),
             sessions: 500,
-            last_call: Micros(3_450_000),
+            last_call: Micros(LAST_CALL_MS * 1000),
         };
         let mut rig = Rig {
             node: Node::new(parsed, seed, bounds),
--- a/src/choice/list.rs
+++ b/src/choice/list.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Whether a server is on the list, as far as the list is believed.
+    pub fn lists(&self, server: ServerId) -> bool {
+        self.servers.get(&server).is_some_and(Server::listed)
+    }
+
     pub(super) fn listed(&self) -> impl Iterator<Item = &Server> {
         self.servers.values().filter(|s| s.listed())
     }
