Twenty processes of the front node are played against stand-ins that judge the sockets

Restarts in turn with set-ups in flight and in the backlog, discovery moved, connections cut, clients that go, a list that comes empty.

--- /dev/null
+++ b/crates/cli/tests/twenty/facts.rs
@@ -0,0 +1,184 @@
+//! What crossed the sockets, as the stand-ins saw it: facts with their times, and nothing that the program says of itself.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+/// How the front node ended a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    Fin,
+    Rst,
+}
+
+/// How a front node is restarted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Style {
+    /// SIGTERM, and clients as the page has them.
+    Plain,
+    /// The process is stopped, set-ups are in the kernel's buffers and in the backlog, then SIGTERM comes with them.
+    Stalled,
+    /// SIGTERM, then the process is stopped with the last set-ups in the buffers and the backlog until the time is over
+    /// for which it serves on.
+    StalledLate,
+}
+
+/// One fact. Connections have numbers, which no two share; a set-up's id says which front node it went to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum What {
+    /// A process was started.
+    Started {
+        node: usize,
+    },
+    /// It answered a test with passed, for the first time since its start.
+    Passed {
+        node: usize,
+    },
+    Term {
+        node: usize,
+        style: Style,
+    },
+    Exited {
+        node: usize,
+        code: Option<i32>,
+    },
+    /// A client's connection was accepted by the front node's machine.
+    Connected {
+        node: usize,
+        conn: u64,
+    },
+    /// A client's connection was refused.
+    Refused {
+        node: usize,
+    },
+    /// The last byte of a set-up is written; `again`: it goes again for that one.
+    Taken {
+        conn: u64,
+        id: u64,
+        again: Option<u64>,
+    },
+    /// A final answer; `right`: a refusal or failure, or what a media server gave for this very session.
+    Answer {
+        id: u64,
+        served: bool,
+        right: bool,
+    },
+    /// The front node ended a client's connection.
+    Closed {
+        conn: u64,
+        how: End,
+    },
+    /// Its client closed its connection, or cancelled.
+    Gone {
+        id: u64,
+    },
+    /// A set-up arrived whole at a media server.
+    Attempt {
+        server: usize,
+        id: u64,
+    },
+    /// The media server wrote its end, or cut its connection.
+    Over {
+        server: usize,
+        id: u64,
+    },
+    /// The front node gave it up there, or closed its connection.
+    GivenUp {
+        server: usize,
+        id: u64,
+    },
+}
+
+/// When, in microseconds since the record began, and what.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fact {
+    pub at: u64,
+    pub what: What,
+}
+
+/// The record, shared by all stand-ins.
+#[derive(Clone)]
+pub struct Record {
+    began: Instant,
+    facts: Arc<Mutex<Vec<Fact>>>,
+    gone: Arc<Mutex<BTreeMap<u64, u64>>>,
+    arrived: Arc<Mutex<BTreeMap<u64, u64>>>,
+}
+
+/// A lock that a failed thread leaves usable.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Record {
+    pub fn begin() -> Record {
+        let (facts, gone, arrived) = Default::default();
+        Record { began: Instant::now(), facts, gone, arrived }
+    }
+
+    pub fn now(&self) -> u64 {
+        self.began.elapsed().as_micros() as u64
+    }
+
+    /// Notes what has just happened.
+    pub fn note(&self, what: What) -> u64 {
+        let mut facts = lock(&self.facts);
+        let at = self.now();
+        match what {
+            What::Gone { id } => {
+                lock(&self.gone).insert(id, at);
+            }
+            What::Attempt { id, .. } => {
+                lock(&self.arrived).entry(id).or_insert(at);
+            }
+            _ => {}
+        }
+        facts.push(Fact { at, what });
+        at
+    }
+
+    /// When the client of this set-up went.
+    pub fn gone(&self, id: u64) -> Option<u64> {
+        lock(&self.gone).get(&id).copied()
+    }
+
+    /// Whether it has reached a media server.
+    pub fn arrived(&self, id: u64) -> bool {
+        lock(&self.arrived).contains_key(&id)
+    }
+
+    pub fn facts(&self) -> Vec<Fact> {
+        lock(&self.facts).clone()
+    }
+}
+
+/// What media servers do with a set-up is written in its id, so that it does not hang on which of them gets it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Behaviour {
+    Accept = 0,
+    /// It accepts after a while.
+    Slow = 1,
+    /// The first attempt ends in an error, a further one is accepted.
+    ErrorOnce = 2,
+    /// Not a word.
+    Silent = 3,
+    /// The first attempt has its connection reset, or closed.
+    ResetOnce = 4,
+    CloseOnce = 5,
+    /// Nothing until the client has gone, and an error some time after.
+    Held = 6,
+}
+
+pub fn id_of(behaviour: Behaviour, node: usize, serial: u64) -> u64 {
+    (behaviour as u64) << 56 | (node as u64) << 40 | (serial & 0xff_ffff_ffff)
+}
+
+pub fn node_of(id: u64) -> usize {
+    (id >> 40 & 0xffff) as usize
+}
+
+pub fn behaviour_of(id: u64) -> Behaviour {
+    use Behaviour::*;
+    [Accept, Slow, ErrorOnce, Silent, ResetOnce, CloseOnce, Held][(id >> 56) as usize % 7]
+}
--- /dev/null
+++ b/crates/cli/tests/twenty/main.rs
@@ -0,0 +1,132 @@
+//! Twenty processes of the program between stand-ins: restarted in turn with set-ups in flight, discovery moved,
+//! connections cut, clients that go, a cold media server, a list that comes empty. The rules are read off what crossed
+//! the sockets alone. Plays take turns, and the first gives one record that several tests judge, each for itself.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+mod clients;
+mod facts;
+mod falsified;
+mod fleet;
+mod media;
+mod plays;
+mod rules;
+
+use std::sync::OnceLock;
+
+use facts::{Fact, Style, What};
+use plays::{COLD, Restarts};
+
+fn restarts() -> &'static Restarts {
+    static PLAYED: OnceLock<Restarts> = OnceLock::new();
+    PLAYED.get_or_init(plays::restarts)
+}
+
+#[track_caller]
+fn none(broken: Vec<String>) {
+    let logs = &restarts().logs;
+    assert!(broken.is_empty(), "{} broken:\n{}\n{logs}", broken.len(), broken.join("\n"));
+}
+
+fn count(facts: &[Fact], wanted: impl Fn(&What) -> bool) -> usize {
+    facts.iter().filter(|f| wanted(&f.what)).count()
+}
+
+#[test]
+fn every_set_up_at_a_plain_restart_has_one_answer() {
+    let facts = &restarts().facts;
+    let plain = |w: &What| matches!(w, What::Term { style: Style::Plain, .. });
+    assert_eq!(count(facts, plain), 10);
+    none(rules::answers(facts, Some(Style::Plain)));
+}
+
+#[test]
+fn set_ups_in_the_backlog_as_sigterm_comes_have_one_answer() {
+    none(rules::answers(&restarts().facts, Some(Style::Stalled)));
+}
+
+#[test]
+fn set_ups_in_the_backlog_as_the_serving_ends_have_one_answer() {
+    none(rules::answers(&restarts().facts, Some(Style::StalledLate)));
+}
+
+#[test]
+fn every_set_up_of_a_process_that_runs_on_has_one_answer() {
+    let facts = &restarts().facts;
+    let (served, of) = rules::served(facts, 0);
+    assert!(of > 1_000 && served * 2 > of, "{served} of {of} served");
+    none(rules::answers(facts, None));
+}
+
+#[test]
+fn never_two_attempts_are_out_for_one_session() {
+    none(rules::one_at_a_time(&restarts().facts));
+}
+
+#[test]
+fn no_attempt_begins_after_its_client_has_gone() {
+    let facts = &restarts().facts;
+    let out = |w: &What| matches!(w, What::Attempt { id, .. } if facts::behaviour_of(*id) == facts::Behaviour::Held);
+    assert!(count(facts, out) >= 40, "{} held set-ups reached a media server", count(facts, out));
+    none(rules::after_gone(facts));
+}
+
+#[test]
+fn no_connection_is_reset_by_a_process_that_ends() {
+    let facts = &restarts().facts;
+    let all = [None, Some(Style::Plain), Some(Style::Stalled)];
+    none(all.iter().flat_map(|style| rules::resets(facts, *style)).collect());
+}
+
+#[test]
+fn no_connection_is_reset_as_the_serving_ends() {
+    none(rules::resets(&restarts().facts, Some(Style::StalledLate)));
+}
+
+#[test]
+fn a_process_told_to_end_listens_on_for_a_while() {
+    none(rules::refused(&restarts().facts));
+}
+
+#[test]
+fn each_process_told_to_end_ends_well_and_in_time() {
+    none(rules::exits(&restarts().facts, fleet::LONGEST));
+}
+
+#[test]
+fn nine_in_ten_restarted_processes_are_soon_ready() {
+    let facts = &restarts().facts;
+    assert_eq!(count(facts, |w| matches!(w, What::Started { .. })), 2 * fleet::NODES);
+    none(rules::ready(facts));
+}
+
+#[test]
+fn all_follow_discovery_to_where_it_moved() {
+    let played = restarts();
+    assert!(played.moved >= fleet::NODES, "{} asked at the second event bus\n{}", played.moved, played.logs);
+    let late = played.late;
+    let asked = count(&played.facts, |w| matches!(w, What::Attempt { server, .. } if *server == late));
+    assert!(asked > 0, "the media server that it told of was never asked\n{}", played.logs);
+}
+
+#[test]
+fn a_cold_media_server_gets_no_more_than_it_stands_from_all_together() {
+    let (facts, told, server) = plays::cold();
+    let asked = count(&facts, |w| matches!(w, What::Taken { .. }));
+    assert!(asked as f64 > 8.0 * COLD.allowance(), "only {asked} were asked for");
+    let most = rules::most_within(&facts, server, told, COLD.fall_us);
+    assert!(most > 20, "only {most} were sent there: nothing is shown");
+    let broken = rules::cold(&facts, server, told, COLD.fall_us, COLD.allowance());
+    assert!(broken.is_empty(), "{broken:?}");
+}
+
+#[test]
+fn a_whole_list_that_comes_empty_does_not_stop_the_front_nodes() {
+    let (facts, told) = plays::empty_list();
+    let before: Vec<Fact> = facts.iter().filter(|f| f.at < told).cloned().collect();
+    let (served, of) = rules::served(&before, 0);
+    assert!(served > 100 && served * 10 >= of * 8, "{served} of {of} served before");
+    let broken = rules::goes_on(&facts, told + 500_000);
+    assert!(broken.is_empty(), "{broken:?}");
+}
