Clients that go while the front node is stopped are played with the order forced

Set-ups and their clients' going lie unread in the buffers as the process wakes, or an error beside the going.

--- a/crates/cli/tests/twenty/main.rs
+++ b/crates/cli/tests/twenty/main.rs
@@ -15,7 +15,7 @@
 
 use std::sync::OnceLock;
 
-use facts::{Fact, Style, What};
+use facts::{Behaviour, Fact, Style, What, behaviour_of};
 use plays::{COLD, Restarts};
 
 fn restarts() -> &'static Restarts {
@@ -67,7 +67,7 @@
 #[test]
 fn no_attempt_begins_after_its_client_has_gone() {
     let facts = &restarts().facts;
-    let out = |w: &What| matches!(w, What::Attempt { id, .. } if facts::behaviour_of(*id) == facts::Behaviour::Held);
+    let out = |w: &What| matches!(w, What::Attempt { id, .. } if behaviour_of(*id) == Behaviour::Held);
     assert!(count(facts, out) >= 40, "{} held set-ups reached a media server", count(facts, out));
     none(rules::after_gone(facts));
 }
@@ -110,6 +110,36 @@
     assert!(asked > 0, "the media server that it told of was never asked\n{}", played.logs);
 }
 
+/// What a play with stopped processes has of set-ups with this behaviour.
+fn stopped(behaviour: Behaviour) -> Vec<Fact> {
+    static PLAYED: OnceLock<Vec<Fact>> = OnceLock::new();
+    let of = |f: &&Fact| match f.what {
+        What::Taken { id, .. } | What::Gone { id } | What::Attempt { id, .. } => {
+            behaviour_of(id) == behaviour
+        }
+        _ => false,
+    };
+    PLAYED.get_or_init(plays::stopped).iter().filter(of).cloned().collect()
+}
+
+#[test]
+fn a_set_up_that_is_read_after_its_client_has_gone_is_not_sent_on() {
+    let facts = stopped(Behaviour::Accept);
+    let gone = count(&facts, |w| matches!(w, What::Gone { .. }));
+    assert!(gone >= 100, "{gone} went");
+    let broken = rules::after_gone(&facts);
+    assert!(broken.is_empty(), "{} of {gone} broken:\n{}", broken.len(), broken.join("\n"));
+}
+
+#[test]
+fn an_error_that_comes_with_its_clients_going_brings_no_further_attempt() {
+    let facts = stopped(Behaviour::Held);
+    let out = count(&facts, |w| matches!(w, What::Attempt { .. }));
+    assert!(out >= 60, "{out} were out at a media server");
+    let broken = rules::after_gone(&facts);
+    assert!(broken.is_empty(), "{} of {out} broken:\n{}", broken.len(), broken.join("\n"));
+}
+
 #[test]
 fn a_cold_media_server_gets_no_more_than_it_stands_from_all_together() {
     let (facts, told, server) = plays::cold();
--- a/crates/cli/tests/twenty/plays.rs
+++ b/crates/cli/tests/twenty/plays.rs
@@ -1,4 +1,5 @@
-//! What is played: the restarts in turn with all that crosses them, a cold media server, a list that comes empty.
+//! What is played: the restarts in turn with all that crosses them, clients that go while the process is stopped, a cold
+//! media server, a list that comes empty.
 
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -212,6 +213,44 @@
     Restarts { facts, logs, moved, late: 8 }
 }
 
+/// Clients go while the process is stopped, so that their going lies in the kernel's buffers as it wakes: behind their
+/// set-ups, which it has not read either, and beside the errors of the media servers that hold their set-ups.
+pub fn stopped() -> Vec<Fact> {
+    let _turn = turn();
+    let fleet = Fleet::start(6, WARM);
+    let record = &fleet.record;
+    let how = [Leave::Fin, Leave::Rst, Leave::Cancel];
+    let opened = |node: &Node| -> Vec<Arc<Conn>> {
+        let all: Vec<_> = (0..6).filter_map(|_| Conn::open(node.number, node.addr, record)).collect();
+        for conn in &all {
+            conn.passes();
+        }
+        all
+    };
+    thread::scope(|s| {
+        for node in &fleet.nodes {
+            s.spawn(move || {
+                let (held, unread) = (opened(node), opened(node));
+                let ids: Vec<u64> = held.iter().filter_map(|c| c.ask(Behaviour::Held)).collect();
+                let until = Instant::now() + MS(1_000);
+                while !ids.iter().all(|id| record.arrived(*id)) && Instant::now() < until {
+                    thread::sleep(MS(2));
+                }
+                node.signal(Signal::STOP);
+                for conn in &unread {
+                    conn.ask(Behaviour::Accept);
+                }
+                held.iter().chain(&unread).enumerate().for_each(|(n, c)| c.leave(how[n % 3]));
+                // The media servers' errors come 0.3 s after the clients went.
+                thread::sleep(MS(500));
+                node.signal(Signal::CONT);
+                thread::sleep(MS(1_000));
+            });
+        }
+    });
+    record.facts()
+}
+
 /// A media server begins anew while many times its allowance is asked for: the record, when that was told, its number.
 pub fn cold() -> (Vec<Fact>, u64, usize) {
     let _turn = turn();
