A set-up's time to leave is the attempt's own, as the module caps it by the window

The machine worked out a keyed class's window a second time; with that taken out no test failed, since the module gives a repeat up before its window ends (src/choice/attempts.rs).

--- a/crates/platform/node/src/actions.rs
+++ b/crates/platform/node/src/actions.rs
@@ -1,7 +1,7 @@
 //! What the module says, done.
 
 use beechloft::interface::{
-    Action, Attempt as Number, Effect, Event, LoadReport, Micros, Outcome, ServerId, SessionId,
+    Action, Attempt as Number, Event, LoadReport, Micros, Outcome, ServerId, SessionId,
 };
 use beechloft_proto::server::ToServer;
 use beechloft_proto::viewer::ToViewer;
@@ -51,7 +51,6 @@
         session.attempts = session.attempts.saturating_add(1);
         let rung = session.rung;
         let (now, conn) = (self.now, session.conn);
-        let ran_since = session.ran_since;
         let sent = match &mut session.phase {
             // Never two attempts out for one session, whatever is asked for.
             Phase::Owed { setup, gives_up, out: out @ None } => lane.and_then(|lane| {
@@ -59,28 +58,17 @@
                 let left_ms = (until - now).0 / 1000;
                 let line = ToServer::Offer { id, setup, left_ms, rung }.encode()?;
                 *out = Some(Attempt { number, lane, server, sent: now });
-                // A copy is recognised for a while after the first; one that waits for its connection longer than that would
-                // run a second time.
-                let class = self.names.classes.iter().position(|name| *name == setup.class);
-                let window = match class.and_then(|c| self.settings.classes.get(c)).map(|c| c.effect) {
-                    Some(Effect::Keyed { window, .. }) => {
-                        ran_since.map(|since| since + window - self.bounds.transit)
-                    }
-                    _ => None,
-                };
-                let leave_by = window.map_or(until, |w| w.min(until));
-                session.ran_since.get_or_insert(now);
-                Some((lane, until, leave_by, line))
+                Some((lane, until, line))
             }),
             _ => None,
         };
         match sent {
-            Some((lane, until, leave_by, line)) => {
+            Some((lane, until, line)) => {
                 self.directory.lanes.entry(lane).and_modify(|l| {
                     l.out.insert(id);
                 });
                 self.timers.set(until, Due::Attempt(id, number));
-                self.out.push(Output::SetUp { lane, id, conn, line, leave_by });
+                self.out.push(Output::SetUp { lane, id, conn, line, leave_by: until });
             }
             None => self.attempt_ended(id, number, server, Outcome::Moot, LoadReport::default(), now),
         }
@@ -96,11 +84,6 @@
         report: LoadReport,
         sent: Micros,
     ) {
-        if outcome.never_ran()
-            && let Some(s) = self.sessions.get_mut(&id).filter(|s| s.ran_since == Some(sent))
-        {
-            s.ran_since = None;
-        }
         let closed = !self.sessions.get(&id).is_some_and(|s| matches!(s.phase, Phase::Owed { .. }));
         self.feed(Event::Ended {
             session: SessionId(id.0),
--- a/crates/platform/node/src/io.rs
+++ b/crates/platform/node/src/io.rs
@@ -81,7 +81,8 @@
         conn: ViewerConn,
         /// What to write.
         line: Vec<u8>,
-        /// It must not leave later than this, however long it waits for a connection.
+        /// It must not leave later than this, however long it waits for a connection: by then it is given up, and a
+        /// repeat would run a second time.
         leave_by: Micros,
     },
     /// Nobody waits for a set-up any more: if it has not left yet, it is not to.
--- a/crates/platform/node/src/session.rs
+++ b/crates/platform/node/src/session.rs
@@ -44,8 +44,6 @@
     pub viewer: ViewerId,
     /// How many attempts went out.
     pub attempts: u16,
-    /// When the first attempt went out that may have run.
-    pub ran_since: Option<Micros>,
     /// The rung that the module wants.
     pub rung: u8,
     pub phase: Phase,
--- a/crates/platform/node/src/viewers.rs
+++ b/crates/platform/node/src/viewers.rs
@@ -86,10 +86,7 @@
         self.releases.conns.entry(conn).or_default().open.insert(id);
         self.timers.set(request.gives_up, Due::Answer(id));
         let phase = Phase::Owed { setup, gives_up: request.gives_up, out: None };
-        self.sessions.insert(
-            id,
-            Session { conn, viewer: request.viewer, attempts: 0, ran_since: None, rung: 0, phase },
-        );
+        self.sessions.insert(id, Session { conn, viewer: request.viewer, attempts: 0, rung: 0, phase });
         self.feed(Event::Request(request));
     }
 
@@ -103,10 +100,7 @@
         };
         let attempt = Attempt { number: 0, lane, server, sent: self.now };
         let phase = Phase::Standing(attempt);
-        self.sessions.insert(
-            id,
-            Session { conn, viewer: request.viewer, attempts: 1, ran_since: None, rung: 0, phase },
-        );
+        self.sessions.insert(id, Session { conn, viewer: request.viewer, attempts: 1, rung: 0, phase });
         self.stands(lane, conn, id);
         self.feed(Event::HandedOver(request, server));
     }
