--- a/crates/platform/node/src/node.rs
+++ b/crates/platform/node/src/node.rs
@@ -19,7 +19,8 @@
 
 /// How often what lingers is let go.
 const SWEEP: Micros = Micros(500_000);
-/// An ended session is remembered for so long, as late words about it may come.
+/// An ended session is remembered for so long, as late words about it may come: for the longest deadline, within which a
+/// media server may still answer, and at least so long, for answers that were late on the way.
 const ENDED_FOR: Micros = Micros(15_000_000);
 /// So many ended sessions are remembered at most.
 const MOST_ENDED: usize = 8192;
@@ -218,7 +219,9 @@
         self.releases.sweep(self.now);
         let now = self.now;
         self.moved.retain(|_, at| now - *at <= MOVED_FOR);
-        while self.ended_order.front().is_some_and(|e| now - e.0 > ENDED_FOR) {
+        let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+        let ended_for = (longest + SWEEP).max(ENDED_FOR);
+        while self.ended_order.front().is_some_and(|e| now - e.0 > ended_for) {
             self.forget_oldest_ended();
         }
     }
--- a/crates/platform/node/tests/cases.rs
+++ b/crates/platform/node/tests/cases.rs
@@ -351,3 +351,17 @@
     let by = by.expect("a further attempt inside the window");
     assert!(by <= began + Micros(480_000), "{} us after the first", (by - began).0);
 }
+
+/// With a deadline of 20 s a media server may answer long after the session was given up: it is released there all the same.
+#[test]
+fn a_session_given_up_is_remembered_as_long_as_its_media_server_may_answer() {
+    let long = SETTINGS.replace("\"deadline_us\": 4000000", "\"deadline_us\": 20000000");
+    let mut rig = Rig::with(&long, 1, 1);
+    rig.ask(1, 1, 20_000);
+    let lane = rig.out[&CallId(1)];
+    rig.pass(19_000);
+    assert!(rig.owed.is_empty());
+    let answer = line(FromServer::Accept(CallId(1), "late".into()));
+    let out = rig.hear(Input::Server(lane, answer));
+    assert_eq!(sent(&out).len(), 1, "{out:?}");
+}
--- a/crates/platform/shell/tests/crossings/clients.rs
+++ b/crates/platform/shell/tests/crossings/clients.rs
@@ -280,3 +280,23 @@
         assert!(client.hear().map_or(true, |h| h.1), "it is still open 3 s after it was");
     }
 }
+
+/// Idle clients want every descriptor while the event bus is away: they get the viewers' share of them, the bus is asked again, and
+/// an honest client and its media server are served.
+#[test]
+fn idle_clients_take_no_descriptor_of_the_bus_of_media_servers_or_of_honest_clients() {
+    let mut stage = Stage::on(1, &Terms { sockets: 64, ..Terms::default() });
+    stage.cut_bus();
+    let mut idle: Vec<Client> = (0..100).map(|_| Client::connect(stage.addr)).collect();
+    stage.settle();
+    let open = idle.iter_mut().map(|c| c.hear().is_ok_and(|h| !h.1)).filter(|open| *open).count();
+    let bounds = stage.shell.bounds();
+    assert!(open <= bounds.viewers, "{open} of {}", bounds.viewers);
+    assert!(bounds.viewers + bounds.servers + beechloft_shell::bounds::OWN_DESCRIPTORS <= 64);
+    let (mut honest, _, mut line) = stage.asked(1);
+    line.accept(1);
+    stage.settle();
+    assert_eq!(honest.hear().expect("no reset").0[0].kind, 9);
+    stage.pass(500);
+    stage.cut_bus();
+}
--- a/crates/platform/shell/tests/crossings/stage.rs
+++ b/crates/platform/shell/tests/crossings/stage.rs
@@ -245,6 +245,11 @@
         got.expect("just found")
     }
 
+    /// The event bus ends the connection on which it is watched, once there is one.
+    pub fn cut_bus(&mut self) {
+        drop(self.bus.accept().expect("a watch"));
+    }
+
     /// The event bus answers the watch, and tells of a change.
     pub fn tell_bus(&mut self, endpoints: &Value) {
         let (mut stream, _) = self.bus.accept().expect("a watch");
