--- a/crates/platform/shell/tests/crossings/ends.rs
+++ b/crates/platform/shell/tests/crossings/ends.rs
@@ -5,7 +5,7 @@
 use beechloft::interface::Micros;
 use beechloft_shell::Moment;
 
-use crate::stage::{Client, Media, Stage, Terms, bytes, set_up, test};
+use crate::stage::{Client, Stage, Terms, bytes, set_up, test};
 
 /// What a client has got, in the end: final answers, and whether its connection came to a sound end.
 fn answers(client: &mut Client) -> usize {
@@ -105,18 +105,7 @@
 /// for it.
 #[test]
 fn what_media_servers_are_owed_leaves_before_the_end() {
-    let (media, filler) = Media::filled();
-    let mut stage = Stage::with(vec![media], &Terms::default());
-    stage.media[0].empty();
-    drop(filler);
-    let (mut client, _, mut line) = stage.asked(1);
-    line.accept(1);
-    stage.settle();
-    assert_eq!(answers(&mut client), 1);
-    // The media server ends the connection, and no other comes up for now.
-    let filler = std::net::TcpStream::connect(stage.media[0].addr).expect("a connection");
-    line.shut();
-    stage.media[0].conns.clear();
+    let (mut stage, mut client, filler) = Stage::standing_out_of_reach();
     about_to_end(&mut stage);
     client.say(&crate::stage::cancel(1));
     client.close();
--- a/crates/platform/shell/tests/crossings/servers.rs
+++ b/crates/platform/shell/tests/crossings/servers.rs
@@ -5,7 +5,7 @@
 use beechloft_shell::Moment;
 use serde_json::json;
 
-use crate::stage::{Media, Stage, Terms, cancel, set_up};
+use crate::stage::{Stage, Terms, cancel, set_up};
 
 /// A connection that carried a session before and is idle now.
 fn idle_connection(stage: &mut Stage) -> (crate::stage::Client, crate::stage::Line) {
@@ -48,19 +48,7 @@
 /// The end of a session waits for a connection that never comes up: it is said on the next that does.
 #[test]
 fn the_end_of_a_session_outlives_a_connection_that_never_comes_up() {
-    let (media, filler) = Media::filled();
-    let mut stage = Stage::with(vec![media], &Terms::default());
-    // The queue is emptied, so that one connection comes up, ...
-    stage.media[0].empty();
-    drop(filler);
-    let (mut client, _, mut line) = stage.asked(1);
-    line.accept(1);
-    stage.settle();
-    assert_eq!(client.hear().expect("no reset").0[0].kind, 9);
-    // ... and filled again before that one ends.
-    let filler = std::net::TcpStream::connect(stage.media[0].addr).expect("a connection");
-    line.shut();
-    stage.media[0].conns.clear();
+    let (mut stage, mut client, filler) = Stage::standing_out_of_reach();
     client.say(&cancel(1));
     stage.settle();
     // Past the time that a connection has to come up.
--- a/crates/platform/shell/tests/crossings/stage.rs
+++ b/crates/platform/shell/tests/crossings/stage.rs
@@ -163,6 +163,26 @@
         stage
     }
 
+    /// Session 1 stands at the only media server, which has ended its connection; no other comes up until the one returned last
+    /// is taken out of the queue.
+    pub fn standing_out_of_reach() -> (Stage, Client, TcpStream) {
+        let (media, filler) = Media::filled();
+        let mut stage = Stage::with(vec![media], &Terms::default());
+        // The queue is emptied, so that one connection comes up, ...
+        stage.media[0].empty();
+        drop(filler);
+        let (mut client, _, mut line) = stage.asked(1);
+        line.accept(1);
+        stage.settle();
+        let (heard, _) = client.hear().expect("no reset");
+        assert_eq!(heard.iter().map(|f| f.kind).collect::<Vec<_>>(), [9]);
+        // ... and filled again before that one ends.
+        let filler = TcpStream::connect(stage.media[0].addr).expect("a connection");
+        line.shut();
+        stage.media[0].conns.clear();
+        (stage, client, filler)
+    }
+
     /// One turn, with what the kernel holds now.
     pub fn turn(&mut self) {
         if !self.ended {
