Review: the front node of a case ends with its script

A case has to end all processes that it started, also when its script is killed. The kernel now ends the front node when the script's process ends.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -5,16 +5,15 @@
 """
 
 import asyncio
+import ctypes
 import json
 import os
 import signal
 import socket
 import struct
 import subprocess
-import sys
 import time
 import tomllib
-import urllib.parse
 
 HOST = "127.0.0.1"
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
@@ -476,7 +475,7 @@
                            ROUTER_LISTEN=f"{HOST}:{self.port}", TMPDIR=self.folder)
         log = open(os.path.join(self.folder, f"{self.name}.log"), "wb")
         self.process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
-                                        stdout=log, stderr=log)
+                                        stdout=log, stderr=log, preexec_fn=end_with_parent)
         self.record(f"front node started: {command}")
 
     def running(self):
@@ -501,6 +500,12 @@
             return file.read()
 
 
+def end_with_parent():
+    """Lets the kernel end this process when its parent ends, however that happens."""
+    pr_set_pdeathsig = 1
+    ctypes.CDLL(None).prctl(pr_set_pdeathsig, signal.SIGKILL)
+
+
 def free_port():
     with socket.socket() as sock:
         sock.bind((HOST, 0))
