Event bus: await a slow response while the request is repeated

Cause: bus_silence_timeout (2.5 s), which detects a stream that stopped while staying open, also ran while a response had not begun. It closed the connection and began the wait anew, so that an event bus that begins its responses 3 s late was never heard. Evidence: the front node logged "event bus connection timed out; retrying silent=true slow=false last=1" every 2.6 to 3.0 s after SIGHUP, while the event bus recorded a request each time and wrote its responses to closed connections.

Change: a connection without data stays open while the request is repeated on another one, as soon as before. The first stream that begins closes the others. At most 4 connections, each closed after 10 s without data. The log names the phase that a connection is in. This works as a lost request and a slow response need not be told apart: the repetition covers the one, the open connection the other.

The timeout of an incomplete response head begins with its first byte instead of the connect, for the same reason.

handle_ready takes the token, as there may be several connections; the harness passes it. No assertion of an earlier test was changed.

--- a/crates/platform/event-loop/src/event_bus/mod.rs
+++ b/crates/platform/event-loop/src/event_bus/mod.rs
@@ -3,7 +3,12 @@
 //! The client requests the events after the last handled offset. It skips unreadable events after some retries, and backs
 //! off while requests return no new events. See the HTML standard, "Server-sent events", for the format and
 //! `Last-Event-ID`.
+//!
+//! A connection without data may be lost, or its event bus may be slow. The client cannot distinguish these, so it sends
+//! another request on a further connection and keeps the silent one open: a lost connection is replaced early, and a slow
+//! response is still received. The first response with content replaces all other connections.
 
+mod connection;
 mod lines;
 mod response;
 mod retry;
@@ -14,17 +19,13 @@
 
 use beechloft::api::Micros;
 use beechloft_front_node::Input;
-use beechloft_http::message::Request;
-use http::{HeaderName, Method};
-use mio::net::TcpStream;
-use mio::{Interest, Registry, Token};
-use thiserror::Error;
-use tracing::{info, warn};
+use mio::{Registry, Token};
+use tracing::{debug, info, warn};
 
-use crate::buffered_stream::{BufferedStream, ReadOutcome};
-use crate::limits::SocketLimits;
+use crate::buffered_stream::ReadOutcome;
+use crate::limits::{MAX_BUS_CONNECTIONS, SocketLimits};
 use crate::tokens::TokenAllocator;
-use response::{Response, ResponseError};
+use connection::{Connection, ConnectionError, Phase};
 use retry::{RequestFailure, RetryPolicy};
 use sequence::{EventOutcome, EventSequence};
 
@@ -33,59 +34,12 @@
 /// The connection is closed afterwards, even if single bytes keep arriving. Half a megabyte over a slow line takes less.
 const COMPLETION_TIMEOUT: Micros = Micros(5_000_000);
 
-/// Size of the write buffer for the request.
-const WRITE_BUFFER_BYTES: usize = 4096;
-
-/// Reason for which a connection to the event bus was closed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
-enum ConnectionError {
-    #[error("connect failed")]
-    NotConnected,
-    #[error("request not sent")]
-    NotWritten,
-    #[error("connection closed by the event bus")]
-    Ended,
-    #[error("unreadable event")]
-    UnreadableEvent,
-    #[error(transparent)]
-    Response(#[from] ResponseError),
-}
-
-/// Connection to the event bus.
-struct Connection {
-    token: Token,
-    stream: BufferedStream,
-    request_sent: bool,
-    /// Whether any data was received on the connection.
-    has_received: bool,
-    response: Response,
-    opened_at: Micros,
-    last_received_at: Micros,
-}
-
-impl Connection {
-    /// Sends the request if the connection is established. Returns whether it was sent.
-    fn send_request(&mut self, addr: SocketAddr, last_event_id: u64) -> Result<bool, ConnectionError> {
-        match self.stream.connect_result() {
-            None => return Ok(false),
-            Some(Err(_)) => return Err(ConnectionError::NotConnected),
-            Some(Ok(())) => {}
-        }
-        let request = Request::new(Method::GET, "/bus/read")
-            .with(HeaderName::from_static("last-event-id"), last_event_id.to_string())
-            .with(http::header::ACCEPT, "text/event-stream");
-        let bytes = request.encode(&addr.to_string());
-        self.stream.send(&bytes).map_err(|_| ConnectionError::NotWritten)?;
-        self.request_sent = true;
-        Ok(true)
-    }
-}
-
 /// Client of the event bus.
 pub struct EventBusClient {
     addr: SocketAddr,
     sequence: EventSequence,
-    connection: Option<Connection>,
+    /// Open connections, the oldest first. There are several only while the event bus is slow or silent.
+    connections: Vec<Connection>,
     retry: RetryPolicy,
     limits: SocketLimits,
 }
@@ -97,27 +51,32 @@
         EventBusClient {
             addr,
             sequence: EventSequence::starting_after(last_event_id),
-            connection: None,
+            connections: Vec::new(),
             retry: RetryPolicy::new(&limits, seed),
             limits,
         }
     }
 
-    /// Returns whether a token belongs to the connection of this client.
+    /// Returns whether a token belongs to a connection of this client.
     pub fn has(&self, token: Token) -> bool {
-        self.connection.as_ref().is_some_and(|connection| connection.token == token)
+        self.connection(token).is_some()
+    }
+
+    /// Returns the number of open connections.
+    pub fn connection_count(&self) -> usize {
+        self.connections.len()
     }
 
     /// Changes the address of the event bus, and keeps the offset of the last handled event.
     ///
-    /// Unread events of the old connection arrive again on the new one, as events are requested after the last handled
+    /// Unread events of the old connections arrive again on the new one, as events are requested after the last handled
     /// one.
     pub fn change_address(&mut self, addr: SocketAddr, now: Micros, registry: &Registry) {
         if addr != self.addr {
             info!(%addr, last = self.sequence.last(), "event bus address changed");
             self.addr = addr;
-            self.close(registry);
-            self.retry.connect_at(now);
+            self.close_all(registry);
+            self.retry.request_at(now);
             self.retry.reset();
         }
     }
@@ -131,113 +90,181 @@
         self.retry.suspect(now);
     }
 
-    fn close(&mut self, registry: &Registry) -> Option<Connection> {
-        let mut connection = self.connection.take()?;
-        let _ = registry.deregister(&mut connection.stream.socket);
-        Some(connection)
+    fn connection(&self, token: Token) -> Option<&Connection> {
+        self.connections.iter().find(|connection| connection.token == token)
     }
 
-    /// Closes the connection and schedules a retry. An incomplete event was not handled, and arrives again.
-    fn fail(&mut self, now: Micros, registry: &Registry) {
-        let connection = self.close(registry);
-        let failure = match &connection {
-            Some(open) if open.has_received => RequestFailure::Disconnected,
-            _ => RequestFailure::NoResponse,
-        };
-        let was_healthy = |c: &Connection| {
-            c.response.is_accepted() && c.last_received_at - c.opened_at > self.limits.bus_silence_timeout
-        };
-        if connection.as_ref().is_some_and(was_healthy) {
+    fn has_content(&self, token: Token) -> bool {
+        self.connection(token).is_some_and(|connection| connection.phase() == Phase::Streaming)
+    }
+
+    /// Closes the connections for which `keep` returns false.
+    fn retain(&mut self, registry: &Registry, mut keep: impl FnMut(&Connection) -> bool) {
+        self.connections.retain_mut(|connection| {
+            let is_kept = keep(connection);
+            if !is_kept {
+                connection.deregister(registry);
+            }
+            is_kept
+        });
+    }
+
+    fn close_all(&mut self, registry: &Registry) {
+        self.retain(registry, |_| false);
+    }
+
+    /// Closes a connection. If it carries the newest request, another one is scheduled. An incomplete event was not
+    /// handled, and arrives again.
+    fn fail(&mut self, token: Token, now: Micros, registry: &Registry) {
+        if self.connections.last().is_some_and(|newest| newest.token == token) {
+            self.schedule_request(now);
+        }
+        self.retain(registry, |connection| connection.token != token);
+    }
+
+    /// Schedules another request after the newest one has failed or fallen silent.
+    fn schedule_request(&mut self, now: Micros) {
+        let newest = self.connections.last();
+        if newest.is_some_and(|newest| newest.delivered_for() > self.limits.bus_silence_timeout) {
             // The stream delivered data for longer than the silence timeout, so this is an ordinary disconnect.
             self.retry.reset_failures();
         }
+        let failure = newest.map_or(RequestFailure::NoResponse, Connection::failure);
         self.retry.schedule(now, failure);
     }
 
-    /// Connects if a request is due, and closes a connection that makes no progress.
+    /// Connects if a request is due, and closes connections that make no progress.
     pub fn sweep(&mut self, now: Micros, registry: &Registry, tokens: &mut TokenAllocator) {
-        self.check_progress(now, registry);
-        if self.retry.take_due_suspicion(now) && self.close(registry).is_some() {
+        self.close_stalled(now, registry);
+        self.request_again_if_silent(now);
+        if self.retry.take_due_suspicion(now) && !self.connections.is_empty() {
             info!(
                 last = self.sequence.last(),
                 "endpoint list contradicts the state of media servers; requesting it again"
             );
-            self.retry.connect_at(now);
+            self.close_all(registry);
+            self.retry.request_at(now);
         }
-        if self.connection.is_none() && self.retry.is_connect_due(now) {
+        if self.retry.take_due_request(now) {
             self.connect(now, registry, tokens);
         }
     }
 
-    fn check_progress(&mut self, now: Micros, registry: &Registry) {
-        let Some(connection) = &self.connection else { return };
-        let silent = now - connection.last_received_at > self.limits.bus_silence_timeout;
-        let slow = connection.response.incomplete_for(now) > COMPLETION_TIMEOUT;
-        if silent || slow {
-            warn!(silent, slow, last = self.sequence.last(), "event bus connection timed out; retrying");
-            self.fail(now, registry);
+    /// Closes connections that were silent for too long, or whose response head or event is not completed.
+    fn close_stalled(&mut self, now: Micros, registry: &Registry) {
+        let stalled = |connection: &Connection| {
+            let silent = connection.silent_for(now) > self.limits.bus_response_timeout;
+            let slow = connection.incomplete_for(now) > COMPLETION_TIMEOUT;
+            if silent || slow {
+                let phase = connection.phase();
+                warn!(
+                    silent,
+                    slow,
+                    ?phase,
+                    last = self.sequence.last(),
+                    "event bus connection timed out; closing it"
+                );
+            }
+            silent || slow
+        };
+        let tokens: Vec<Token> =
+            self.connections.iter().filter(|c| stalled(c)).map(|connection| connection.token).collect();
+        for token in tokens {
+            self.fail(token, now, registry);
         }
     }
 
+    /// Schedules another request if no connection has received data for the silence timeout.
+    fn request_again_if_silent(&mut self, now: Micros) {
+        let is_silent =
+            |connection: &Connection| connection.silent_for(now) > self.limits.bus_silence_timeout;
+        if self.retry.is_request_scheduled() || !self.connections.iter().all(is_silent) {
+            return;
+        }
+        if let Some(newest) = self.connections.last() {
+            let (phase, connections) = (newest.phase(), self.connections.len());
+            let last = self.sequence.last();
+            warn!(
+                ?phase,
+                connections, last, "no data from the event bus; requesting again on another connection"
+            );
+        }
+        self.schedule_request(now);
+    }
+
     fn connect(&mut self, now: Micros, registry: &Registry, tokens: &mut TokenAllocator) {
-        let Ok(mut socket) = TcpStream::connect(self.addr) else { return self.fail(now, registry) };
-        let token = tokens.allocate();
-        let interest = Interest::READABLE | Interest::WRITABLE;
-        if registry.register(&mut socket, token, interest).is_err() {
-            return self.fail(now, registry);
+        if self.connections.len() >= MAX_BUS_CONNECTIONS {
+            self.connections.remove(0).deregister(registry);
+        }
+        match Connection::open(self.addr, now, self.limits.max_event_bytes, registry, tokens) {
+            Ok(connection) => self.connections.push(connection),
+            Err(error) => {
+                warn!(%error, "no socket for the event bus; retrying");
+                self.retry.schedule(now, RequestFailure::NoResponse);
+            }
         }
-        self.connection = Some(Connection {
-            token,
-            stream: BufferedStream::new(socket, WRITE_BUFFER_BYTES),
-            request_sent: false,
-            has_received: false,
-            response: Response::new(now, self.limits.max_event_bytes),
-            opened_at: now,
-            last_received_at: now,
-        });
     }
 
-    /// Handles the ready socket. Returns whether it may hold more data.
+    /// Handles the ready socket of a connection. Returns whether it may hold more data.
     pub fn handle_ready(
         &mut self,
+        token: Token,
         now: Micros,
         buffer: &mut [u8],
         registry: &Registry,
         inputs: &mut VecDeque<Input>,
     ) -> bool {
-        match self.advance(now, buffer, inputs) {
-            Ok(may_have_more) => may_have_more,
-            Err(error) => {
-                warn!(%error, last = self.sequence.last(), "event bus connection failed; retrying");
-                self.fail(now, registry);
-                false
-            }
+        let had_content = self.has_content(token);
+        let advanced = self.advance(token, now, buffer, inputs);
+        if !had_content && self.has_content(token) {
+            self.close_others(token, now, registry);
         }
+        advanced.unwrap_or_else(|error| {
+            warn!(%error, last = self.sequence.last(), "event bus connection failed; retrying");
+            self.fail(token, now, registry);
+            false
+        })
+    }
+
+    /// Closes all connections but the one whose stream has begun, and cancels a scheduled request.
+    fn close_others(&mut self, token: Token, now: Micros, registry: &Registry) {
+        let age = self.connection(token).map_or(Micros(0), |connection| connection.age(now));
+        let others = self.connections.len() - 1;
+        if age > self.limits.bus_silence_timeout {
+            info!(response_ms = age.0 / 1_000, others, "event bus responded slowly");
+        } else {
+            debug!(response_ms = age.0 / 1_000, others, "event bus responded");
+        }
+        self.retain(registry, |connection| connection.token == token);
+        self.retry.cancel_request();
     }
 
     /// Sends the request and reads, up to the limit for one iteration. Returns whether the socket may hold more data.
     fn advance(
         &mut self,
+        token: Token,
         now: Micros,
         buffer: &mut [u8],
         inputs: &mut VecDeque<Input>,
     ) -> Result<bool, ConnectionError> {
-        let Some(connection) = &mut self.connection else { return Ok(false) };
-        if !connection.request_sent {
-            if !connection.send_request(self.addr, self.sequence.last())? {
-                return Ok(false);
-            }
+        let Some(index) = self.connections.iter().position(|connection| connection.token == token) else {
+            return Ok(false);
+        };
+        let connection = &mut self.connections[index];
+        let was_sent = connection.is_request_sent();
+        if !connection.send_request(self.addr, self.sequence.last())? {
+            return Ok(false);
+        }
+        if !was_sent {
             // Any request clears a suspicion, as it returns the events that may have been lost.
             self.retry.clear_suspicion();
         }
-        connection.stream.flush().map_err(|_| ConnectionError::NotWritten)?;
         let mut read_bytes = 0;
         while read_bytes < self.limits.upstream_bytes_per_iteration {
-            let Some(open) = &mut self.connection else { return Ok(false) };
-            match open.stream.read(buffer) {
+            match self.connections[index].read(buffer) {
                 ReadOutcome::Data(count) => {
                     read_bytes += count;
-                    self.receive(now, &buffer[..count], inputs)?;
+                    self.receive(index, now, &buffer[..count], inputs)?;
                 }
                 ReadOutcome::WouldBlock => return Ok(false),
                 ReadOutcome::Closed => return Err(ConnectionError::Ended),
@@ -252,16 +279,15 @@
     /// each reconnect.
     fn receive(
         &mut self,
+        index: usize,
         now: Micros,
         bytes: &[u8],
         inputs: &mut VecDeque<Input>,
     ) -> Result<(), ConnectionError> {
-        let Some(connection) = &mut self.connection else { return Ok(()) };
-        connection.last_received_at = now;
-        connection.has_received = true;
         let mut events = Vec::new();
         let sequence = &mut self.sequence;
-        let received = connection.response.receive(now, bytes, &mut events, &mut || !sequence.take_retry());
+        let connection = &mut self.connections[index];
+        let received = connection.receive(now, bytes, &mut events, &mut || !sequence.take_retry());
         for event in events {
             match self.sequence.receive(&event) {
                 EventOutcome::New(topology) => {
--- a/crates/platform/event-loop/src/event_bus/response.rs
+++ b/crates/platform/event-loop/src/event_bus/response.rs
@@ -46,13 +46,15 @@
 pub(super) struct Response {
     part: Part,
     max_event_bytes: usize,
-    /// Last time at which neither the head nor an event was incomplete, or the time of the connect.
-    last_complete_at: Micros,
+    /// Whether any byte of the body has arrived.
+    has_content: bool,
+    /// Time since which the head or an event has been incomplete. `None` if neither is.
+    incomplete_since: Option<Micros>,
 }
 
 impl Response {
-    pub fn new(now: Micros, max_event_bytes: usize) -> Response {
-        Response { part: Part::Head(Vec::new()), max_event_bytes, last_complete_at: now }
+    pub fn new(max_event_bytes: usize) -> Response {
+        Response { part: Part::Head(Vec::new()), max_event_bytes, has_content: false, incomplete_since: None }
     }
 
     /// Returns whether the head is complete and valid.
@@ -60,9 +62,14 @@
         matches!(self.part, Part::Body(_))
     }
 
-    /// Returns how long the head or an event has been incomplete.
+    /// Returns whether any byte of the body has arrived.
+    pub fn has_content(&self) -> bool {
+        self.has_content
+    }
+
+    /// Returns how long the head or an event has been incomplete. The time before the first byte does not count.
     pub fn incomplete_for(&self, now: Micros) -> Micros {
-        now - self.last_complete_at
+        self.incomplete_since.map_or(Micros(0), |since| now - since)
     }
 
     /// Adds received bytes and appends the events that they complete to `events`, including those before an error.
@@ -77,6 +84,7 @@
         events: &mut Vec<Event>,
         skip_oversized: &mut dyn FnMut() -> bool,
     ) -> Result<(), ResponseError> {
+        self.incomplete_since.get_or_insert(now);
         match &mut self.part {
             Part::Head(head) => {
                 head.extend_from_slice(bytes);
@@ -86,9 +94,9 @@
             Part::Body(body) => body.encoded.extend_from_slice(bytes),
         }
         let Part::Body(body) = &mut self.part else { return Ok(()) };
-        body.decode(events, skip_oversized)?;
+        self.has_content |= body.decode(events, skip_oversized)?;
         if !body.assembler.in_event {
-            self.last_complete_at = now;
+            self.incomplete_since = None;
         }
         if body.decoder.is_complete() { Err(ResponseError::Ended) } else { Ok(()) }
     }
@@ -111,16 +119,18 @@
 }
 
 impl Body {
+    /// Decodes the received bytes. Returns whether they contain a part of the event stream.
     fn decode(
         &mut self,
         events: &mut Vec<Event>,
         skip_oversized: &mut dyn FnMut() -> bool,
-    ) -> Result<(), ResponseError> {
+    ) -> Result<bool, ResponseError> {
         let mut text = Vec::new();
         // Events before a malformed chunk are handled. Otherwise they would be lost if they arrived together with it
         // after each reconnect.
         let decoded = self.decoder.decode(&mut self.encoded, &mut text);
         self.assembler.push(&text, events, skip_oversized)?;
-        decoded.map_err(|_| ResponseError::MalformedBody)
+        decoded.map_err(|_| ResponseError::MalformedBody)?;
+        Ok(!text.is_empty())
     }
 }
--- a/crates/platform/event-loop/src/event_bus/retry.rs
+++ b/crates/platform/event-loop/src/event_bus/retry.rs
@@ -28,13 +28,14 @@
 pub(super) enum RequestFailure {
     /// The connect failed, or no data was received on the connection.
     NoResponse,
-    /// The connection ended after data was received.
+    /// The connection ended or fell silent after data was received.
     Disconnected,
 }
 
 /// Schedule of requests to the event bus.
 pub(super) struct RetryPolicy {
-    connect_at: Micros,
+    /// Time of the next request. `None` if no request is scheduled.
+    request_due: Option<Micros>,
     /// Delays after connections without received data.
     no_response: ExponentialBackoff,
     /// Delays after responses without new events.
@@ -51,7 +52,7 @@
         let backoff = |min, max, offset: u64| ExponentialBackoff::new(min, max, seed.wrapping_add(offset));
         let no_new_events_max = NO_NEW_EVENTS_RETRY_MAX.max(limits.bus_retry_max);
         RetryPolicy {
-            connect_at: Micros(0),
+            request_due: Some(Micros(0)),
             no_response: backoff(limits.bus_retry_min, limits.bus_retry_max, 0),
             no_new_events: backoff(limits.bus_retry_min, no_new_events_max, 1),
             suspicion: backoff(SUSPICION_WAIT_MIN, SUSPICION_WAIT_MAX, 2),
@@ -72,23 +73,36 @@
         self.no_new_events.reset();
     }
 
-    /// Schedules the next request after a failure.
+    /// Schedules the next request after a failure, unless a request is scheduled already.
     pub fn schedule(&mut self, now: Micros, failure: RequestFailure) {
+        if self.request_due.is_some() {
+            return;
+        }
         let backoff = match failure {
             RequestFailure::NoResponse => &mut self.no_response,
             RequestFailure::Disconnected => &mut self.no_new_events,
         };
-        self.connect_at = now + backoff.next_delay();
+        self.request_due = Some(now + backoff.next_delay());
     }
 
     /// Schedules the next request for a given time.
-    pub fn connect_at(&mut self, at: Micros) {
-        self.connect_at = at;
+    pub fn request_at(&mut self, at: Micros) {
+        self.request_due = Some(at);
+    }
+
+    /// Returns whether a request is scheduled.
+    pub fn is_request_scheduled(&self) -> bool {
+        self.request_due.is_some()
+    }
+
+    /// Cancels the scheduled request.
+    pub fn cancel_request(&mut self) {
+        self.request_due = None;
     }
 
-    /// Returns whether the next request is due.
-    pub fn is_connect_due(&self, now: Micros) -> bool {
-        now >= self.connect_at
+    /// Returns whether the scheduled request is due, and removes it from the schedule in that case.
+    pub fn take_due_request(&mut self, now: Micros) -> bool {
+        self.request_due.take_if(|due| now >= *due).is_some()
     }
 
     /// Records a suspicion that the open stream has lost events.
--- a/crates/platform/event-loop/src/event_loop/iteration.rs
+++ b/crates/platform/event-loop/src/event_loop/iteration.rs
@@ -155,7 +155,13 @@
     fn handle_upstream(&mut self, token: Token, now: Micros) -> bool {
         if self.event_bus.has(token) {
             let registry = self.poll.registry();
-            return self.event_bus.handle_ready(now, &mut self.read_buffer, registry, &mut self.inputs);
+            return self.event_bus.handle_ready(
+                token,
+                now,
+                &mut self.read_buffer,
+                registry,
+                &mut self.inputs,
+            );
         }
         let (servers, mut context) = self.servers_with_context(now);
         servers.handle_ready(token, &mut context)
--- a/crates/platform/event-loop/src/limits.rs
+++ b/crates/platform/event-loop/src/limits.rs
@@ -47,8 +47,10 @@
     pub reconnect_interval: Micros,
     /// Time after which an unreachable media server counts as lost.
     pub unreachable_timeout: Micros,
-    /// Time without received data after which the connection to the event bus is replaced.
+    /// Time without received data after which the event bus is requested again on a further connection.
     pub bus_silence_timeout: Micros,
+    /// Time without received data after which a connection to the event bus is closed.
+    pub bus_response_timeout: Micros,
     /// Delay of the first retry after a failed request to the event bus. Each further failure doubles the delay.
     pub bus_retry_min: Micros,
     /// Maximum delay of a retry while the event bus does not respond.
@@ -80,10 +82,13 @@
 
 /// Number of file descriptors that are not available for viewers and media servers.
 ///
-/// They cover the standard streams, the poll, the signals, the listener, the event bus, a file and an accepted connection
-/// that waits for capacity, with some in reserve.
+/// They cover the standard streams, the poll, the signals, the listener, [`MAX_BUS_CONNECTIONS`], a file and an accepted
+/// connection that waits for capacity, with some in reserve.
 pub const RESERVED_DESCRIPTORS: usize = 24;
 
+/// Maximum number of connections to the event bus.
+pub const MAX_BUS_CONNECTIONS: usize = 4;
+
 /// Minimum number of file descriptors for connections.
 const MIN_CONNECTIONS: usize = 16;
 
@@ -150,6 +155,7 @@
             reconnect_interval: Micros(700_000),
             unreachable_timeout: Micros(2_000_000),
             bus_silence_timeout: Micros(2_500_000),
+            bus_response_timeout: Micros(10_000_000),
             bus_retry_min: Micros(50_000),
             bus_retry_max: Micros(500_000),
             max_event_bytes: 512 * 1024,
--- a/crates/platform/event-loop/tests/event_bus/harness.rs
+++ b/crates/platform/event-loop/tests/event_bus/harness.rs
@@ -12,6 +12,7 @@
 use beechloft_event_loop::limits::{LimitInputs, SocketLimits};
 use beechloft_event_loop::tokens::TokenAllocator;
 use beechloft_front_node::Input;
+use mio::event::Event;
 use mio::{Events, Poll, Token};
 use socket2::{Domain, Socket, Type};
 
@@ -41,7 +42,7 @@
     pub client: EventBusClient,
     pub now: Micros,
     pub listener: TcpListener,
-    /// End of the most recent connection at the event bus.
+    /// End of the most recent connection at the event bus, or of the one that was answered last.
     pub bus_stream: Option<TcpStream>,
     poll: Poll,
     tokens: TokenAllocator,
@@ -54,6 +55,25 @@
     pub last_was_snapshot: bool,
 }
 
+/// Request that the event bus has received and not answered.
+#[derive(Debug)]
+pub struct UnansweredRequest {
+    pub at: Micros,
+    stream: TcpStream,
+    token: Token,
+}
+
+impl UnansweredRequest {
+    /// Checks that the client has closed the connection.
+    pub fn assert_closed(mut self) {
+        self.stream.set_read_timeout(Some(TIMEOUT)).expect("cannot set socket option");
+        match self.stream.read(&mut [0; 16]) {
+            Ok(count) => assert_eq!(count, 0, "another request on the connection"),
+            Err(error) => assert_eq!(error.kind(), ErrorKind::ConnectionReset, "the connection is open"),
+        }
+    }
+}
+
 /// Returns the limits of the client.
 pub fn limits() -> SocketLimits {
     SocketLimits::derive(&LimitInputs {
@@ -132,6 +152,34 @@
         self.now - start
     }
 
+    /// Advances the clock in steps of a sweep, and accepts the requests of the client without answering them. Returns
+    /// them with the times at which they arrived.
+    pub fn accept_requests(&mut self, span: Micros) -> Vec<UnansweredRequest> {
+        let end = self.now + span;
+        let mut requests = Vec::new();
+        while self.now < end {
+            if self.sweep() {
+                self.accept_request();
+                requests.push(self.take_unanswered_request());
+            }
+            self.now = self.now + SWEEP_INTERVAL;
+        }
+        requests
+    }
+
+    /// Returns the most recent request. The next one replaces it as `bus_stream`.
+    pub fn take_unanswered_request(&mut self) -> UnansweredRequest {
+        let stream = self.bus_stream.take().expect("no connection");
+        UnansweredRequest { at: self.now, stream, token: self.token }
+    }
+
+    /// Sends text from the bus as the answer to an earlier request, whose connection is the most recent one from then on.
+    pub fn answer(&mut self, request: UnansweredRequest, text: &str) {
+        self.bus_stream = Some(request.stream);
+        self.token = request.token;
+        self.send(text);
+    }
+
     /// Advances the clock, and checks that the client starts no connect.
     pub fn assert_no_connect(&mut self, span: Micros) {
         let end = self.now + span;
@@ -152,16 +200,24 @@
         while !holds(self) {
             assert!(Instant::now() < deadline, "timed out waiting for: {description}");
             self.poll.poll(&mut events, Some(Duration::from_millis(100))).expect("poll failed");
-            let is_ready = events.iter().any(|polled| self.client.has(polled.token()));
-            if is_ready {
-                self.read();
-            }
+            self.read_ready(&events);
+        }
+    }
+
+    /// Lets the client read its connections that the poll has reported. Returns whether there were any.
+    fn read_ready(&mut self, events: &Events) -> bool {
+        let ready: Vec<Token> =
+            events.iter().map(Event::token).filter(|token| self.client.has(*token)).collect();
+        for token in &ready {
+            self.read(*token);
         }
+        !ready.is_empty()
     }
 
-    fn read(&mut self) {
+    fn read(&mut self, token: Token) {
         let mut buffer = vec![0; READ_BUFFER_BYTES];
-        while self.client.handle_ready(self.now, &mut buffer, self.poll.registry(), &mut self.inputs) {}
+        let registry = self.poll.registry();
+        while self.client.handle_ready(token, self.now, &mut buffer, registry, &mut self.inputs) {}
         for input in self.inputs.drain(..) {
             let Input::Topology(topology) = input else { panic!("{input:?}") };
             self.last_was_snapshot = topology.snapshot;
@@ -246,8 +302,7 @@
     pub fn read_available(&mut self) {
         let mut events = Events::with_capacity(8);
         self.poll.poll(&mut events, Some(TIMEOUT)).expect("poll failed");
-        assert!(events.iter().any(|polled| self.client.has(polled.token())), "nothing to read");
-        self.read();
+        assert!(self.read_ready(&events), "nothing to read");
     }
 
     /// Sends a text repeatedly from the bus, up to `max_bytes` or until the client disconnects.
@@ -257,7 +312,7 @@
             let written = self.bus_stream.as_mut().expect("no connection").write_all(block.as_bytes());
             let mut events = Events::with_capacity(8);
             self.poll.poll(&mut events, Some(Duration::ZERO)).expect("poll failed");
-            self.read();
+            self.read(self.token);
             if written.is_err() || !self.is_connected() {
                 return;
             }
--- a/crates/platform/event-loop/tests/event_bus/main.rs
+++ b/crates/platform/event-loop/tests/event_bus/main.rs
@@ -5,6 +5,7 @@
 mod malformed;
 mod moves;
 mod sequence;
+mod slow_responses;
 #[path = "../support/mod.rs"]
 mod support;
 mod suspicion;
--- a/crates/platform/event-loop/tests/event_bus/moves.rs
+++ b/crates/platform/event-loop/tests/event_bus/moves.rs
@@ -7,7 +7,7 @@
 use crate::texts::event;
 
 /// Changes the address to another bus, and checks that the client requests it immediately. Returns the `Last-Event-ID`.
-fn change_to_another_bus(harness: &mut Harness) -> String {
+pub fn change_to_another_bus(harness: &mut Harness) -> String {
     let (listener, addr) = listen();
     harness.listener = listener;
     harness.change_address(addr);
--- a/crates/platform/event-loop/tests/sockets.rs
+++ b/crates/platform/event-loop/tests/sockets.rs
@@ -16,6 +16,14 @@
 };
 use support::wait_until;
 
+const HALF_A_SECOND: Duration = Duration::from_millis(500);
+
+/// Time after SIGHUP at which what the event bus has to tell counts as told.
+const TOLD_AFTER_RELOAD: Duration = Duration::from_secs(4);
+
+/// Time after which a media server gets no set-up any more once its drain counts as told.
+const DRAIN_GRACE: Duration = Duration::from_millis(1_050);
+
 #[test]
 fn sets_up_and_ends_session() {
     let front = RunningFrontNode::start(&[ServerBehavior::Accept]);
@@ -357,6 +365,35 @@
     front.stop();
 }
 
+/// A front node never received events of a bus whose responses begin after the silence timeout, and sent set-ups to
+/// media servers that were draining.
+#[test]
+fn drain_on_slow_event_bus_is_handled_after_reload() {
+    let front = RunningFrontNode::start(&[ServerBehavior::Accept, ServerBehavior::Accept]);
+    let slow =
+        FakeEventBus::start_slow(Duration::from_micros(front.limits.bus_silence_timeout.0) + HALF_A_SECOND);
+    slow.add_event(2, false, &[front.servers[0].endpoint(0, "Terminating")]);
+    let mut viewer = ViewerClient::connect(front.addr);
+    let mut id = 0;
+    wait_until("a session at the draining server", || {
+        id += 1;
+        viewer.request_session(id, 3_000);
+        assert_eq!(viewer.receive_message().kind, 9);
+        !front.servers[0].received("offer").is_empty()
+    });
+    write_configuration(&front.config_path, slow.addr, &settings(256), &[]);
+    front.signals.reload();
+    std::thread::sleep(TOLD_AFTER_RELOAD + DRAIN_GRACE);
+    let offers_before = front.servers[0].received("offer").len();
+    for _ in 0..40 {
+        id += 1;
+        viewer.request_session(id, 3_000);
+        assert_eq!(viewer.receive_message().kind, 9);
+    }
+    assert_eq!(front.servers[0].received("offer").len(), offers_before, "set-ups at a draining server");
+    front.stop();
+}
+
 #[test]
 fn sigterm_answers_pending_and_late_requests() {
     let front = RunningFrontNode::start(&[ServerBehavior::Silent, ServerBehavior::Silent]);
--- a/crates/platform/event-loop/tests/support/threaded/event_bus.rs
+++ b/crates/platform/event-loop/tests/support/threaded/event_bus.rs
@@ -1,4 +1,4 @@
-//! Fake event bus that sends a comment twice a second.
+//! Fake event bus that sends a comment twice a second, and may begin its responses late.
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -15,10 +15,17 @@
 /// Number of comments, which last for two minutes and thus longer than any test.
 const MAX_COMMENTS: usize = 240;
 
+/// Encoded event.
+struct SentEvent {
+    offset: u64,
+    text: String,
+}
+
 #[derive(Default)]
 struct Shared {
     requested_ids: Mutex<Vec<String>>,
     connections: Mutex<Vec<TcpStream>>,
+    events: Mutex<Vec<SentEvent>>,
 }
 
 /// Fake event bus.
@@ -29,16 +36,21 @@
 
 impl FakeEventBus {
     pub fn start() -> FakeEventBus {
+        FakeEventBus::start_slow(Duration::ZERO)
+    }
+
+    /// Starts an event bus that begins each response this time after the request.
+    pub fn start_slow(response_time: Duration) -> FakeEventBus {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind failed");
         let addr = listener.local_addr().expect("no address");
         let shared = Arc::new(Shared::default());
         let (listener_shared, comments_shared) = (Arc::clone(&shared), Arc::clone(&shared));
-        thread::spawn(move || accept_requests(&listener, &listener_shared));
+        thread::spawn(move || accept_requests(&listener, response_time, &listener_shared));
         thread::spawn(move || send_comments(&comments_shared));
         FakeEventBus { addr, shared }
     }
 
-    /// Returns the `Last-Event-ID` of each request so far.
+    /// Returns the `Last-Event-ID` of each request that was answered so far.
     pub fn requested_ids(&self) -> Vec<String> {
         self.shared.requested_ids.lock().expect("lock poisoned").clone()
     }
@@ -55,6 +67,12 @@
         self.send_bytes(topology_event(offset, snapshot, endpoints).as_bytes());
     }
 
+    /// Adds an event that is a part of all further responses to requests after an earlier one.
+    pub fn add_event(&self, offset: u64, snapshot: bool, endpoints: &[Value]) {
+        let text = topology_event(offset, snapshot, endpoints);
+        self.shared.events.lock().expect("lock poisoned").push(SentEvent { offset, text });
+    }
+
     /// Closes all connections.
     pub fn disconnect(&self) {
         for stream in self.shared.connections.lock().expect("lock poisoned").drain(..) {
@@ -63,14 +81,30 @@
     }
 }
 
-fn accept_requests(listener: &TcpListener, shared: &Shared) {
+fn accept_requests(listener: &TcpListener, response_time: Duration, shared: &Arc<Shared>) {
     for stream in listener.incoming() {
-        let Ok(mut stream) = stream else { return };
+        let Ok(stream) = stream else { return };
         let last_event_id = read_request(&stream);
-        let _ = stream.write_all(EVENT_STREAM_HEAD.as_bytes());
-        shared.requested_ids.lock().expect("lock poisoned").push(last_event_id);
-        shared.connections.lock().expect("lock poisoned").push(stream);
+        let shared = Arc::clone(shared);
+        if response_time.is_zero() {
+            respond(stream, last_event_id, &shared);
+        } else {
+            thread::spawn(move || {
+                thread::sleep(response_time);
+                respond(stream, last_event_id, &shared);
+            });
+        }
+    }
+}
+
+fn respond(mut stream: TcpStream, last_event_id: String, shared: &Shared) {
+    let _ = stream.write_all(EVENT_STREAM_HEAD.as_bytes());
+    let last_offset = last_event_id.parse().unwrap_or(0);
+    for event in shared.events.lock().expect("lock poisoned").iter().filter(|e| e.offset > last_offset) {
+        let _ = stream.write_all(event.text.as_bytes());
     }
+    shared.requested_ids.lock().expect("lock poisoned").push(last_event_id);
+    shared.connections.lock().expect("lock poisoned").push(stream);
 }
 
 /// Reads the head of a request and returns its `Last-Event-ID`.
--- a/crates/platform/event-loop/tests/support/threaded/mod.rs
+++ b/crates/platform/event-loop/tests/support/threaded/mod.rs
@@ -9,6 +9,7 @@
 use std::path::PathBuf;
 use std::thread::{self, JoinHandle};
 
+use beechloft_event_loop::limits::SocketLimits;
 use beechloft_event_loop::{EventLoop, SignalHandle};
 use beechloft_protocol::config::Environment;
 use serde_json::Value;
@@ -45,6 +46,7 @@
     pub servers: Vec<FakeMediaServer>,
     pub signals: SignalHandle,
     pub config_path: PathBuf,
+    pub limits: SocketLimits,
     thread: JoinHandle<io::Result<()>>,
     _dir: tempfile::TempDir,
 }
@@ -75,9 +77,10 @@
             EventLoop::start(&config_path, &Environment::default()).expect("front node did not start");
         let addr = event_loop.local_addr().expect("no address");
         let signals = event_loop.signal_handle().expect("no signal handle");
+        let limits = event_loop.limits();
         let thread = thread::spawn(move || event_loop.run());
         wait_until("a request to the event bus", || !event_bus.requested_ids().is_empty());
-        RunningFrontNode { addr, event_bus, servers, signals, config_path, thread, _dir: dir }
+        RunningFrontNode { addr, event_bus, servers, signals, config_path, limits, thread, _dir: dir }
     }
 
     /// Returns the number of set-ups that all media servers have received.
