Event bus: read a suspected stream until the repeated request is answered

A media server that is listed as ready and refuses connections makes the client request the events again. It closed the stream first, so that an event bus with slow responses was not heard until it had answered; a drain told meanwhile came late.

Change: the request is sent beside the stream, whose events are handled until the response has begun. The newest request alone decides when the next one is due, as the stream may go on with comments while requests are lost. Of too many connections the one with the longest silence is closed, so that a working stream is never the one.

--- a/crates/platform/event-loop/src/event_bus/mod.rs
+++ b/crates/platform/event-loop/src/event_bus/mod.rs
@@ -38,7 +38,7 @@
 pub struct EventBusClient {
     addr: SocketAddr,
     sequence: EventSequence,
-    /// Open connections, the oldest first. There are several only while the event bus is slow or silent.
+    /// Open connections, the oldest first. There are several only while a request waits for its response.
     connections: Vec<Connection>,
     retry: RetryPolicy,
     limits: SocketLimits,
@@ -142,7 +142,7 @@
                 last = self.sequence.last(),
                 "endpoint list contradicts the state of media servers; requesting it again"
             );
-            self.close_all(registry);
+            // The suspected stream is read until the request is answered, as the answer may be slow.
             self.retry.request_at(now);
         }
         if self.retry.take_due_request(now) {
@@ -174,27 +174,23 @@
         }
     }
 
-    /// Schedules another request if no connection has received data for the silence timeout.
+    /// Schedules another request if the newest one has received no data for the silence timeout.
     fn request_again_if_silent(&mut self, now: Micros) {
-        let is_silent =
-            |connection: &Connection| connection.silent_for(now) > self.limits.bus_silence_timeout;
-        if self.retry.is_request_scheduled() || !self.connections.iter().all(is_silent) {
+        let Some(newest) = self.connections.last() else { return self.schedule_request(now) };
+        if self.retry.is_request_scheduled() || newest.silent_for(now) <= self.limits.bus_silence_timeout {
             return;
         }
-        if let Some(newest) = self.connections.last() {
-            let (phase, connections) = (newest.phase(), self.connections.len());
-            let last = self.sequence.last();
-            warn!(
-                ?phase,
-                connections, last, "no data from the event bus; requesting again on another connection"
-            );
-        }
+        let (phase, connections, last) = (newest.phase(), self.connections.len(), self.sequence.last());
+        warn!(
+            ?phase,
+            connections, last, "no data from the event bus; requesting again on another connection"
+        );
         self.schedule_request(now);
     }
 
     fn connect(&mut self, now: Micros, registry: &Registry, tokens: &mut TokenAllocator) {
         if self.connections.len() >= MAX_BUS_CONNECTIONS {
-            self.connections.remove(0).deregister(registry);
+            self.close_longest_silent(now, registry);
         }
         match Connection::open(self.addr, now, self.limits.max_event_bytes, registry, tokens) {
             Ok(connection) => self.connections.push(connection),
@@ -205,6 +201,13 @@
         }
     }
 
+    fn close_longest_silent(&mut self, now: Micros, registry: &Registry) {
+        let longest_silent = self.connections.iter().max_by_key(|connection| connection.silent_for(now));
+        if let Some(token) = longest_silent.map(|connection| connection.token) {
+            self.retain(registry, |connection| connection.token != token);
+        }
+    }
+
     /// Handles the ready socket of a connection. Returns whether it may hold more data.
     pub fn handle_ready(
         &mut self,
--- a/crates/platform/event-loop/src/limits.rs
+++ b/crates/platform/event-loop/src/limits.rs
@@ -86,8 +86,8 @@
 /// connection that waits for capacity, with some in reserve.
 pub const RESERVED_DESCRIPTORS: usize = 24;
 
-/// Maximum number of connections to the event bus.
-pub const MAX_BUS_CONNECTIONS: usize = 4;
+/// Maximum number of connections to the event bus: a stream, and the requests that may wait for a response meanwhile.
+pub const MAX_BUS_CONNECTIONS: usize = 5;
 
 /// Minimum number of file descriptors for connections.
 const MIN_CONNECTIONS: usize = 16;
