List client: await a slow response while the list is requested again

Seen in a test: a front of `beechloft serve` whose list service begins its responses 3 s after the request never receives a list or a change.

Change: StreamRequests (crates/base/http) keeps up to four requests open for 10 s, and returns the first successful response. The list is requested again as often as before. The pauses between requests wait for responses too.

Tests: changes_from_slow_list_service_are_applied fails before. lost_request_to_list_service_is_repeated holds before and after: a longer wait alone would break it.

--- a/crates/base/http/src/client.rs
+++ b/crates/base/http/src/client.rs
@@ -206,15 +206,40 @@
     /// Returns an error if the connection broke, the head is invalid, or it is not complete before the deadline.
     pub fn into_stream(mut self, deadline: Instant) -> Result<(Response, Stream), CallError> {
         loop {
-            if let Some(head) = response_head(&mut self.conn.buf, &self.method, &self.limits)? {
-                let decoder = Decoder::unlimited(head.framing);
-                return Ok((head.message, Stream { conn: self.conn, decoder }));
+            if let Some(head) = self.parse_stream_head()? {
+                return Ok((head.response, Stream { conn: self.conn, decoder: head.decoder }));
             }
             if !self.conn.fill(deadline)? {
                 return Err(CallError::TimedOut);
             }
         }
     }
+
+    /// Reads the bytes that are available. Returns the head of the response once it is complete.
+    ///
+    /// # Errors
+    /// Returns an error if the connection broke or the head is invalid.
+    pub(crate) fn poll_stream_head(&mut self) -> Result<Option<StreamHead>, CallError> {
+        self.conn.fill(Instant::now())?;
+        self.parse_stream_head()
+    }
+
+    fn parse_stream_head(&mut self) -> Result<Option<StreamHead>, CallError> {
+        let head = response_head(&mut self.conn.buf, &self.method, &self.limits)?;
+        Ok(head.map(|head| StreamHead { response: head.message, decoder: Decoder::unlimited(head.framing) }))
+    }
+
+    /// Returns the body that follows a head as a stream.
+    pub(crate) fn into_body_stream(self, head: StreamHead) -> Stream {
+        Stream { conn: self.conn, decoder: head.decoder }
+    }
+}
+
+/// The head of a response whose body is read as a stream.
+#[derive(Debug)]
+pub(crate) struct StreamHead {
+    pub response: Response,
+    decoder: Decoder,
 }
 
 /// The body of a response of unlimited length, such as an event stream.
--- a/crates/front/server/src/endpoint_list.rs
+++ b/crates/front/server/src/endpoint_list.rs
@@ -10,8 +10,9 @@
 use beechloft_config::front::ListSource;
 use beechloft_discovery::mirror::Mirror;
 use beechloft_discovery::{CHANGE, MAX_MESSAGE_BYTES, Message, MessageKind, SNAPSHOT, cache};
-use beechloft_http::client::{CallError, Conn, Stream};
+use beechloft_http::client::{CallError, Stream};
 use beechloft_http::sse::{Event, Parser};
+use beechloft_http::stream_requests::StreamRequests;
 use beechloft_http::{Method, Request, header};
 use beechloft_session::catalog::EndpointUpdate;
 use beechloft_session::io::Input;
@@ -27,8 +28,12 @@
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 /// The longest pause between two connection attempts.
 const MAX_BACKOFF: Duration = Duration::from_secs(5);
-/// Time within which the connection must be established and the response received.
+/// Time within which the connection must be established and the request written.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time without a response after which the list is requested again. The earlier request stays open.
+const REPEAT_AFTER: Duration = Duration::from_secs(2);
+/// Time without a response after which a request is given up.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Interval at which a blocked read checks whether the front has ended.
 const READ_POLL: Duration = Duration::from_millis(500);
 /// Time without data after which the stream counts as broken. The service sends a comment every second.
@@ -50,13 +55,14 @@
             shared.handle.input(Input::Endpoints(snapshot));
             Ok(())
         }
-        ListSource::Pushed { cache, .. } => {
+        ListSource::Pushed { address, cache, .. } => {
             let mut mirror = Mirror::default();
             if let Some(path) = cache {
                 load_cached_list(shared, path, &mut mirror);
             }
             let subscriber = Subscriber {
                 shared: shared.clone(),
+                requests: StreamRequests::new(*address, RESPONSE_TIMEOUT),
                 rng: ChaCha20Rng::seed_from_u64(seed ^ SEED_SALT),
                 mirror,
                 cache_path: cache.clone(),
@@ -88,6 +94,7 @@
 /// Follows the updates of the list service.
 struct Subscriber {
     shared: Shared,
+    requests: StreamRequests,
     rng: ChaCha20Rng,
     mirror: Mirror,
     cache_path: Option<PathBuf>,
@@ -98,8 +105,9 @@
     fn run(mut self) {
         let mut backoff = INITIAL_BACKOFF;
         let mut was_up = true;
+        let mut pause = Duration::ZERO;
         while !self.shared.handle.ended() {
-            let error = match self.connect() {
+            let error = match self.connect(pause) {
                 Ok(mut stream) => {
                     info!(target: "list", "connected to the list service");
                     backoff = INITIAL_BACKOFF;
@@ -115,7 +123,7 @@
                 warn!(target: "list", %error, "connection to the list service lost; the known endpoint list is kept");
                 self.shared.handle.input(Input::Endpoints(EndpointUpdate::Failed));
             }
-            thread::sleep(self.jittered(backoff));
+            pause = self.jittered(backoff);
             backoff = (backoff * 2).min(MAX_BACKOFF);
         }
     }
@@ -127,18 +135,18 @@
         half + half.mul_f64(fraction)
     }
 
-    fn connect(&self) -> Result<Stream, CallError> {
-        let ListSource::Pushed { address, path, .. } = &self.shared.settings.list else {
+    /// Requests the list after a pause, and waits for the first response to this request or an earlier one.
+    fn connect(&mut self, pause: Duration) -> Result<Stream, CallError> {
+        if let Some(stream) = self.requests.pause(Instant::now() + pause) {
+            return Ok(stream);
+        }
+        let ListSource::Pushed { path, .. } = &self.shared.settings.list else {
             return Err(CallError::Refused);
         };
         let request = Request::new(Method::GET, path.clone()).with(header::ACCEPT, EVENTS);
         let request = request.with(header::VIA, media_server::via(self.shared.settings.settings.slot));
-        let until = Instant::now() + CONNECT_TIMEOUT;
-        let (response, stream) = Conn::open(*address, until)?.send(&request, until)?.into_stream(until)?;
-        if response.status.is_success() {
-            return Ok(stream);
-        }
-        Err(CallError::Broken(io::Error::other(format!("unexpected status {}", response.status))))
+        self.requests.send(&request, Instant::now() + CONNECT_TIMEOUT)?;
+        self.requests.wait(Instant::now() + REPEAT_AFTER)?.ok_or(CallError::TimedOut)
     }
 
     /// Reads the stream until it breaks or times out, and returns the reason.
--- a/crates/front/server/tests/faults.rs
+++ b/crates/front/server/tests/faults.rs
@@ -255,6 +255,45 @@
     harness.finish();
 }
 
+/// Adds a media server to the list.
+fn add_media_server(harness: &Harness) {
+    let address = harness.fleet.listed()[0].address.clone();
+    let entry = serde_json::json!({"id": 2, "name": "box-2.a", "address": address, "state": "ready", "zone": "a",
+        "kind": "small"});
+    harness
+        .fleet
+        .list
+        .publish(beechloft_discovery::Message { media_servers: vec![entry], ..Default::default() });
+}
+
+/// The front closed each request to the list service after 2 s, and never received a list from a slower one.
+#[test]
+fn changes_from_slow_list_service_are_applied() {
+    let harness = Harness::new(1);
+    harness.fleet.list.respond_after(Duration::from_secs(3));
+    harness.fleet.list.flap();
+    std::thread::sleep(Duration::from_millis(100));
+    add_media_server(&harness);
+    until("the change is known", || harness.front().status().media_servers == 2);
+    harness.finish();
+}
+
+/// A longer wait for slow responses must not delay the repetition of a request that is lost.
+#[test]
+fn lost_request_to_list_service_is_repeated() {
+    let harness = Harness::new(1);
+    harness.fleet.list.respond_after(Duration::from_secs(60));
+    let served = harness.fleet.list.served();
+    harness.fleet.list.flap();
+    until("the list is requested again", || harness.fleet.list.served() > served);
+    harness.fleet.list.respond_after(Duration::ZERO);
+    let began = std::time::Instant::now();
+    add_media_server(&harness);
+    until("the change is known", || harness.front().status().media_servers == 2);
+    assert!(began.elapsed() < Duration::from_secs(4), "{:?}", began.elapsed());
+    harness.finish();
+}
+
 #[test]
 fn invalid_list_entries_do_not_affect_valid_ones() {
     let mut harness = Harness::new(2);
--- a/crates/testing/fakes/src/list.rs
+++ b/crates/testing/fakes/src/list.rs
@@ -24,6 +24,8 @@
     /// What was published and when, in order.
     log: Vec<(Instant, Message)>,
     lag: Duration,
+    /// Time from a request to the begin of its response.
+    response_time: Duration,
     /// Streams of an earlier age are broken.
     age: u64,
 }
@@ -87,6 +89,11 @@
         self.inner.lock().lag = lag;
     }
 
+    /// From now on each response begins so long after its request.
+    pub fn respond_after(&self, response_time: Duration) {
+        self.inner.lock().response_time = response_time;
+    }
+
     /// Breaks all streams; they may be opened again at once.
     pub fn flap(&self) {
         self.inner.lock().age += 1;
@@ -205,6 +212,8 @@
         }
         let inner = self.0.clone();
         inner.served.fetch_add(1, Ordering::SeqCst);
+        let response_time = inner.lock().response_time;
+        thread::sleep(response_time);
         let front = media_server::front_slot(request.field(header::VIA)).unwrap_or(u32::MAX);
         let head = Response::new(StatusCode::OK).with(header::CONTENT_TYPE, EVENTS);
         Reply::Stream(head, Box::new(move |socket| inner.stream(front, socket)))
