Media server events: await a slow response while it is requested again

Seen in a test: `beechloft serve` ended a session 10.0 s after the event stream of its media server had broken and responses to requests for events began 3 s late, while the player received media all the time.

Cause: each request for events was given up after 2 s and begun anew, so that no stream was established. A media server without a stream for 10 s counts as lost.

Change: the requests are sent through StreamRequests, which keeps the earlier ones open. They are repeated as often as before, and the break is reported as before, so that a media server that never answers is still lost after 10 s.

Tests: slow_events_of_media_server_end_no_session fails before (ended after 10.014 s); media_server_without_events_is_lost holds before and after.

--- a/crates/front/server/src/event_streams.rs
+++ b/crates/front/server/src/event_streams.rs
@@ -7,8 +7,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use beechloft_http::client::{CallError, Conn, Stream};
+use beechloft_http::client::{CallError, Stream};
 use beechloft_http::sse::Parser;
+use beechloft_http::stream_requests::StreamRequests;
 use beechloft_http::{Method, Request, header};
 use beechloft_session::api::ServerId;
 use beechloft_session::io::{Input, MediaServerEvent};
@@ -27,9 +28,11 @@
 const READ_POLL: Duration = Duration::from_millis(250);
 /// Stack size of a stream's thread.
 const THREAD_STACK_BYTES: usize = 128 * 1024;
-/// Time within which the request for events must be answered. It is longer than the connection timeout, as the sessions of
-/// a busy media server continue to play.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time without a response after which the events are requested again. The earlier request stays open. The time is longer than
+/// the connection timeout, as the sessions of a busy media server continue to play.
+const REPEAT_AFTER: Duration = Duration::from_secs(2);
+/// Time without a response after which a request for events is given up.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Number of missed heartbeats after which a stream counts as broken.
 const MAX_MISSED_HEARTBEATS: u64 = 3;
 /// Maximum rate of events. A stream that exceeds it counts as broken, as its events would delay those of other streams.
@@ -106,10 +109,12 @@
 
     fn run(&self) {
         let mut backoff = INITIAL_BACKOFF;
+        let mut requests = StreamRequests::new(self.address, RESPONSE_TIMEOUT);
+        let mut pause = Duration::ZERO;
         // A refused connection is reported only once, as repeating the event would load the engine for nothing.
         let mut refusal_reported = false;
         while !self.is_closed() {
-            let error = match self.connect() {
+            let error = match self.connect(&mut requests, pause) {
                 Ok(mut stream) => {
                     backoff = INITIAL_BACKOFF;
                     refusal_reported = false;
@@ -129,27 +134,25 @@
                     self.report(MediaServerEvent::Disconnected);
                 }
             }
-            self.sleep(backoff);
+            pause = backoff;
             backoff = (backoff * 2).min(MAX_BACKOFF);
         }
     }
 
-    fn sleep(&self, pause: Duration) {
+    /// Requests the events after a pause, and waits for the first response to this request or an earlier one.
+    fn connect(&self, requests: &mut StreamRequests, pause: Duration) -> Result<Stream, CallError> {
         let until = Instant::now() + pause;
-        while Instant::now() < until && !self.is_closed() {
-            thread::sleep(pause.min(CLOSE_POLL));
+        while Instant::now() < until {
+            if let Some(stream) = requests.pause(until.min(Instant::now() + CLOSE_POLL)) {
+                return Ok(stream);
+            }
+            if self.is_closed() {
+                return Err(CallError::TimedOut);
+            }
         }
-    }
-
-    fn connect(&self) -> Result<Stream, CallError> {
         let request = Request::new(Method::GET, server_events::PATH).with(header::ACCEPT, EVENTS);
-        let until = Instant::now() + self.connect_timeout;
-        let exchange = Conn::open(self.address, until)?.send(&request, until)?;
-        let (response, stream) = exchange.into_stream(Instant::now() + RESPONSE_TIMEOUT)?;
-        if response.status.is_success() {
-            return Ok(stream);
-        }
-        Err(CallError::Broken(std::io::Error::other(format!("unexpected status {}", response.status))))
+        requests.send(&request, Instant::now() + self.connect_timeout)?;
+        requests.wait(Instant::now() + REPEAT_AFTER)?.ok_or(CallError::TimedOut)
     }
 
     /// Reads the stream until it breaks, times out or is closed, and returns the reason.
--- a/crates/front/server/tests/faults.rs
+++ b/crates/front/server/tests/faults.rs
@@ -29,6 +29,9 @@
     harness.finish();
 }
 
+/// Time for which a media server must be unreachable until its sessions are declared lost.
+const LOST_AFTER: Duration = Duration::from_secs(10);
+
 #[test]
 fn retries_elsewhere_if_media_server_never_answers() {
     assert_plays_at_healthy_media_server(Fault::NeverAnswer);
@@ -294,6 +297,40 @@
     harness.finish();
 }
 
+/// Starts a session whose player renews its consent for a while, and delays the events of its media server. Returns the time
+/// until the front has ended the session, or `None`.
+fn time_until_session_ends(response_time: Duration, watched: Duration) -> Option<Duration> {
+    let mut harness = Harness::new(1);
+    let playing = harness.play("one");
+    until("the session plays", || harness.front().status().playing == 1);
+    harness.fleet.get(1).expect("media server 1").delay_events(response_time);
+    let began = std::time::Instant::now();
+    let player = std::thread::spawn(move || watch(&playing, watched));
+    while harness.front().status().playing == 1 && began.elapsed() < watched {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let ended = (harness.front().status().playing == 0).then(|| began.elapsed());
+    player.join().expect("the player");
+    harness.wait_for_sessions(0);
+    harness.finish();
+    ended
+}
+
+/// The front closed each request for the events of a media server after 2 s, and declared the sessions of a slower one lost.
+#[test]
+fn slow_events_of_media_server_end_no_session() {
+    let watched = LOST_AFTER + Duration::from_secs(4);
+    assert_eq!(time_until_session_ends(Duration::from_secs(3), watched), None);
+}
+
+/// A longer wait for slow events must not hide that a media server is lost.
+#[test]
+fn media_server_without_events_is_lost() {
+    let watched = LOST_AFTER + Duration::from_secs(4);
+    let ended = time_until_session_ends(Duration::from_secs(60), watched).expect("the session plays on");
+    assert!(ended < LOST_AFTER + Duration::from_secs(1), "{ended:?}");
+}
+
 #[test]
 fn invalid_list_entries_do_not_affect_valid_ones() {
     let mut harness = Harness::new(2);
--- a/crates/testing/fakes/src/boxes/mod.rs
+++ b/crates/testing/fakes/src/boxes/mod.rs
@@ -60,6 +60,8 @@
     boot: u64,
     reported: LoadReport,
     streams: Vec<Sender<MediaServerEvent>>,
+    /// Time from a request for events to the begin of its response.
+    events_response_time: Duration,
     /// Toppled, or told to stay down.
     down: bool,
 }
@@ -99,6 +101,7 @@
             boot: 0,
             reported: LoadReport::default(),
             streams: Vec::new(),
+            events_response_time: Duration::ZERO,
             down: true,
         };
         let address = listener.local_addr()?;
@@ -139,6 +142,13 @@
         self.0.drop_calls();
     }
 
+    /// Breaks the event streams. From now on each response to a request for events begins so long after the request.
+    pub fn delay_events(&self, response_time: Duration) {
+        let mut state = self.0.lock();
+        state.events_response_time = response_time;
+        state.streams.clear();
+    }
+
     /// Where it listens; the same over restarts.
     pub fn address(&self) -> SocketAddr {
         self.0.address
--- a/crates/testing/fakes/src/boxes/serve.rs
+++ b/crates/testing/fakes/src/boxes/serve.rs
@@ -205,6 +205,8 @@
     }
 
     fn events(self: &Arc<Self>) -> Reply {
+        let response_time = self.lock().events_response_time;
+        thread::sleep(response_time);
         let (sender, receiver): (Sender<MediaServerEvent>, Receiver<MediaServerEvent>) = bounded(65_536);
         let boot = {
             let mut state = self.lock();
