Front tests: a draining state is known when an idle media server gets no session

Two tests of the list took a 503 for the draining state. A title whose media server is full gives the same answer: a test of a slow list service passed with this check although no change had arrived. The check now waits until no session is left and asks once more.

--- a/crates/front/server/tests/faults.rs
+++ b/crates/front/server/tests/faults.rs
@@ -29,6 +29,13 @@
     harness.finish();
 }
 
+/// Waits until no session of the title `one` is set up any more, and checks that this is not for lack of capacity.
+fn wait_until_draining_is_known(harness: &mut Harness) {
+    until("sessions are rejected", || harness.status("one") == 503);
+    harness.wait_for_sessions(0);
+    assert_eq!(harness.status("one"), 503, "the draining state is not known");
+}
+
 /// Time for which a media server must be unreachable until its sessions are declared lost.
 const LOST_AFTER: Duration = Duration::from_secs(10);
 
@@ -232,7 +239,7 @@
     std::thread::sleep(Duration::from_millis(100));
     harness.fleet.list_as(1, "draining");
     assert!(early.join().expect("a player").playing.is_some());
-    until("the draining state is known", || harness.status("one") == 503);
+    wait_until_draining_is_known(&mut harness);
     harness.fleet.list_as(1, "ready");
     harness.fleet.mend(1);
     until("the media server accepts sessions", || harness.status("one") == 201);
@@ -248,7 +255,7 @@
     harness.play("all");
     harness.fleet.list_as(1, "draining");
     harness.fleet.list.reach(true);
-    until("the draining state is known", || harness.status("one") == 503);
+    wait_until_draining_is_known(&mut harness);
     for _ in 0..5 {
         harness.fleet.list.flap();
         std::thread::sleep(Duration::from_millis(30));
