--- a/crates/front/server/tests/support/mod.rs
+++ b/crates/front/server/tests/support/mod.rs
@@ -148,6 +148,13 @@
     }
 }
 
+/// Waits until no session of the title `one` is set up any more, and checks that this is not for lack of capacity.
+pub fn wait_until_draining_is_known(harness: &mut Harness) {
+    until("sessions are rejected", || harness.status("one") == 503);
+    harness.wait_for_sessions(0);
+    assert_eq!(harness.status("one"), 503, "the draining state is not known");
+}
+
 /// Waits until a condition holds. Panics if it does not hold within 20 seconds.
 pub fn until(condition: &str, mut holds: impl FnMut() -> bool) {
     let deadline = Instant::now() + Duration::from_secs(20);
