--- a/crates/base/http/src/stream_requests.rs
+++ b/crates/base/http/src/client/stream_requests.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::client::{CallError, Conn, Exchange, Stream};
+use super::{CallError, Conn, Exchange, Stream};
 use crate::message::Request;
 use crate::wait;
 
--- a/crates/base/http/src/lib.rs
+++ b/crates/base/http/src/lib.rs
@@ -10,7 +10,6 @@
 pub mod message;
 pub mod server;
 pub mod sse;
-pub mod stream_requests;
 pub mod wait;
 
 pub use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
--- a/crates/base/http/tests/stream_requests.rs
+++ b/crates/base/http/tests/stream_requests.rs
@@ -4,8 +4,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-use beechloft_http::client::CallError;
-use beechloft_http::stream_requests::StreamRequests;
+use beechloft_http::client::{CallError, StreamRequests};
 use beechloft_http::{Method, Request};
 
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(800);
--- a/crates/front/server/src/event_streams.rs
+++ b/crates/front/server/src/event_streams.rs
@@ -7,9 +7,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use beechloft_http::client::{CallError, Stream};
+use beechloft_http::client::{CallError, Stream, StreamRequests};
 use beechloft_http::sse::Parser;
-use beechloft_http::stream_requests::StreamRequests;
 use beechloft_http::{Method, Request, header};
 use beechloft_session::api::ServerId;
 use beechloft_session::io::{Input, MediaServerEvent};
