Front tests: the disconnect is hidden only once the front has read the offer

Traced beside 12 busy processes (1 of 135 runs): the offer reached the media server 122 ms after the start, when the client had already written the further byte and closed. The front then reads the byte with the offer, sees the close, and cancels the attempt before the answer (`Dropped` at 407 ms), which is right: no session stands, and none is freed.

The test took 50 ms for the time that the front needs to read the offer. It now waits until the offer has arrived at the media server.

--- a/crates/front/server/tests/faults.rs
+++ b/crates/front/server/tests/faults.rs
@@ -155,8 +155,10 @@
     let bytes = Request::new(Method::POST, "/whep/one").body("application/sdp", text).encode("front");
     let mut socket = std::net::TcpStream::connect(harness.address).expect("a connection");
     socket.write_all(&bytes).expect("sent");
-    std::thread::sleep(Duration::from_millis(50));
-    // Further data after the offer hides the disconnect from the front until it writes the answer.
+    let offered = || harness.recorder.trace().iter().any(|s| matches!(s.what, What::Offered { .. }));
+    until("the offer has arrived at the media server", offered);
+    // Further data after the offer hides the disconnect from the front until it writes the answer. Data that arrives before the
+    // front has read the offer is read with it, and hides nothing.
     socket.write_all(b"G").expect("sent");
     std::thread::sleep(Duration::from_millis(50));
     drop(socket);
