--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -111,7 +111,7 @@
         self.over = {}      # id -> (time, how): what stood here and is over
         self.to_tell = []   # releases that go out on the next connection that opens as well
         self.setups = []    # (time, id)
-        self.fillers = []
+        self.fillers, self.is_cut_off, self.held = [], False, []
         self.loses_answer = lambda: False   # whether the connection is reset in place of an answer, though the work runs
         self.loop = asyncio.get_running_loop()
         self.loop.add_reader(self.listener, self.accept)
@@ -176,6 +176,21 @@
         self.record(self.name, "connections-come-up-again")
         self.accept()
 
+    async def cut_off(self, seconds):
+        """A cut-off machine: open connections stay open and silent, new ones do not come up. Its sessions play on."""
+        self.record(self.name, "cut-off", seconds=seconds)
+        self.is_cut_off = True
+        for link in self.links:
+            self.loop.remove_reader(link.sock)
+        await self.hold_back_connections(seconds)
+        self.is_cut_off = False
+        self.record(self.name, "there-again")
+        for link in list(self.links):
+            self.loop.add_reader(link.sock, self.readable, link)
+        held, self.held = self.held, []
+        for link, line in held:
+            self.send_about(link, line)
+
     def drop(self, link, why, reset=False):
         if not link.open:
             return
@@ -210,6 +225,9 @@
             self.message(link, json.loads(line))
 
     def send(self, link, line):
+        if self.is_cut_off:
+            self.held.append((link, line))   # it is under way until the network is whole again
+            return True
         link.last_used = time.monotonic()
         try:
             link.sock.send(json.dumps(line).encode() + b"\n")
