--- a/review/6/case.py
+++ b/review/6/case.py
@@ -18,10 +18,10 @@
     chance = random.Random(6)
     bus = Bus(record)
     await bus.start()
-    servers = [MediaServer(record, "s-%08x" % (0xC41F00 + n), n % 12, life=chance.uniform(21, 45), wire_every=2.5)
+    servers = [MediaServer(record, "s-%08x" % (0xC41F00 + n), n % 12, session_duration=chance.uniform(21, 45), report_interval=2.5)
                for n in range(SERVERS)]
     by_name = {s.name: s for s in servers}
-    bus.tell([s.entry() for s in servers], snapshot=True)
+    bus.publish([s.entry() for s in servers], snapshot=True)
     viewers = Viewers(record, "stall-video")
     fronts = [Front(record, folder, f"n{n + 1}", bus, settings(n, 2)) for n in range(2)]
     front = fronts[0]
@@ -35,13 +35,13 @@
         calls, started = [], record.now()
         for n in range(SESSIONS):
             for server in servers:
-                server.life = chance.uniform(21, 45)
+                server.session_duration = chance.uniform(21, 45)
             call = viewers.new_call()
             calls.append(call)
             viewers.set_up(connections[n % 4], call, home=chance.randrange(12), copies=4)
             await asyncio.sleep(1 / PER_SECOND)
-        stood = {c: next(s.name for s in servers if c in s.plays or c in s.over) for c in calls
-                 if viewers.got(c, "answer")}
+        stood = {c: next(s.name for s in servers if c in s.active or c in s.ended) for c in calls
+                 if viewers.received(c, "answer")}
         if len(stood) < SESSIONS // 2:
             raise CannotRun("only %d sessions stand" % len(stood))
         handed = {}
@@ -56,7 +56,7 @@
                 raise CannotRun("the front node is not ready again")
             # The platform hands over what its viewers hold: what was answered and is not released.
             connections = [await viewers.connect(front.address) for _ in range(4)]
-            held = [c for c in stood if not viewers.got(c, "release")]
+            held = [c for c in stood if not viewers.received(c, "release")]
             for n, call in enumerate(held):
                 viewers.set_up(connections[n % 4], call, at=stood[call], copies=4)
                 handed[call] = record.now()
@@ -64,17 +64,17 @@
         await asyncio.sleep(max(0, started + RUN_FOR - record.now()))
         broken, late = [], 0
         for call, name in stood.items():
-            over = by_name[name].over.get(call)
+            over = by_name[name].ended.get(call)
             if over is None:
                 continue
             ended, limit = over[0], over[0] + AFTER_END + SLACK
             if call in handed:
                 limit = max(limit, handed[call] + HAND_OVER + AFTER_RELEASE + SLACK)
-            released = [m[0] for m in viewers.got(call, "release") + viewers.got(call, "move")]
+            released = [m[0] for m in viewers.received(call, "release") + viewers.received(call, "move")]
             if (not released and record.now() > limit) or (released and min(released) > limit):
                 when = "never" if not released else "%.1f s later" % (min(released) - ended)
                 broken.append(f"{call} ended at {name} at {ended:.1f} s, released towards its viewer: {when}")
-        over = sum(len(s.over) for s in servers)
+        over = sum(len(s.ended) for s in servers)
         record("case", "counts", stood=len(stood), over=over, handed=len(handed), broken=len(broken))
         print(f"{len(stood)} sessions stood, {over} came to their end, {len(handed)} were handed over")
         return broken
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -40,20 +40,20 @@
     """The event bus: numbered events as server-sent events, and a comment each second."""
 
     def __init__(self, record):
-        self.record, self.events, self.wake = record, [], asyncio.Event()
+        self.record, self.events, self.changed = record, [], asyncio.Event()
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
 
-    def tell(self, endpoints, snapshot=False):
+    def publish(self, endpoints, snapshot=False):
         offset = len(self.events) + 1
         topology = {"index": offset, "snapshot": snapshot, "endpoints": endpoints}
         self.events.append({"offset": offset, "topology": topology})
         for endpoint in endpoints:
             self.record("bus", "tells", offset=offset, name=endpoint["name"], status=endpoint["status"])
-        self.wake.set()
-        self.wake = asyncio.Event()
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def known(self):
         return {"offset": len(self.events), "batch": list(self.events)}
@@ -72,7 +72,7 @@
                 last = max(last, len(self.events))
                 await writer.drain()
                 try:
-                    await asyncio.wait_for(self.wake.wait(), 1)
+                    await asyncio.wait_for(self.changed.wait(), 1)
                 except asyncio.TimeoutError:
                     writer.write(b": \n\n")
         except (OSError, asyncio.IncompleteReadError):
@@ -90,33 +90,35 @@
 
 
 class MediaServer:
-    """A sound media server. It answers each set-up after `work` seconds and plays for `life` seconds."""
+    """A media server without faults of its own. Times are in seconds."""
 
     numbers = iter(range(1, 255))
 
-    def __init__(self, record, name, cell, work=0.06, life=40.0, wire_every=None, forget_after=None):
+    def __init__(self, record, name, cell, answer_delay=0.06, session_duration=40.0, report_interval=None,
+                 forget_idle_after=None):
         self.record, self.name, self.cell = record, name, cell
-        self.work, self.life, self.wire_every, self.forget_after = work, life, wire_every, forget_after
+        self.answer_delay, self.session_duration = answer_delay, session_duration
+        self.report_interval, self.forget_idle_after = report_interval, forget_idle_after
         self.host = "127.0.0.%d" % (10 + next(self.numbers))
         self.listener = socket.socket()
         self.listener.bind((self.host, 0))
         self.listener.listen(64)
         self.listener.setblocking(False)
         self.port = self.listener.getsockname()[1]
-        self.links, self.accepted, self.forgets = [], 0, False
-        self.plays = {}     # id -> {"link", "since", "timer"}: the sessions that stand here
-        self.opening = {}   # id -> link: set-ups that are not answered yet
-        self.stood = {}     # id -> time at which it began to stand here
-        self.lost = 0       # answers that were lost
-        self.over = {}      # id -> (time, how): what stood here and is over
-        self.to_tell = []   # releases that go out on the next connection that opens as well
-        self.setups = []    # (time, id)
-        self.fillers, self.is_cut_off, self.held = [], False, []
-        self.loses_answer = lambda: False   # whether the connection is reset in place of an answer, though the work runs
+        self.links, self.accepted, self.forgets_idle = [], 0, False
+        self.pending = {}          # id -> link: set-ups that are not answered yet
+        self.active = {}           # id -> {"link", "since", "timer"}: sessions that run here
+        self.activated_at = {}     # id -> time at which the session began to run here
+        self.ended = {}            # id -> (time, how): sessions that ran here and are over
+        self.queued_releases = []  # releases that are also sent on the next connection that opens
+        self.lost_answers = 0
+        self.filler_addresses = set()
+        self.is_partitioned, self.delayed_lines = False, []
+        self.loses_answer = lambda: False  # whether the connection is reset in place of an answer; the session runs
         self.loop = asyncio.get_running_loop()
         self.loop.add_reader(self.listener, self.accept)
-        if wire_every:
-            self.loop.create_task(self.wires())
+        if report_interval:
+            self.reports = self.loop.create_task(self.send_link_reports())
 
     def entry(self, status="Ready", since_ms=0):
         return {"name": self.name, "address": f"{self.host}:{self.port}", "zone": "hall-a", "type": "small-2c",
@@ -127,67 +129,57 @@
     def accept(self):
         while True:
             try:
-                sock, _ = self.listener.accept()
+                sock, peer = self.listener.accept()
             except OSError:
                 return
+            if peer in self.filler_addresses:
+                sock.close()
+                continue
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.accepted += 1
             link = Link(sock, self.accepted)
             self.links.append(link)
             self.record(self.name, "connected", link=link.number)
-            self.loop.add_reader(sock, self.readable, link)
-            for line in self.to_tell:
+            if not self.is_partitioned:
+                self.loop.add_reader(sock, self.readable, link)
+            queued, self.queued_releases = self.queued_releases, []
+            for line in queued:
                 self.send(link, line)
-            self.to_tell = []
 
-    async def hold_back_connections(self, seconds):
-        """New connections come up only after `seconds`: the listen queue is full until then, so the kernel ignores SYNs."""
+    async def delay_connections(self, seconds):
+        """New connections come up only after `seconds`: the listen queue is full until then, so the kernel drops their SYNs."""
         self.loop.remove_reader(self.listener)
         self.accept()
         self.listener.listen(0)
+        fillers = []
         for _ in range(4):
             filler = socket.socket()
             filler.setblocking(False)
             filler.connect_ex((self.host, self.port))
-            self.fillers.append(filler)
-        self.record(self.name, "connections-come-up-late", seconds=seconds)
+            fillers.append(filler)
+        self.filler_addresses = {filler.getsockname() for filler in fillers}
+        self.record(self.name, "connections-delayed", seconds=seconds)
         await asyncio.sleep(seconds)
-        mine = {f.getsockname() for f in self.fillers}
         self.listener.listen(64)
-        while True:
-            try:
-                sock, peer = self.listener.accept()
-            except OSError:
-                break
-            if peer in mine:
-                sock.close()
-                continue
-            sock.setblocking(False)
-            self.accepted += 1
-            link = Link(sock, self.accepted)
-            self.links.append(link)
-            self.record(self.name, "connected", link=link.number)
-            self.loop.add_reader(sock, self.readable, link)
-        for filler in self.fillers:
+        self.accept()
+        for filler in fillers:
             filler.close()
-        self.fillers = []
         self.loop.add_reader(self.listener, self.accept)
         self.record(self.name, "connections-come-up-again")
-        self.accept()
 
-    async def cut_off(self, seconds):
+    async def partition(self, seconds):
         """A cut-off machine: open connections stay open and silent, new ones do not come up. Its sessions play on."""
         self.record(self.name, "cut-off", seconds=seconds)
-        self.is_cut_off = True
+        self.is_partitioned = True
         for link in self.links:
             self.loop.remove_reader(link.sock)
-        await self.hold_back_connections(seconds)
-        self.is_cut_off = False
+        await self.delay_connections(seconds)
+        self.is_partitioned = False
         self.record(self.name, "there-again")
         for link in list(self.links):
             self.loop.add_reader(link.sock, self.readable, link)
-        held, self.held = self.held, []
+        held, self.delayed_lines = self.delayed_lines, []
         for link, line in held:
             self.send_about(link, line)
 
@@ -201,12 +193,12 @@
             link.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         link.sock.close()
         self.record(self.name, "link-closed", link=link.number, why=why)
-        for call in [c for c, l in self.opening.items() if l is link]:
-            del self.opening[call]
+        for call in [c for c, l in self.pending.items() if l is link]:
+            del self.pending[call]
             self.record(self.name, "given-up", call=call, how="connection")
 
     def readable(self, link):
-        if self.forgot(link):
+        if self.is_forgotten(link):
             # Whatever comes on a forgotten connection is answered with a reset and read by nobody.
             idle = time.monotonic() - link.last_used
             return self.drop(link, "forgotten-after-%.1f-s" % idle, reset=True)
@@ -225,8 +217,8 @@
             self.message(link, json.loads(line))
 
     def send(self, link, line):
-        if self.is_cut_off:
-            self.held.append((link, line))   # it is under way until the network is whole again
+        if self.is_partitioned:
+            self.delayed_lines.append((link, line))  # arrives once the partition is over
             return True
         link.last_used = time.monotonic()
         try:
@@ -241,13 +233,14 @@
     def send_about(self, link, line):
         """Sends a line about a session on the connection of its set-up, or else on any open one."""
         for candidate in [link] + list(self.links):
-            if candidate is not None and candidate.open and not self.forgot(candidate) and self.send(candidate, line):
+            if candidate is not None and candidate.open and not self.is_forgotten(candidate) and self.send(candidate, line):
                 return True
         return False
 
-    def forgot(self, link):
+    def is_forgotten(self, link):
         """Whether this connection was idle for so long that the server knows nothing of it any more."""
-        return self.forgets and self.forget_after is not None and time.monotonic() - link.last_used >= self.forget_after
+        idle = time.monotonic() - link.last_used
+        return self.forgets_idle and self.forget_idle_after is not None and idle >= self.forget_idle_after
 
     # Messages.
 
@@ -255,57 +248,56 @@
         op, call = line["op"], line.get("call")
         self.record(self.name, "gets", link=link.number, op=op, call=call, why=line.get("why"))
         if op == "offer":
-            self.setups.append((self.record.now(), call))
-            self.opening[call] = link
-            self.loop.call_later(self.work, self.answer, link, call)
+            self.pending[call] = link
+            self.loop.call_later(self.answer_delay, self.answer, link, call)
         elif op == "end":
-            if call in self.opening:
-                del self.opening[call]
+            if call in self.pending:
+                del self.pending[call]
                 self.record(self.name, "given-up", call=call, how="end")
-            elif call in self.plays:
-                self.finish(call, "released by the front node")
+            elif call in self.active:
+                self.end_session(call, "released by the front node")
             self.send(link, {"op": "ended", "call": call, "with": {}})
         elif op == "test":
             load = {"load": "x0:0.2;x1:0.2"} if line.get("why") == 1 else {}
             self.send(link, {"op": "tested", "call": call, "with": load, "why": 1})
 
     def answer(self, link, call):
-        if self.opening.get(call) is not link:
+        if self.pending.get(call) is not link:
             return
-        del self.opening[call]
-        self.stand(call, link, self.life)
+        del self.pending[call]
+        self.activate(call, link, self.session_duration)
         if self.loses_answer():
-            self.lost += 1
+            self.lost_answers += 1
             self.record(self.name, "answer-lost", call=call)
             return self.drop(link, "reset-in-place-of-an-answer", reset=True)
         self.send(link, {"op": "accept", "call": call, "with": {}, "desc": f"{call}\r\nc=IN IP4 {self.host}\r\n"})
 
-    def stand(self, call, link, life):
-        timer = self.loop.call_later(life, self.natural_end, call)
-        self.stood[call] = self.record.now()
-        self.plays[call] = {"link": link, "since": self.stood[call], "timer": timer}
+    def activate(self, call, link, duration):
+        timer = self.loop.call_later(duration, self.session_completed, call)
+        self.activated_at[call] = self.record.now()
+        self.active[call] = {"link": link, "since": self.activated_at[call], "timer": timer}
 
-    def finish(self, call, how):
-        play = self.plays.pop(call)
+    def end_session(self, call, how):
+        play = self.active.pop(call)
         play["timer"].cancel()
-        self.over[call] = (self.record.now(), how)
+        self.ended[call] = (self.record.now(), how)
         self.record(self.name, "over", call=call, how=how.replace(" ", "-"))
         return play
 
-    def natural_end(self, call):
+    def session_completed(self, call):
         """The session has come to its end. The release goes out now, and once more on the next connection that opens."""
-        play = self.finish(call, "came to its end")
+        play = self.end_session(call, "came to its end")
         line = {"op": "end", "call": call, "with": {}, "why": 16}
         self.send_about(play["link"], line)
-        self.to_tell.append(line)
+        self.queued_releases.append(line)
 
-    async def wires(self):
+    async def send_link_reports(self):
         while True:
-            await asyncio.sleep(self.wire_every)
-            if self.plays:
-                call = next(iter(self.plays))
+            await asyncio.sleep(self.report_interval)
+            if self.active:
+                call = next(iter(self.active))
                 note = {"op": "info", "call": call, "with": {"note": "wire", "value": "0.3"}}
-                self.send_about(self.plays[call]["link"], note)
+                self.send_about(self.active[call]["link"], note)
 
     def close(self):
         for link in list(self.links):
@@ -330,19 +322,20 @@
 
     def __init__(self, record, class_name):
         self.record, self.class_name, self.calls, self.next_id = record, class_name, {}, 0
-        self.waiting = {}
+        self.waiting, self.connections = {}, []
 
     def new_call(self):
         self.next_id += 1
         call = "%016x" % (0x9B1F03AA00000000 + self.next_id * 0x10001)
-        self.calls[call] = {"got": []}
+        self.calls[call] = {"received": []}
         return call
 
     async def connect(self, address):
         host, port = address.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         connection = {"writer": writer, "open": True}
-        asyncio.get_running_loop().create_task(self.listen(reader, connection))
+        connection["listener"] = asyncio.get_running_loop().create_task(self.listen(reader, connection))
+        self.connections.append(connection)  # a task without a reference may be collected
         return connection
 
     async def listen(self, reader, connection):
@@ -356,7 +349,7 @@
                 cause = parameters[CAUSE][0] if CAUSE in parameters else None
                 self.record("viewers", "get", kind=kind, call=call, cause=cause)
                 if call in self.calls:
-                    self.calls[call]["got"].append((self.record.now(), kind, cause, parameters))
+                    self.calls[call]["received"].append((self.record.now(), kind, cause, parameters))
                 for future in self.waiting.pop(call, []):
                     if not future.done():
                         future.set_result((kind, cause))
@@ -408,8 +401,8 @@
         connection["writer"].close()
         return answer == ("tested", 1)
 
-    def got(self, call, kind):
-        return [message for message in self.calls[call]["got"] if message[1] == kind]
+    def received(self, call, kind):
+        return [message for message in self.calls[call]["received"] if message[1] == kind]
 
 
 def settings(number, of, class_name="stall-video", **changes):
