Front node: a session that ended before its hand-over is released, not established

Cause: the first hand-over for a media server opens the connection on which the server repeats its releases, connections to media servers are read before viewers, and the end of an unknown session was dropped; the hand-over that was read afterwards established the session for good.

A hand-over of such a session is answered with its release, or its end goes to the media server, however often it is repeated. The record of ended attempts, which bounded its keys but not its order, uses the same bounded map.

The property test any_input_order_keeps_invariants now numbers connections as the event loop does (a number is never reused), and hands over sessions after their end and on closed connections too; it checks that each is established, released, or ended for a reason.

--- a/crates/platform/event-loop/src/viewers/messages.rs
+++ b/crates/platform/event-loop/src/viewers/messages.rs
@@ -34,19 +34,21 @@
     /// This can happen before all data that the client has sent is read.
     fn mark_client_closed(&mut self, token: Token, context: &mut ViewerContext<'_>) {
         if let Some(connection) = self.connections.get_mut(&token).filter(|c| !c.client_closed) {
-            connection.mark_client_closed();
-            context.inputs.push_back(Input::ViewerConnectionClosed(viewer_connection(token)));
+            let conn = viewer_connection(token);
+            let hand_overs = connection.mark_client_closed();
+            context.inputs.push_back(Input::ViewerConnectionClosed(conn));
+            context.inputs.extend(hand_overs.into_iter().map(|message| Input::ViewerMessage(conn, message)));
         }
     }
 
     /// Reads ahead on a connection, up to the limit on its queued messages.
     pub(super) fn read_ahead(&mut self, token: Token, context: &mut ViewerContext<'_>) {
         let Some(connection) = self.connections.get_mut(&token) else { return };
-        let mut releases = Vec::new();
+        let mut immediate = Vec::new();
         let max_bytes = self.limits.viewer_read_ahead_bytes;
-        let outcome = connection.read_ahead(context.now, max_bytes, &mut self.read_buffer, &mut releases);
+        let outcome = connection.read_ahead(context.now, max_bytes, &mut self.read_buffer, &mut immediate);
         let conn = viewer_connection(token);
-        context.inputs.extend(releases.into_iter().map(|message| Input::ViewerMessage(conn, message)));
+        context.inputs.extend(immediate.into_iter().map(|message| Input::ViewerMessage(conn, message)));
         if outcome == ReadAhead::Closed {
             self.mark_client_closed(token, context);
             self.close_at_once(token, context);
--- a/crates/platform/event-loop/src/viewers/socket.rs
+++ b/crates/platform/event-loop/src/viewers/socket.rs
@@ -57,7 +57,7 @@
     /// Whether malformed data has arrived. The connection is closed once all messages before it are handled.
     pub malformed: bool,
     /// Whether the client has disconnected. No answers are sent on the connection any more, and of the unread messages
-    /// only releases are handled.
+    /// only releases and hand-overs are handled.
     pub client_closed: bool,
     /// Time at which the last complete message arrived, or at which the connection was accepted.
     pub last_message_at: Micros,
@@ -87,18 +87,19 @@
 
     /// Reads messages into the queue, until `max_bytes` are queued or this call has read `max_bytes`.
     ///
-    /// Releases are appended to `releases` and not queued, as an attempt that started before a queued release is handled
-    /// would be useless. A queued set-up that is released is removed from the queue.
+    /// Releases are appended to `immediate` and not queued, as an attempt that started before a queued release is handled
+    /// would be useless. A queued set-up that is released is removed from the queue. Hand-overs are appended to
+    /// `immediate` once the client has disconnected, as their sessions belong to no connection.
     pub fn read_ahead(
         &mut self,
         now: Micros,
         max_bytes: usize,
         buffer: &mut [u8],
-        releases: &mut Vec<FromViewer>,
+        immediate: &mut Vec<FromViewer>,
     ) -> ReadAhead {
         let mut read_bytes = 0;
         loop {
-            self.decode(now, releases);
+            self.decode(now, immediate);
             self.may_have_more =
                 !self.malformed && (self.queued_bytes >= max_bytes || read_bytes >= max_bytes);
             if self.malformed || self.may_have_more {
@@ -119,7 +120,7 @@
     }
 
     /// Decodes received bytes, and queues the complete messages.
-    fn decode(&mut self, now: Micros, releases: &mut Vec<FromViewer>) {
+    fn decode(&mut self, now: Micros, immediate: &mut Vec<FromViewer>) {
         while !self.malformed {
             let bytes_before = self.decoder.pending();
             let message = match self.decoder.next_frame() {
@@ -132,7 +133,7 @@
                 break;
             };
             let bytes = bytes_before - self.decoder.pending();
-            self.enqueue(QueuedMessage { message, bytes }, now, releases);
+            self.enqueue(QueuedMessage { message, bytes }, now, immediate);
         }
         // An incomplete message that follows complete ones in the same read counts from now on.
         let has_partial = !self.malformed && self.decoder.pending() > 0;
@@ -140,24 +141,27 @@
         self.partial = has_partial.then(|| self.partial.unwrap_or(started));
     }
 
-    fn enqueue(&mut self, queued: QueuedMessage, now: Micros, releases: &mut Vec<FromViewer>) {
+    fn enqueue(&mut self, queued: QueuedMessage, now: Micros, immediate: &mut Vec<FromViewer>) {
         self.last_message_at = now;
         self.partial = None;
         self.has_valid_request |= matches!(queued.message, FromViewer::SetUp(_, Ok(_)) | FromViewer::Test(_));
         if let FromViewer::Release(id) = queued.message {
             self.remove_set_up(id);
-            releases.push(queued.message);
+            immediate.push(queued.message);
+        } else if self.client_closed && queued.message.is_hand_over() {
+            immediate.push(queued.message);
         } else if !self.client_closed {
             self.queued_bytes += queued.bytes;
             self.queue.push_back(queued);
         }
     }
 
-    /// Removes a released set-up from the queue.
+    /// Removes a released set-up from the queue, unless it hands over a session that its media server has to end.
     fn remove_set_up(&mut self, released: CallId) {
         let queued_bytes = &mut self.queued_bytes;
         self.queue.retain(|queued| {
-            let keep = !matches!(&queued.message, FromViewer::SetUp(id, _) if *id == released);
+            let is_released = matches!(&queued.message, FromViewer::SetUp(id, _) if *id == released);
+            let keep = !is_released || queued.message.is_hand_over();
             if !keep {
                 *queued_bytes -= queued.bytes;
             }
@@ -187,11 +191,13 @@
         self.partial.is_some_and(|partial| now - partial.last_read_at <= stall_timeout)
     }
 
-    /// Marks the client as disconnected, and drops the queued messages.
-    pub fn mark_client_closed(&mut self) {
+    /// Marks the client as disconnected, and drops the queued messages. Returns the hand-overs among them, which belong to
+    /// no connection.
+    pub fn mark_client_closed(&mut self) -> Vec<FromViewer> {
         self.client_closed = true;
-        self.queue.clear();
         self.queued_bytes = 0;
+        let queued = std::mem::take(&mut self.queue);
+        queued.into_iter().map(|queued| queued.message).filter(FromViewer::is_hand_over).collect()
     }
 
     /// Sends a message, and buffers the bytes that the socket does not take now.
--- a/crates/platform/event-loop/tests/support/messages.rs
+++ b/crates/platform/event-loop/tests/support/messages.rs
@@ -9,6 +9,16 @@
     set_up_with_copies(id, time_left_ms, 1)
 }
 
+/// Returns the hand-over of a session that plays at a media server.
+pub fn hand_over(id: u64, server: &str) -> Frame {
+    Frame::new(1, CallId(id))
+        .with(1, "stall-video")
+        .with(3, "4294967")
+        .with(9, "00000000000000aa")
+        .with(11, format!("home:0;copies:1;top:1;viewer:{id:016x};at:{server}"))
+        .with(31, format!("offer-{id:016x}\r\nc=IN IP4 10.9.9.9\r\n"))
+}
+
 /// Returns a set-up of a title that `copies` media servers store.
 pub fn set_up_with_copies(id: u64, time_left_ms: u64, copies: usize) -> Frame {
     Frame::new(1, CallId(id))
--- a/crates/platform/front-node/src/node/attempts.rs
+++ b/crates/platform/front-node/src/node/attempts.rs
@@ -92,7 +92,7 @@
     /// Records that an attempt is no longer in flight. An abandoned session is removed with its attempt.
     pub(super) fn close_attempt(&mut self, id: CallId, attempt: &Attempt) {
         self.remove_in_flight(attempt.incarnation, id);
-        self.ended_sessions.insert(self.now, attempt.incarnation, id);
+        self.records.ended_attempts.insert(self.now, (attempt.incarnation, id), ());
         match self.sessions.get_mut(&id).map(|session| &mut session.phase) {
             Some(Phase::Pending { in_flight, .. }) => *in_flight = None,
             Some(Phase::Abandoned(_)) => {
--- a/crates/platform/front-node/src/node/established.rs
+++ b/crates/platform/front-node/src/node/established.rs
@@ -6,6 +6,7 @@
 use beechloft_protocol::{CallId, Cause};
 
 use super::Node;
+use super::records::SessionEnd;
 use crate::io::{Output, ServerIncarnation, ViewerConnection};
 use crate::session::{Attempt, Session};
 
@@ -25,7 +26,9 @@
         connection: ViewerConnection,
         id: CallId,
     ) {
-        self.connections.session_established(connection, &mut self.outputs);
+        if !self.records.closed_connections.contains(&connection) {
+            self.connections.session_established(connection, &mut self.outputs);
+        }
         if let Some(state) = self.directory.incarnations.get_mut(&incarnation) {
             if state.established.is_empty() {
                 self.outputs.push(Output::KeepConnected(incarnation, true));
@@ -46,7 +49,8 @@
     ) -> Option<EndedSession> {
         let session = self.sessions.remove(&id)?;
         let attempt = session.attempt()?;
-        self.ended_sessions.insert(self.now, attempt.incarnation, id);
+        self.records.ended_attempts.insert(self.now, (attempt.incarnation, id), ());
+        self.records.session_ends.insert(self.now, (attempt.server, id), SessionEnd::ByFrontNode);
         self.connections.session_ended(session.connection);
         if let Some(state) = self.directory.incarnations.get_mut(&attempt.incarnation) {
             state.established.remove(&id);
@@ -77,7 +81,7 @@
             return;
         }
         let Some(ended) = self.end_established(id, Outcome::Cancelled, LoadReport::default()) else { return };
-        self.migrated_viewers.insert(self.now, ended.session.viewer);
+        self.records.migrated_viewers.insert(self.now, ended.session.viewer, ());
         self.release_to_viewer(&ended, ToViewer::Move(id));
         self.release_at_server(ended.attempt.incarnation, id, Cause::Cancelled);
     }
--- a/crates/platform/front-node/src/node/mod.rs
+++ b/crates/platform/front-node/src/node/mod.rs
@@ -4,6 +4,8 @@
 mod actions;
 mod attempts;
 mod established;
+mod hand_over;
+mod records;
 mod server_messages;
 mod topology;
 mod viewer_messages;
@@ -18,16 +20,14 @@
 use crate::directory::Directory;
 use crate::health_checks::HealthChecks;
 use crate::io::{Input, Output, ServerIncarnation, ViewerConnection};
-use crate::recent::{EndedSessions, MigratedViewers};
 use crate::session::{Phase, Session};
 use crate::shutdown::Shutdown;
 use crate::timers::{Timer, Timers};
 use crate::viewer_connections::{ConnectionUse, ViewerConnections};
+use records::Records;
 
 /// Interval between removals of expired state.
 const EXPIRY_INTERVAL: Micros = Micros(500_000);
-/// Minimum time for which the end of a session stays recorded, because an answer may be delayed in the network.
-const MIN_ENDED_RETENTION: Micros = Micros(15_000_000);
 /// Maximum number of lines of diagnostics.
 const MAX_DIAGNOSTIC_LINES: usize = 64;
 
@@ -61,6 +61,8 @@
     pub queued_releases: usize,
     /// Number of timers that are set.
     pub timers: usize,
+    /// Number of sessions, viewers and connections that are over and still recorded.
+    pub recorded: usize,
 }
 
 /// State machine of the front node.
@@ -76,8 +78,7 @@
     /// Incarnations that may have lost their last session or attempt.
     maybe_unused: BTreeSet<ServerIncarnation>,
     sessions: BTreeMap<CallId, Session>,
-    ended_sessions: EndedSessions,
-    migrated_viewers: MigratedViewers,
+    records: Records,
     connections: ViewerConnections,
     health_checks: HealthChecks,
     timers: Timers,
@@ -91,6 +92,9 @@
 impl Node {
     /// Creates a front node from its settings, in the state before its first input.
     pub fn new(parsed: Parsed, seed: u64, limits: NodeLimits) -> Self {
+        // A media server may answer until the longest deadline of all classes.
+        let max_deadline =
+            parsed.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
         Node {
             limits,
             policy: Policy::new(parsed.settings.clone(), seed),
@@ -101,8 +105,7 @@
             directory: Directory::default(),
             maybe_unused: BTreeSet::new(),
             sessions: BTreeMap::new(),
-            ended_sessions: EndedSessions::default(),
-            migrated_viewers: MigratedViewers::default(),
+            records: Records::new(max_deadline + EXPIRY_INTERVAL),
             connections: ViewerConnections::default(),
             health_checks: HealthChecks::new(seed),
             timers: Timers::default(),
@@ -174,6 +177,7 @@
             servers: self.policy.known_servers(),
             queued_releases: self.connections.queued_releases(),
             timers: self.timers.len(),
+            recorded: self.records.len(),
             ..Counts::default()
         };
         for session in self.sessions.values() {
@@ -220,11 +224,7 @@
     fn expire(&mut self) {
         self.timers.set(self.now + EXPIRY_INTERVAL, Timer::Expiry);
         self.connections.expire(self.now);
-        self.migrated_viewers.expire(self.now);
-        // A media server may answer until the longest deadline of all classes.
-        let max_deadline = self.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
-        let retention = (max_deadline + EXPIRY_INTERVAL).max(MIN_ENDED_RETENTION);
-        self.ended_sessions.expire(self.now, retention);
+        self.records.expire(self.now);
     }
 
     /// Appends an event to the queue of events for the policy.
--- a/crates/platform/front-node/src/node/server_messages.rs
+++ b/crates/platform/front-node/src/node/server_messages.rs
@@ -86,7 +86,7 @@
             Some(Phase::Established(attempt)) if attempt.incarnation == incarnation => {}
             // The session was abandoned or is at another media server, so it must not continue at this one.
             _ => {
-                if self.ended_sessions.contains(incarnation, id) {
+                if self.records.ended_attempts.contains(&(incarnation, id)) {
                     self.release_at_server(incarnation, id, Cause::Normal);
                 }
             }
@@ -123,13 +123,20 @@
         let attempt = session.and_then(|session| session.attempt());
         let is_established = session.is_some_and(|session| session.is_established());
         match attempt.filter(|attempt| attempt.incarnation == incarnation) {
-            Some(_) if is_established => self.established_session_ended(id, cause, report),
+            Some(_) if is_established => {
+                self.established_session_ended(id, cause, report);
+                self.record_end_by_server(incarnation, id, cause);
+            }
             Some(attempt) => {
                 self.close_attempt(id, &attempt);
                 self.attempt_ended(id, &attempt, refusal_outcome(cause), report);
             }
-            // The message is a duplicate or ends an abandoned session. Its load report is still valid.
-            None => self.report_load(incarnation, report),
+            // The message is a duplicate, ends an abandoned session, or ends a session that is not handed over yet. Its
+            // load report is still valid.
+            None => {
+                self.record_end_by_server(incarnation, id, cause);
+                self.report_load(incarnation, report);
+            }
         }
     }
 
--- a/crates/platform/front-node/src/node/viewer_messages.rs
+++ b/crates/platform/front-node/src/node/viewer_messages.rs
@@ -1,15 +1,14 @@
 //! Handling of messages from viewers, of closed viewer connections and of answer deadlines.
 
 use beechloft::api::{
-    ClassId, Event, LoadReport, Micros, Outcome, Request, Rung, ServerId, SessionId, TenantId, TitleId,
-    ViewerId,
+    ClassId, Event, LoadReport, Micros, Outcome, Request, Rung, SessionId, TenantId, TitleId, ViewerId,
 };
 use beechloft_protocol::server::ToServer;
 use beechloft_protocol::viewer::{FromViewer, SetUp, SetUpError, ToViewer};
 use beechloft_protocol::{CallId, Cause};
 
 use super::Node;
-use crate::io::{Output, ServerIncarnation, ViewerConnection};
+use crate::io::{Output, ViewerConnection};
 use crate::session::{Attempt, Phase, Session};
 use crate::shutdown::Shutdown;
 use crate::timers::Timer;
@@ -57,7 +56,7 @@
             return self.reject_set_up(connection, id, Cause::InvalidElement);
         };
         match &setup.attributes.playing_at {
-            Some(server) => self.adopt(connection, id, request, server),
+            Some(server) => self.session_handed_over(connection, id, request, server),
             None => self.accept_request(connection, id, setup, request),
         }
     }
@@ -87,7 +86,7 @@
             deadline: viewer_deadline - self.limits.answer_margin,
             expected_duration: None,
             tenant: TenantId(0),
-            migrated: self.migrated_viewers.remove(viewer),
+            migrated: self.records.migrated_viewers.remove(&viewer),
             is_retry: attributes.is_retry,
         })
     }
@@ -118,32 +117,10 @@
         self.queue_event(Event::Request(request));
     }
 
-    /// Adopts a session that is already established at a media server.
-    fn adopt(&mut self, connection: ViewerConnection, id: CallId, request: Request, server_name: &str) {
-        let has_capacity = self.sessions.len() < self.limits.max_sessions;
-        let Some((server, incarnation)) = self.known_server(server_name).filter(|_| has_capacity) else {
-            // A session without a known media server can't be managed, so its viewer has to set it up again.
-            let message = ToViewer::Release(id, Cause::TemporaryFailure);
-            return self.outputs.push(Output::SendToViewer(connection, message));
-        };
-        let attempt = Attempt { ordinal: 0, incarnation, server, sent_at: self.now };
-        let phase = Phase::Established(attempt);
-        let session = Session { connection, viewer: request.viewer, attempts: 1, rung: 0, phase };
-        self.sessions.insert(id, session);
-        self.session_established(incarnation, connection, id);
-        self.queue_event(Event::SessionAdopted { request, server });
-    }
-
-    /// Returns a known media server with its latest incarnation.
-    fn known_server(&self, name: &str) -> Option<(ServerId, ServerIncarnation)> {
-        let server = self.directory.server(name)?;
-        let incarnation = self.directory.incarnation(server)?;
-        Some((server, incarnation))
-    }
-
     /// Handles a release, by which a viewer withdraws a set-up or ends its session.
     fn release_received(&mut self, connection: ViewerConnection, id: CallId) {
         self.outputs.push(Output::SendToViewer(connection, ToViewer::ReleaseComplete(id)));
+        self.records.viewer_releases.insert(self.now, id, ());
         match self.sessions.get(&id).map(|session| &session.phase) {
             Some(Phase::Pending { .. }) => self.withdraw(id),
             Some(Phase::Established(_)) => {
@@ -174,6 +151,7 @@
     /// Withdraws the set-ups that were waiting on a closed connection. Established sessions are not bound to a
     /// connection.
     pub(super) fn viewer_connection_closed(&mut self, connection: ViewerConnection) {
+        self.records.closed_connections.insert(self.now, connection, ());
         for id in self.connections.remove(connection) {
             self.withdraw(id);
         }
--- a/crates/platform/front-node/src/recent.rs
+++ b/crates/platform/front-node/src/recent.rs
@@ -1,91 +1,90 @@
-//! Bounded records of recently ended sessions and of recently migrated viewers.
+//! Bounded records of what happened recently.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
-use beechloft::api::{Micros, ViewerId};
-use beechloft_protocol::CallId;
+use beechloft::api::Micros;
 
-use crate::io::ServerIncarnation;
-
-/// Maximum number of ended sessions in the record.
-const MAX_ENDED_SESSIONS: usize = 8192;
-/// Maximum number of migrated viewers in the record.
-const MAX_MIGRATED_VIEWERS: usize = 4096;
-/// Time for which a migrated viewer stays in the record.
-const MIGRATED_VIEWER_RETENTION: Micros = Micros(15_000_000);
-
-/// Record of sessions that recently ended at an incarnation.
-///
-/// If a late answer arrives for one of them, the session is released at that incarnation.
-#[derive(Debug, Default)]
-pub(crate) struct EndedSessions {
-    ended_at: BTreeMap<(ServerIncarnation, CallId), Micros>,
-    /// Ends in the order of time. A session that ended more than once has an entry for each end, and `ended_at` has
-    /// the time of the last one.
-    order: VecDeque<EndedSession>,
+/// Map of which only the newest entries are kept: both their number and their age are bounded.
+#[derive(Debug)]
+pub(crate) struct RecentRecord<K, V> {
+    entries: BTreeMap<K, Entry<V>>,
+    /// Keys in the order in which they were last recorded.
+    order: BTreeMap<u64, K>,
+    last_sequence: u64,
+    max_entries: usize,
+    retention: Micros,
 }
 
-/// The end of a session at an incarnation.
+/// Value of a key.
 #[derive(Debug)]
-struct EndedSession {
-    at: Micros,
-    incarnation: ServerIncarnation,
-    id: CallId,
+struct Entry<V> {
+    value: V,
+    recorded_at: Micros,
+    /// Position in the order of all entries.
+    sequence: u64,
 }
 
-impl EndedSessions {
-    /// Records that a session ended, and removes the oldest entry if the record is full.
-    pub fn insert(&mut self, at: Micros, incarnation: ServerIncarnation, id: CallId) {
-        if self.ended_at.len() >= MAX_ENDED_SESSIONS {
-            self.remove_oldest();
+impl<K: Ord + Copy, V> RecentRecord<K, V> {
+    /// Creates an empty record of at most `max_entries`, which [`RecentRecord::expire`] removes after `retention`.
+    pub fn new(max_entries: usize, retention: Micros) -> Self {
+        RecentRecord {
+            entries: BTreeMap::new(),
+            order: BTreeMap::new(),
+            last_sequence: 0,
+            max_entries,
+            retention,
         }
-        self.ended_at.insert((incarnation, id), at);
-        self.order.push_back(EndedSession { at, incarnation, id });
-    }
-
-    /// Returns whether a session recently ended at the incarnation.
-    pub fn contains(&self, incarnation: ServerIncarnation, id: CallId) -> bool {
-        self.ended_at.contains_key(&(incarnation, id))
     }
 
-    /// Removes sessions that ended longer than `retention` before `now`.
-    pub fn expire(&mut self, now: Micros, retention: Micros) {
-        while self.order.front().is_some_and(|oldest| now - oldest.at > retention) {
+    /// Records a value, which replaces an earlier one of the same key. The oldest entry is removed if there are too many.
+    pub fn insert(&mut self, now: Micros, key: K, value: V) {
+        self.remove(&key);
+        if self.entries.len() >= self.max_entries {
             self.remove_oldest();
         }
+        self.last_sequence += 1;
+        let sequence = self.last_sequence;
+        self.order.insert(sequence, key);
+        self.entries.insert(key, Entry { value, recorded_at: now, sequence });
     }
 
-    fn remove_oldest(&mut self) {
-        if let Some(oldest) = self.order.pop_front()
-            && self.ended_at.get(&(oldest.incarnation, oldest.id)) == Some(&oldest.at)
-        {
-            self.ended_at.remove(&(oldest.incarnation, oldest.id));
-        }
+    /// Returns the value of a key that was recorded recently.
+    pub fn get(&self, key: &K) -> Option<&V> {
+        self.entries.get(key).map(|entry| &entry.value)
     }
-}
 
-/// Record of viewers whose session this front node recently migrated.
-#[derive(Debug, Default)]
-pub(crate) struct MigratedViewers {
-    migrated_at: BTreeMap<ViewerId, Micros>,
-}
+    /// Returns whether a key was recorded recently.
+    pub fn contains(&self, key: &K) -> bool {
+        self.entries.contains_key(key)
+    }
+
+    /// Removes a key, and returns whether it was recorded recently.
+    pub fn remove(&mut self, key: &K) -> bool {
+        let Some(entry) = self.entries.remove(key) else { return false };
+        self.order.remove(&entry.sequence);
+        true
+    }
 
-impl MigratedViewers {
-    /// Records that a viewer's session was migrated, and removes another viewer if the record is full.
-    pub fn insert(&mut self, now: Micros, viewer: ViewerId) {
-        if self.migrated_at.len() >= MAX_MIGRATED_VIEWERS {
-            self.migrated_at.pop_first();
+    /// Removes all entries that are older than the retention.
+    pub fn expire(&mut self, now: Micros) {
+        while self.oldest_recorded_at().is_some_and(|recorded_at| now - recorded_at > self.retention) {
+            self.remove_oldest();
         }
-        self.migrated_at.insert(viewer, now);
     }
 
-    /// Removes a viewer, and returns whether it was in the record.
-    pub fn remove(&mut self, viewer: ViewerId) -> bool {
-        self.migrated_at.remove(&viewer).is_some()
+    /// Returns the number of entries.
+    pub fn len(&self) -> usize {
+        self.entries.len()
     }
 
-    /// Removes viewers whose session was migrated longer than [`MIGRATED_VIEWER_RETENTION`] before `now`.
-    pub fn expire(&mut self, now: Micros) {
-        self.migrated_at.retain(|_, at| now - *at <= MIGRATED_VIEWER_RETENTION);
+    fn oldest_recorded_at(&self) -> Option<Micros> {
+        let (_, key) = self.order.first_key_value()?;
+        self.entries.get(key).map(|entry| entry.recorded_at)
+    }
+
+    fn remove_oldest(&mut self) {
+        if let Some((_, key)) = self.order.pop_first() {
+            self.entries.remove(&key);
+        }
     }
 }
--- a/crates/platform/front-node/tests/orders.rs
+++ b/crates/platform/front-node/tests/orders.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use beechloft::api::Micros;
 use beechloft_front_node::{AttemptFailure, Input, Output, ServerIncarnation, ViewerConnection};
@@ -11,11 +11,14 @@
 use beechloft_protocol::viewer::{FromViewer, SetUpError, ToViewer};
 use beechloft_protocol::{CallId, Cause};
 use proptest::prelude::*;
-use support::{Harness, SHUTDOWN_DEADLINE_MS, endpoint, server_message, server_name, set_up};
+use support::{Harness, SHUTDOWN_DEADLINE_MS, endpoint, server_message, set_up};
 
 /// Number of media servers that endpoint lists and adoptions may name.
 const SERVERS: u16 = 6;
 
+/// Number of connections that are open at a time.
+const CONNECTION_SLOTS: u64 = 4;
+
 /// Codes of the causes with which media servers end sessions.
 const CAUSE_CODES: [u8; 5] = [34, 47, 102, 41, 16];
 
@@ -42,11 +45,11 @@
     EmptyList,
     Terminate,
     Advance { ms: u64 },
-    Adopt { connection: u64, server: u16 },
+    Adopt { connection: u64, server: u16, after_close: bool },
 }
 
 fn step() -> impl Strategy<Value = Step> {
-    let connection = || 0..4u64;
+    let connection = || 0..CONNECTION_SLOTS;
     let index = || 0..64usize;
     prop_oneof![
         8 => (connection(), 0..4_000u64)
@@ -73,7 +76,9 @@
         1 => prop::bool::weighted(0.1)
             .prop_map(|terminates| if terminates { Step::Terminate } else { Step::Advance { ms: 1 } }),
         5 => (0..900u64).prop_map(|ms| Step::Advance { ms }),
-        1 => (connection(), 0..SERVERS).prop_map(|(connection, server)| Step::Adopt { connection, server }),
+        1 => (connection(), 0..SERVERS, prop::bool::weighted(0.3)).prop_map(|(connection, server, after_close)| {
+            Step::Adopt { connection, server, after_close }
+        }),
     ]
 }
 
@@ -98,13 +103,26 @@
     harness: Harness,
     /// Number of sessions that were set up or adopted.
     sessions: u64,
+    /// Number of connections that were closed in each slot.
+    generations: BTreeMap<u64, u64>,
+    closed_connections: BTreeSet<u64>,
 }
 
 impl Run {
+    fn new(seed: u64) -> Run {
+        Run {
+            harness: Harness::new(seed, 4),
+            sessions: 0,
+            generations: BTreeMap::new(),
+            closed_connections: BTreeSet::new(),
+        }
+    }
+
     fn apply(&mut self, step: Step) {
         match step {
             Step::SetUp { connection, timeout_ms } => {
                 self.sessions += 1;
+                let connection = self.connection(connection);
                 self.harness.set_up(connection, self.sessions, timeout_ms);
             }
             Step::DuplicateSetUp { connection, index } => self.duplicate_set_up(connection, index),
@@ -116,7 +134,7 @@
                 self.viewer_message(connection, FromViewer::Release(any_session(index)));
             }
             Step::CloseConnection { connection } => {
-                self.harness.handle(Input::ViewerConnectionClosed(ViewerConnection(connection)));
+                self.close_connection(connection);
             }
             Step::UndeliveredAnswer { index } => {
                 self.harness.handle(Input::AnswerUndelivered(any_session(index)));
@@ -131,7 +149,9 @@
                 self.harness.handle(Input::Terminate);
             }
             Step::Advance { ms } => self.harness.advance(ms),
-            Step::Adopt { connection, server } => self.adopt(connection, server),
+            Step::Adopt { connection, server, after_close } => {
+                self.adopt_on(connection, server, after_close);
+            }
             server_step => self.apply_at_server(server_step),
         }
     }
@@ -165,7 +185,8 @@
         }
     }
 
-    fn viewer_message(&mut self, connection: u64, message: FromViewer) -> Vec<Output> {
+    fn viewer_message(&mut self, slot: u64, message: FromViewer) -> Vec<Output> {
+        let connection = self.connection(slot);
         self.harness.handle(Input::ViewerMessage(ViewerConnection(connection), message))
     }
 
@@ -225,17 +246,45 @@
     fn adopt(&mut self, connection: u64, server: u16) {
         self.sessions += 1;
         let id = CallId(self.sessions);
-        let mut setup = set_up(id.0, 4_294_967);
-        setup.attributes.playing_at = Some(server_name(server));
-        let outputs = self.viewer_message(connection, FromViewer::SetUp(id, Ok(setup)));
-        // Queued releases of other sessions may be sent on this connection too.
-        let is_own_release = |output: &Output| {
-            let Output::SendToViewer(_, ToViewer::Release(released, _)) = output else { return false };
-            *released == id
-        };
-        if !outputs.iter().any(is_own_release) {
+        let released_by_viewer = self.harness.released_by_viewers.contains(&id);
+        let is_over = released_by_viewer || self.harness.ended_by_servers.contains(&id);
+        let is_unknown = !self.harness.is_known(server);
+        let established = self.harness.node.counts().established;
+        let outputs = self.harness.hand_over(connection, id.0, server);
+        if self.harness.node.counts().established > established {
+            assert!(!released_by_viewer, "{id} is established after its viewer has released it");
             self.harness.add_adopted(id, server);
+            return;
         }
+        assert!(is_over || is_unknown, "the hand-over of {id} is refused without a reason");
+        let concerns_session = |output: &Output| match output {
+            Output::SendToViewer(_, ToViewer::Release(ended, _)) => *ended == id,
+            Output::SendToServer(_, ended, _) => *ended == id,
+            _ => false,
+        };
+        let is_queued =
+            self.closed_connections.contains(&connection) && self.harness.node.counts().queued_releases > 0;
+        assert!(is_queued || outputs.iter().any(concerns_session), "nobody learns that {id} is over");
+    }
+
+    /// Returns the number of the open connection in a slot. Numbers are never reused.
+    fn connection(&self, slot: u64) -> u64 {
+        slot + CONNECTION_SLOTS * self.generations.get(&slot).unwrap_or(&0)
+    }
+
+    /// Closes the connection in a slot, and opens the next one.
+    fn close_connection(&mut self, slot: u64) {
+        let connection = self.connection(slot);
+        self.harness.handle(Input::ViewerConnectionClosed(ViewerConnection(connection)));
+        self.closed_connections.insert(connection);
+        *self.generations.entry(slot).or_default() += 1;
+    }
+
+    /// Hands over a session on the connection of a slot, or on the one that was closed there last.
+    fn adopt_on(&mut self, slot: u64, server: u16, after_close: bool) {
+        let connection = self.connection(slot);
+        let closed = connection.checked_sub(CONNECTION_SLOTS).filter(|_| after_close);
+        self.adopt(closed.unwrap_or(connection), server);
     }
 
     /// Reports all media servers as removed and down.
@@ -257,7 +306,7 @@
         seed in any::<u64>(),
         steps in prop::collection::vec(step(), 1..120),
     ) {
-        let mut run = Run { harness: Harness::new(seed, 4), sessions: 0 };
+        let mut run = Run::new(seed);
         for step in steps {
             run.apply(step);
             let counts = run.harness.node.counts();
--- a/crates/platform/front-node/tests/support/mod.rs
+++ b/crates/platform/front-node/tests/support/mod.rs
@@ -30,6 +30,9 @@
 /// Time after SIGTERM at which all pending set-ups are answered.
 pub const SHUTDOWN_DEADLINE_MS: u64 = 2_000;
 
+/// Time that the set-up of a handed-over session says that its viewer waits.
+const HAND_OVER_TIMEOUT_MS: u64 = 4_294_967;
+
 /// Time after the start of a drain during which set-ups may still be sent.
 const DRAIN_GRACE: Micros = Micros(1_000_000);
 
@@ -90,6 +93,10 @@
     set_up_connections: BTreeMap<CallId, u64>,
     /// Sessions that their media servers have ended and whose viewers may have to receive a release.
     unreleased: BTreeSet<CallId>,
+    /// Sessions that their viewers released.
+    pub released_by_viewers: BTreeSet<CallId>,
+    /// Sessions that a media server ended.
+    pub ended_by_servers: BTreeSet<CallId>,
     /// Answers to each set-up.
     pub answers: BTreeMap<CallId, Vec<ToViewer>>,
     /// Address of each known incarnation.
@@ -123,6 +130,8 @@
             pending: BTreeMap::new(),
             set_up_connections: BTreeMap::new(),
             unreleased: BTreeSet::new(),
+            released_by_viewers: BTreeSet::new(),
+            ended_by_servers: BTreeSet::new(),
             answers: BTreeMap::new(),
             incarnations: BTreeMap::new(),
             connected: BTreeSet::new(),
@@ -139,10 +148,12 @@
     pub fn handle(&mut self, input: Input) -> Vec<Output> {
         match &input {
             Input::ViewerMessage(_, FromViewer::Release(id)) => {
+                self.released_by_viewers.insert(*id);
                 self.pending.remove(id);
                 self.established.remove(id);
             }
             Input::ServerMessage(incarnation, ServerMessage { event: FromServer::End(id, _), .. }) => {
+                self.ended_by_servers.insert(*id);
                 if self.in_flight.get(id) == Some(incarnation) {
                     self.in_flight.remove(id);
                 }
@@ -290,15 +301,31 @@
         ))
     }
 
+    /// Hands over a session that plays at the media server with this index.
+    pub fn hand_over(&mut self, connection: u64, id: u64, index: u16) -> Vec<Output> {
+        let mut setup = set_up(id, HAND_OVER_TIMEOUT_MS);
+        setup.attributes.playing_at = Some(server_name(index));
+        let message = FromViewer::SetUp(CallId(id), Ok(setup));
+        self.handle(Input::ViewerMessage(ViewerConnection(connection), message))
+    }
+
+    /// Returns whether the front node knows an incarnation of the media server with this index.
+    pub fn is_known(&self, index: u16) -> bool {
+        let address: SocketAddr = endpoint(index, Status::Ready).address.parse().expect("a valid address");
+        self.incarnations.values().any(|known_address| *known_address == address)
+    }
+
+    /// Returns the latest incarnation of the media server with this index.
+    pub fn latest_incarnation(&self, index: u16) -> ServerIncarnation {
+        let address: SocketAddr = endpoint(index, Status::Ready).address.parse().expect("a valid address");
+        let latest = self.incarnations.iter().rfind(|(_, known_address)| **known_address == address);
+        *latest.expect("a known incarnation").0
+    }
+
     /// Records that a session was adopted at the media server with this index.
     pub fn add_adopted(&mut self, id: CallId, index: u16) {
-        let address: SocketAddr = endpoint(index, Status::Ready).address.parse().expect("a valid address");
-        let (latest, _) = self
-            .incarnations
-            .iter()
-            .rfind(|(_, known_address)| **known_address == address)
-            .expect("a known incarnation");
-        self.established.insert(id, *latest);
+        let latest = self.latest_incarnation(index);
+        self.established.insert(id, latest);
     }
 
     /// Ends a session, or refuses its set-up, at a media server.
--- a/crates/platform/protocol/src/viewer.rs
+++ b/crates/platform/protocol/src/viewer.rs
@@ -102,6 +102,11 @@
             other => Err(FrameError::UnknownType(other)),
         }
     }
+
+    /// Returns whether the message hands over a session that is already established at a media server.
+    pub fn is_hand_over(&self) -> bool {
+        matches!(self, FromViewer::SetUp(_, Ok(setup)) if setup.attributes.playing_at.is_some())
+    }
 }
 
 impl SetUp {
