Event loop: hundreds of connections with short messages stay within memory and delay nobody

Cause: all ready connections were read before any input was processed, and one read-ahead gave thousands of releases, each an input many times its size on the wire; the read-ahead counted encoded bytes only. Change: 32 releases or hand-overs a call, inputs processed at 1024, queued messages counted with their memory, the write buffer bounded as the read-ahead.

--- a/crates/platform/event-loop/src/event_loop/iteration.rs
+++ b/crates/platform/event-loop/src/event_loop/iteration.rs
@@ -23,6 +23,9 @@
 use crate::tokens::{LISTENER, SIGHUP_PIPE, SIGTERM_PIPE};
 use crate::viewers::ViewerContext;
 
+/// Number of queued inputs at which they are processed before further viewers' connections are read.
+const MAX_QUEUED_INPUTS: usize = 1024;
+
 /// Viewers' connection whose socket is ready.
 struct ReadyViewer {
     token: Token,
@@ -134,9 +137,17 @@
     /// Handles disconnected viewers and withdrawn set-ups before anything else, so that no further work is started for
     /// them.
     fn handle_viewer_disconnects(&mut self, ready: Vec<ReadyViewer>, now: Micros) {
-        for ReadyViewer { token, read_closed } in ready {
+        for viewer in ready.iter().filter(|viewer| viewer.read_closed) {
+            let (viewers, mut context) = self.viewers_with_context(now);
+            viewers.mark_client_closed(viewer.token, &mut context);
+        }
+        for ReadyViewer { token, .. } in ready {
+            // Hundreds of viewers may be ready, each with many messages.
+            if self.inputs.len() >= MAX_QUEUED_INPUTS {
+                self.process_inputs(now);
+            }
             let (viewers, mut context) = self.viewers_with_context(now);
-            viewers.handle_ready(token, read_closed, &mut context);
+            viewers.handle_ready(token, &mut context);
         }
         self.process_inputs(now);
     }
--- a/crates/platform/event-loop/src/limits.rs
+++ b/crates/platform/event-loop/src/limits.rs
@@ -118,11 +118,11 @@
 /// Time between the stop of the front node and SIGKILL.
 const STOP_BEFORE_KILL: Micros = Micros(80_000);
 
-/// Smallest read-ahead of a viewers' connection: one complete message with its length prefix.
-const MIN_READ_AHEAD_BYTES: usize = beechloft_protocol::MAX_MESSAGE_BYTES + 2;
+/// Smallest buffer of a viewers' connection: one complete message with its length prefix.
+const MIN_VIEWER_BUFFER_BYTES: usize = beechloft_protocol::MAX_MESSAGE_BYTES + 2;
 
-/// Largest read-ahead of a viewers' connection.
-const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
+/// Largest buffer of a viewers' connection.
+const MAX_VIEWER_BUFFER_BYTES: usize = 64 * 1024;
 
 impl SocketLimits {
     /// Derives limits that fit the file descriptors, the memory and the time until SIGKILL.
@@ -136,8 +136,8 @@
             max_viewer_connections,
             max_server_connections,
             max_connections_per_server: 8,
-            viewer_read_ahead_bytes: read_ahead_bytes(inputs.memory_mb, max_viewer_connections),
-            viewer_write_buffer_bytes: 64 * 1024,
+            viewer_read_ahead_bytes: viewer_buffer_bytes(inputs.memory_mb, max_viewer_connections),
+            viewer_write_buffer_bytes: viewer_buffer_bytes(inputs.memory_mb, max_viewer_connections),
             server_write_buffer_bytes: 64 * 1024,
             viewer_messages_per_iteration: 8,
             upstream_bytes_per_iteration: 16 * 1024,
@@ -166,12 +166,12 @@
     }
 }
 
-/// Returns the read-ahead of one viewers' connection.
+/// Returns the size of the read-ahead and of the write buffer of one viewers' connection.
 ///
-/// All connections together use at most an eighth of the memory, but each can read ahead one complete message, as an
-/// incomplete message cannot be handled.
-fn read_ahead_bytes(memory_mb: f64, connections: usize) -> usize {
+/// The read-ahead of all connections uses at most an eighth of the memory, and so do their write buffers, but each holds one
+/// complete message, as an incomplete message cannot be handled.
+fn viewer_buffer_bytes(memory_mb: f64, connections: usize) -> usize {
     #[expect(clippy::cast_possible_truncation, reason = "a fraction of a byte; the cast saturates")]
     let budget = (memory_mb.max(1.0) * 1e6 / 8.0) as usize;
-    (budget / connections).clamp(MIN_READ_AHEAD_BYTES, MAX_READ_AHEAD_BYTES)
+    (budget / connections).clamp(MIN_VIEWER_BUFFER_BYTES, MAX_VIEWER_BUFFER_BYTES)
 }
--- a/crates/platform/event-loop/src/viewers/messages.rs
+++ b/crates/platform/event-loop/src/viewers/messages.rs
@@ -10,11 +10,8 @@
 use crate::tokens::{viewer_connection, viewer_token};
 
 impl ViewerConnections {
-    /// Handles a ready connection.
-    ///
-    /// `read_closed` is true if the client has closed or reset the connection. The poll reports this before all data that
-    /// the client has sent is read.
-    pub fn handle_ready(&mut self, token: Token, read_closed: bool, context: &mut ViewerContext<'_>) {
+    /// Handles a ready connection, whose close by its client was handled by [`Self::mark_client_closed`].
+    pub fn handle_ready(&mut self, token: Token, context: &mut ViewerContext<'_>) {
         if self.draining.has(token) {
             return self.advance_draining(token, context.registry);
         }
@@ -22,17 +19,14 @@
         if connection.flush().is_err() {
             return self.close_at_once(token, context);
         }
-        if read_closed {
-            self.mark_client_closed(token, context);
-        }
         self.read_ahead(token, context);
     }
 
     /// Marks a connection as closed by its client and reports this to the state machine, which then starts no further
     /// attempts for it.
     ///
-    /// This can happen before all data that the client has sent is read.
-    fn mark_client_closed(&mut self, token: Token, context: &mut ViewerContext<'_>) {
+    /// The poll reports the close before all data that the client has sent is read.
+    pub fn mark_client_closed(&mut self, token: Token, context: &mut ViewerContext<'_>) {
         if let Some(connection) = self.connections.get_mut(&token).filter(|c| !c.client_closed) {
             let conn = viewer_connection(token);
             let hand_overs = connection.mark_client_closed();
--- a/crates/platform/event-loop/src/viewers/socket.rs
+++ b/crates/platform/event-loop/src/viewers/socket.rs
@@ -20,11 +20,22 @@
     Closed,
 }
 
+/// Maximum number of releases and hand-overs that one call of [`ViewerSocket::read_ahead`] returns.
+const MAX_IMMEDIATE_MESSAGES: usize = 32;
+
 /// Message that is received and not handled yet.
 struct QueuedMessage {
     message: FromViewer,
     /// Length of the encoded message.
-    bytes: usize,
+    encoded_bytes: usize,
+}
+
+impl QueuedMessage {
+    /// Returns the memory that the message uses in the queue. Most of a long message is text, which is kept as it was sent, and
+    /// a short message is larger in the queue than on the wire.
+    fn memory_bytes(&self) -> usize {
+        size_of::<QueuedMessage>() + self.encoded_bytes
+    }
 }
 
 /// Message of which only a part has arrived.
@@ -48,8 +59,10 @@
     pub stream: BufferedStream,
     decoder: FrameDecoder,
     queue: VecDeque<QueuedMessage>,
-    /// Total length of the encoded messages in the queue.
+    /// Memory that the messages in the queue use.
     queued_bytes: usize,
+    /// Whether decoding has stopped, as enough messages are queued, although complete messages may follow.
+    may_have_undecoded: bool,
     /// Whether reading ahead has stopped although the socket may hold more data.
     may_have_more: bool,
     /// Whether the connection has carried a valid set-up or a test.
@@ -74,6 +87,7 @@
             decoder: FrameDecoder::default(),
             queue: VecDeque::new(),
             queued_bytes: 0,
+            may_have_undecoded: false,
             may_have_more: false,
             has_valid_request: false,
             malformed: false,
@@ -85,7 +99,8 @@
         }
     }
 
-    /// Reads messages into the queue, until `max_bytes` are queued or this call has read `max_bytes`.
+    /// Reads messages into the queue, until they use `max_bytes`, this call has read `max_bytes`, or it has returned
+    /// [`MAX_IMMEDIATE_MESSAGES`].
     ///
     /// Releases are appended to `immediate` and not queued, as an attempt that started before a queued release is handled
     /// would be useless. A queued set-up that is released is removed from the queue. Hand-overs are appended to
@@ -99,9 +114,8 @@
     ) -> ReadAhead {
         let mut read_bytes = 0;
         loop {
-            self.decode(now, immediate);
-            self.may_have_more =
-                !self.malformed && (self.queued_bytes >= max_bytes || read_bytes >= max_bytes);
+            self.decode(now, max_bytes, immediate);
+            self.may_have_more = !self.malformed && (self.may_have_undecoded || read_bytes >= max_bytes);
             if self.malformed || self.may_have_more {
                 return ReadAhead::Paused;
             }
@@ -119,9 +133,14 @@
         }
     }
 
-    /// Decodes received bytes, and queues the complete messages.
-    fn decode(&mut self, now: Micros, immediate: &mut Vec<FromViewer>) {
+    /// Decodes received bytes, and queues the complete messages until they use `max_bytes`.
+    fn decode(&mut self, now: Micros, max_bytes: usize, immediate: &mut Vec<FromViewer>) {
+        self.may_have_undecoded = false;
         while !self.malformed {
+            if self.queued_bytes >= max_bytes || immediate.len() >= MAX_IMMEDIATE_MESSAGES {
+                self.may_have_undecoded = true;
+                return;
+            }
             let bytes_before = self.decoder.pending();
             let message = match self.decoder.next_frame() {
                 Ok(None) => break,
@@ -132,8 +151,8 @@
                 self.malformed = true;
                 break;
             };
-            let bytes = bytes_before - self.decoder.pending();
-            self.enqueue(QueuedMessage { message, bytes }, now, immediate);
+            let encoded_bytes = bytes_before - self.decoder.pending();
+            self.enqueue(QueuedMessage { message, encoded_bytes }, now, immediate);
         }
         // An incomplete message that follows complete ones in the same read counts from now on.
         let has_partial = !self.malformed && self.decoder.pending() > 0;
@@ -151,7 +170,7 @@
         } else if self.client_closed && queued.message.is_hand_over() {
             immediate.push(queued.message);
         } else if !self.client_closed {
-            self.queued_bytes += queued.bytes;
+            self.queued_bytes += queued.memory_bytes();
             self.queue.push_back(queued);
         }
     }
@@ -163,7 +182,7 @@
             let is_released = matches!(&queued.message, FromViewer::SetUp(id, _) if *id == released);
             let keep = !is_released || queued.message.is_hand_over();
             if !keep {
-                *queued_bytes -= queued.bytes;
+                *queued_bytes -= queued.memory_bytes();
             }
             keep
         });
@@ -172,13 +191,13 @@
     /// Removes and returns the first message of the queue.
     pub fn next_message(&mut self) -> Option<FromViewer> {
         let queued = self.queue.pop_front()?;
-        self.queued_bytes -= queued.bytes;
+        self.queued_bytes -= queued.memory_bytes();
         Some(queued.message)
     }
 
-    /// Returns whether messages are queued.
+    /// Returns whether received messages may wait to be handled.
     pub fn has_messages(&self) -> bool {
-        !self.queue.is_empty()
+        !self.queue.is_empty() || self.may_have_undecoded
     }
 
     /// Returns whether there is pending work that the poll does not report.
