Keeper: long inbound messages share a bounded memory, and half-sent ones end after 5 s

Cause: each connection read up to 1 MiB at once, for as long as it liked, and whole messages waited in a queue bounded by count. Change: messages over 4 KiB reserve their size from 16 MiB until they are handled; a message takes 5 s at most.

--- a/crates/fleet/coordinator/src/connections.rs
+++ b/crates/fleet/coordinator/src/connections.rs
@@ -4,17 +4,18 @@
 //! The threads are detached: a reader ends with its connection, a writer with its queue, and the acceptor with the process.
 
 use std::collections::BTreeMap;
-use std::io::{self, Write};
+use std::io::{self, Cursor, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use tracing::warn;
 
-use crate::wire::{self, Message};
+use crate::inbound_budget::{InboundBudget, Reservation};
+use crate::wire::{self, Message, WireError};
 
 /// Maximum number of open inbound connections.
 const MAX_CONNECTIONS: usize = 1024;
@@ -26,6 +27,12 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time after which a blocked write fails and its connection is closed.
 pub(crate) const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time from the first byte of an inbound message to its last, after which its connection is closed.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Size up to which a message's body is read without a reservation, bytes. Heartbeats and most requests are shorter.
+const MAX_UNRESERVED_BYTES: usize = 4 << 10;
+/// Maximum total size of the longer messages that are received and not handled yet, bytes.
+const MAX_RESERVED_BYTES: usize = 16 << 20;
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -35,7 +42,8 @@
 
 /// An event of an inbound connection.
 pub(crate) enum Inbound {
-    Message(ConnectionId, Message),
+    /// A message, with the memory that is reserved until it is handled.
+    Message(ConnectionId, Message, Option<Reservation>),
     Closed(ConnectionId),
 }
 
@@ -46,11 +54,23 @@
 }
 
 /// The set of inbound connections. Clones share it.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub(crate) struct Connections {
     open: Arc<Mutex<BTreeMap<ConnectionId, Outbound>>>,
     next_id: Arc<AtomicU64>,
     rejected_messages: Arc<AtomicU64>,
+    budget: Arc<InboundBudget>,
+}
+
+impl Default for Connections {
+    fn default() -> Connections {
+        Connections {
+            open: Arc::default(),
+            next_id: Arc::default(),
+            rejected_messages: Arc::default(),
+            budget: Arc::new(InboundBudget::new(MAX_RESERVED_BYTES)),
+        }
+    }
 }
 
 impl Connections {
@@ -131,12 +151,34 @@
         Ok(())
     }
 
+    /// Reads a message. One that is long is read once there is memory for it.
+    fn read_message(
+        &self,
+        stream: &mut TcpStream,
+        fleet: u64,
+    ) -> Result<(Message, Option<Reservation>), WireError> {
+        let mut first_byte = [0];
+        stream.set_read_timeout(Some(IDLE_TIMEOUT))?;
+        stream.read_exact(&mut first_byte)?;
+        let deadline = Instant::now() + MESSAGE_TIMEOUT;
+        let mut reader = Cursor::new(first_byte).chain(DeadlineReader { stream, deadline });
+        let header = wire::read_message_header(fleet, &mut reader)?;
+        let reservation = if header.body_bytes > MAX_UNRESERVED_BYTES {
+            let reserved = self.budget.reserve(header.body_bytes, deadline);
+            Some(reserved.ok_or(io::Error::from(io::ErrorKind::OutOfMemory))?)
+        } else {
+            None
+        };
+        let message = wire::read_message_body(header, &mut reader)?;
+        Ok((message, reservation))
+    }
+
     /// Reads messages until the connection ends or a message is rejected.
     fn read_messages(&self, id: ConnectionId, mut stream: TcpStream, fleet: u64, inbound: &Sender<Inbound>) {
         loop {
-            match wire::read(fleet, &mut stream) {
-                Ok(message) => {
-                    if inbound.send(Inbound::Message(id, message)).is_err() {
+            match self.read_message(&mut stream, fleet) {
+                Ok((message, reservation)) => {
+                    if inbound.send(Inbound::Message(id, message, reservation)).is_err() {
                         break;
                     }
                 }
@@ -155,6 +197,23 @@
     }
 }
 
+/// Reads from a connection until a deadline.
+struct DeadlineReader<'a> {
+    stream: &'a mut TcpStream,
+    deadline: Instant,
+}
+
+impl Read for DeadlineReader<'_> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        if remaining.is_zero() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        self.stream.set_read_timeout(Some(remaining))?;
+        self.stream.read(buffer)
+    }
+}
+
 /// Writes messages until the queue's sender is dropped or a write fails.
 fn write_messages(messages: &Receiver<Vec<u8>>, mut stream: TcpStream) {
     for bytes in messages {
--- a/crates/fleet/coordinator/src/lib.rs
+++ b/crates/fleet/coordinator/src/lib.rs
@@ -21,6 +21,7 @@
 mod connections;
 mod front_leases;
 pub mod history;
+mod inbound_budget;
 mod membership;
 mod outlier_detector;
 mod peer_link;
--- a/crates/fleet/coordinator/src/membership/mod.rs
+++ b/crates/fleet/coordinator/src/membership/mod.rs
@@ -108,7 +108,7 @@
         connections.accept(listener, fleet, sender)?;
         let serve = move || {
             for request in inbound {
-                if let Inbound::Message(connection, Message::GetMembers) = request
+                if let Inbound::Message(connection, Message::GetMembers, _) = request
                     && let Some(bytes) = wire::encode(fleet, &Message::Members(Some(shared.members())))
                 {
                     connections.send(connection, bytes);
--- a/crates/fleet/coordinator/src/server/dispatch.rs
+++ b/crates/fleet/coordinator/src/server/dispatch.rs
@@ -18,7 +18,9 @@
     /// Handles an inbound message or the end of a connection.
     pub(super) fn handle_inbound(&mut self, inbound: Inbound, outputs: &mut PendingOutputs) {
         match inbound {
-            Inbound::Message(connection, message) => self.handle_message(connection, message, outputs),
+            Inbound::Message(connection, message, _reservation) => {
+                self.handle_message(connection, message, outputs);
+            }
             Inbound::Closed(connection) => {
                 self.subscriptions.remove(connection);
                 let input = ReplicaInput::ClientDisconnected(ClientId(connection.0));
--- a/crates/fleet/coordinator/src/wire/codec.rs
+++ b/crates/fleet/coordinator/src/wire/codec.rs
@@ -6,7 +6,8 @@
 use beechloft_topic::{Delivery, FeedItem};
 
 use super::frame::{
-    HEADER_BYTES, MAX_BODY_BYTES, MAX_DATAGRAM_BYTES, WireError, frame_body, read_frame, write_frame,
+    FrameHeader, HEADER_BYTES, MAX_BODY_BYTES, MAX_DATAGRAM_BYTES, WireError, frame_body, read_body,
+    read_frame, read_header, write_frame,
 };
 use super::message::Message;
 
@@ -25,6 +26,22 @@
     read_frame(MAGIC, fleet, from)
 }
 
+/// Reads the header of a message, whose body [`read_message_body`] reads.
+///
+/// # Errors
+/// Returns an error if the connection failed or the header was rejected. The connection is unusable then.
+pub(crate) fn read_message_header(fleet: u64, from: &mut impl Read) -> Result<FrameHeader, WireError> {
+    read_header(MAGIC, fleet, from)
+}
+
+/// Reads and decodes the body of a message.
+///
+/// # Errors
+/// Returns an error if the connection failed or the message was rejected. The connection is unusable then.
+pub(crate) fn read_message_body(header: FrameHeader, from: &mut impl Read) -> Result<Message, WireError> {
+    read_body(header, from)
+}
+
 /// Encodes a membership packet as a datagram. Returns `None` if it is longer than [`MAX_DATAGRAM_BYTES`], which packets of the
 /// protocol never are.
 pub fn encode_datagram(fleet: u64, packet: &Packet) -> Option<Vec<u8>> {
--- a/crates/fleet/coordinator/src/wire/frame.rs
+++ b/crates/fleet/coordinator/src/wire/frame.rs
@@ -75,6 +75,14 @@
     Ok(bytes)
 }
 
+/// The valid header of a frame.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct FrameHeader {
+    /// Length of the body, bytes.
+    pub body_bytes: usize,
+    checksum: u32,
+}
+
 /// Reads one frame and decodes its body.
 ///
 /// # Errors
@@ -84,6 +92,19 @@
     fleet: u64,
     from: &mut impl Read,
 ) -> Result<T, WireError> {
+    let header = read_header(magic, fleet, from)?;
+    read_body(header, from)
+}
+
+/// Reads the header of a frame.
+///
+/// # Errors
+/// Returns an error if reading failed or the header is not valid. The position in the stream is undefined then.
+pub(super) fn read_header(
+    magic: [u8; 4],
+    fleet: u64,
+    from: &mut impl Read,
+) -> Result<FrameHeader, WireError> {
     let header: [u8; HEADER_BYTES] = read_array(from)?;
     let mut fields = &header[..];
     if read_array(&mut fields)? != magic || u16::from_be_bytes(read_array(&mut fields)?) != VERSION {
@@ -97,9 +118,20 @@
     if length > MAX_BODY_BYTES {
         return Err(WireError::TooLong(length));
     }
-    let mut body = vec![0; length];
+    Ok(FrameHeader { body_bytes: length, checksum })
+}
+
+/// Reads and decodes the body that follows a header.
+///
+/// # Errors
+/// Returns an error if reading failed or the message was rejected. The position in the stream is undefined then.
+pub(super) fn read_body<T: DeserializeOwned>(
+    header: FrameHeader,
+    from: &mut impl Read,
+) -> Result<T, WireError> {
+    let mut body = vec![0; header.body_bytes];
     from.read_exact(&mut body)?;
-    if crc32fast::hash(&body) != checksum {
+    if crc32fast::hash(&body) != header.checksum {
         return Err(WireError::Malformed);
     }
     postcard::from_bytes(&body).map_err(|_| WireError::Malformed)
--- a/crates/fleet/coordinator/src/wire/mod.rs
+++ b/crates/fleet/coordinator/src/wire/mod.rs
@@ -9,7 +9,7 @@
 mod reports;
 
 pub use codec::{decode_datagram, encode, encode_datagram, read};
-pub(crate) use codec::{encode_delivery, encode_delivery_item};
+pub(crate) use codec::{encode_delivery, encode_delivery_item, read_message_body, read_message_header};
 pub(crate) use frame::{HEADER_BYTES, read_frame, write_frame};
 pub use frame::{MAX_BODY_BYTES, MAX_DATAGRAM_BYTES, WireError};
 pub use message::Message;
