--- a/crates/fleet/coordinator/src/inbound_budget.rs
+++ b/crates/fleet/coordinator/src/inbound_budget.rs
@@ -30,9 +30,8 @@
     /// Reserves bytes, and waits for them at most until the deadline. Returns `None` if they are not available by then.
     pub fn reserve(self: &Arc<Self>, bytes: usize, deadline: Instant) -> Option<Reservation> {
         let wait = deadline.saturating_duration_since(Instant::now());
-        let available = self.available_bytes();
         let waited =
-            self.released.wait_timeout_while(available, wait, |available_bytes| *available_bytes < bytes);
+            self.released.wait_timeout_while(self.available_bytes(), wait, |available| *available < bytes);
         let (mut available, _) = waited.unwrap_or_else(PoisonError::into_inner);
         *available = available.checked_sub(bytes)?;
         Some(Reservation { budget: Arc::clone(self), bytes })
