SIP: one peer uses half of the server transactions at most

Cause: transactions over UDP live for 37 s, and the limit of 200,000 was shared by all. Change: a peer may use as many as are free, so half of them alone.

--- a/crates/front/sip/src/transaction/layer.rs
+++ b/crates/front/sip/src/transaction/layer.rs
@@ -11,6 +11,8 @@
 use crate::message::{Message, Method, Request, Response};
 
 /// Maximum number of concurrent server transactions. Further requests get a stateless 503.
+///
+/// A single peer may use as many as are free, so that it uses half of them at most and others are still served.
 pub const MAX_SERVER_TRANSACTIONS: usize = 200_000;
 
 /// Local role in a transaction.
@@ -128,6 +130,8 @@
 #[derive(Debug, Default)]
 pub struct Layer {
     servers: BTreeMap<Key, (Peer, Server)>,
+    /// Number of server transactions of each peer that has any.
+    servers_by_peer: BTreeMap<Peer, usize>,
     clients: BTreeMap<Key, (Peer, Client)>,
     /// Client transactions over each stream.
     clients_by_stream: BTreeMap<Peer, BTreeSet<Key>>,
@@ -198,7 +202,7 @@
         match request.method() {
             // The ACK of a 2xx belongs to no transaction (section 13.2.2.4).
             Method::Ack => return out.push(Output::Ack(peer, Box::new(request))),
-            _ if self.servers.len() >= MAX_SERVER_TRANSACTIONS => {
+            _ if !self.has_capacity(peer) => {
                 let mut full = request.response(503, "full");
                 full.raw.headers.push(rsip::Header::RetryAfter("1".into()));
                 return out.push(Output::Transmit(peer, Box::new(Message::Response(full))));
@@ -210,7 +214,14 @@
         out.push(Output::Request(key, peer, Box::new(request)));
     }
 
+    /// Returns whether a peer may start a further server transaction.
+    fn has_capacity(&self, peer: Peer) -> bool {
+        let free = MAX_SERVER_TRANSACTIONS.saturating_sub(self.servers.len());
+        self.servers_by_peer.get(&peer).copied().unwrap_or(0) < free
+    }
+
     fn start_server(&mut self, key: &Key, peer: Peer, request: &Request) {
+        *self.servers_by_peer.entry(peer).or_default() += 1;
         let server = Server::new(self.now, request.clone(), peer.transport);
         self.due.extend(server.next_due().map(|at| (at, key.clone())));
         self.servers.insert(key.clone(), (peer, server));
@@ -314,13 +325,26 @@
                 server::Step::NoAck => Output::NoAck(key.clone()),
             });
         }
+        let peer = *peer;
         if server.is_terminated() {
-            self.servers.remove(key);
+            self.remove_server(key, peer);
         } else if let Some(at) = server.next_due() {
             self.due.insert((at, key.clone()));
         }
     }
 
+    fn remove_server(&mut self, key: &Key, peer: Peer) {
+        if self.servers.remove(key).is_none() {
+            return;
+        }
+        if let Some(count) = self.servers_by_peer.get_mut(&peer) {
+            *count -= 1;
+            if *count == 0 {
+                self.servers_by_peer.remove(&peer);
+            }
+        }
+    }
+
     fn on_client(
         &mut self,
         key: &Key,
