Front: nothing is sent on for clients whose connection is closed

Cause: over HTTP a set-up was sent before the client's socket was looked at; over SIP the agent did nothing when a caller's stream ended, and calls read before were still delivered.

--- a/crates/front/server/src/attempt.rs
+++ b/crates/front/server/src/attempt.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use beechloft_http::client::{CallError, Exchange};
+use beechloft_http::client::{CallError, Conn, Exchange};
 use beechloft_http::server::Link;
 use beechloft_http::{Request, wait};
 use beechloft_session::api::{LoadReport, Outcome};
@@ -52,7 +52,16 @@
 ) -> AttemptEnd {
     let deadline = shared.clock.instant(set_up.deadline);
     let Some(address) = set_up.address else { return ended(Outcome::NotSent) };
-    let mut exchange = match send(shared, address, request, deadline) {
+    let connection = match connect(shared, address, deadline) {
+        Ok(connection) => connection,
+        Err(error) => return ended(outcome_of(shared, set_up, &error)),
+    };
+    // The client may have left while its request waited to be read, or during the connect.
+    if wait::hung_up(link.socket) {
+        on_disconnect();
+        return AttemptEnd { client_disconnected: true, ..ended(Outcome::NotSent) };
+    }
+    let mut exchange = match connection.send(request, deadline) {
         Ok(exchange) => exchange,
         Err(error) => return ended(outcome_of(shared, set_up, &error)),
     };
@@ -86,14 +95,9 @@
     AttemptEnd { client_disconnected: on_disconnect.is_none(), ..abandon(exchange) }
 }
 
-fn send(
-    shared: &Shared,
-    address: SocketAddr,
-    request: &Request,
-    deadline: Instant,
-) -> Result<Exchange, CallError> {
+fn connect(shared: &Shared, address: SocketAddr, deadline: Instant) -> Result<Conn, CallError> {
     let connect_until = deadline.min(Instant::now() + shared.settings.connect_timeout);
-    shared.pool.get(address, connect_until)?.send(request, deadline)
+    shared.pool.get(address, connect_until)
 }
 
 /// Returns the outcome of a call that failed. A refused connection is also reported as an event of the media server.
--- a/crates/front/server/src/sip/streams/event_loop.rs
+++ b/crates/front/server/src/sip/streams/event_loop.rs
@@ -184,11 +184,18 @@
         let (peer, undelivered) = (stream.peer, std::mem::take(&mut stream.undelivered));
         self.close(stream);
         self.stalled.remove(&conn);
-        // Messages that were received before the stream ended are still delivered.
-        for input in undelivered {
+        let lost = Input::ConnectionLost(peer, matches!(reason, LossReason::Refused));
+        let is_caller = conn < AGENT_ID_BIT;
+        // Messages that were received before the stream ended are still delivered. The agent learns of a caller's end first, so
+        // that it sets up no call for it.
+        let inputs: Vec<Input> = if is_caller {
+            std::iter::once(lost).chain(undelivered).collect()
+        } else {
+            undelivered.into_iter().chain([lost]).collect()
+        };
+        for input in inputs {
             self.agent.reliable(input);
         }
-        self.agent.reliable(Input::ConnectionLost(peer, matches!(reason, LossReason::Refused)));
     }
 
     fn ready(&mut self, conn: u64, flags: EventFlags) {
--- a/crates/front/sip/src/agent/inbound.rs
+++ b/crates/front/sip/src/agent/inbound.rs
@@ -77,6 +77,7 @@
         self.by_caller.insert(dialog_id.clone(), session);
         self.by_request.insert(request_id, session);
         self.by_invite.insert(key.clone(), session);
+        self.caller_streams.add(peer, session);
         let arrived = Some(self.arrived);
         let call = InboundCall {
             request: request_id,
@@ -164,6 +165,7 @@
             self.by_request.remove(&call.request);
             self.by_invite.remove(&call.key);
             self.by_caller.remove(&call.dialog_id);
+            self.caller_streams.remove(call.peer, session);
         }
         self.update_timer(TimerOwner::Inbound(session));
     }
--- a/crates/front/sip/src/agent/mod.rs
+++ b/crates/front/sip/src/agent/mod.rs
@@ -4,6 +4,7 @@
 //! INVITE to a media server on a connection of its own. The end of a leg is reported as the attempt's result, and a release
 //! is a BYE. Retransmissions end at the transaction layer. The agent has no I/O or clock, and its randomness is seeded.
 
+mod caller_streams;
 mod inbound;
 mod outbound;
 mod overload;
@@ -17,6 +18,7 @@
 use beechloft_whep::sdp::Offer;
 use rsip::{Header, headers::UntypedHeader};
 
+use self::caller_streams::CallerStreams;
 use crate::callee::{self, CalleeLeg};
 use crate::caller::{self, CallerLeg};
 use crate::dialog::IdGenerator;
@@ -113,6 +115,7 @@
     by_caller: BTreeMap<(String, String), SessionId>,
     by_request: BTreeMap<RequestId, SessionId>,
     by_invite: BTreeMap<Key, SessionId>,
+    caller_streams: CallerStreams,
     outbound: BTreeMap<u64, OutboundCall>,
     /// Legs at media servers by `Call-ID`.
     by_outbound_call_id: BTreeMap<String, u64>,
@@ -150,6 +153,7 @@
             by_caller: BTreeMap::new(),
             by_request: BTreeMap::new(),
             by_invite: BTreeMap::new(),
+            caller_streams: CallerStreams::default(),
             outbound: BTreeMap::new(),
             by_outbound_call_id: BTreeMap::new(),
             by_key: BTreeMap::new(),
@@ -166,7 +170,7 @@
         self.now = self.now.max(now);
         match input {
             Input::Received(peer, message, at) => {
-                if self.admits(peer, &message, at) {
+                if !self.is_of_lost_caller(peer, &message) && self.admits(peer, &message, at) {
                     self.layer(transaction::Input::Received(peer, message));
                 }
             }
@@ -176,6 +180,7 @@
                 if let Some(call) = self.outbound.get_mut(&leg).filter(|p| p.peer == peer) {
                     call.connection_refused = refused;
                 }
+                self.caller_lost(peer);
                 self.layer(transaction::Input::ConnectionLost(peer));
                 if self.outbound.get(&leg).is_some_and(|p| p.peer == peer) {
                     self.on_outbound(leg, callee::Input::ConnectionLost);
