--- a/crates/front/server/tests/disconnected_clients.rs
+++ b/crates/front/server/tests/disconnected_clients.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
@@ -86,3 +86,39 @@
     assert_eq!(offered(&recorder), 0, "calls were set up for callers that had left");
     assert_eq!(fleet.sessions(), 0);
 }
+
+/// Sends a request and returns the status of its answer, or 0 if there is none. The client leaves before if `leave_after` is set.
+fn request(address: SocketAddr, client: usize, leave_after: Option<Duration>) -> u16 {
+    let body = format!("{OFFER}a=ice-ufrag:u{client:06}\r\n");
+    let head = "POST /whep/all HTTP/1.1\r\nHost: front\r\nContent-Type: application/sdp\r\nContent-Length:";
+    let mut stream = TcpStream::connect(address).expect("connect to the front");
+    write!(stream, "{head} {}\r\n\r\n{body}", body.len()).expect("write");
+    if let Some(wait) = leave_after {
+        std::thread::sleep(wait);
+        return 0;
+    }
+    let mut answer = [0; 12];
+    stream.read_exact(&mut answer).expect("an answer");
+    String::from_utf8_lossy(&answer[9..]).parse().expect("a status")
+}
+
+/// Guards against a second session for a request that comes again after its client has left.
+#[test]
+fn repeated_request_of_client_that_had_left_runs_once() {
+    let harness = Harness::new(4);
+    let address = harness.address;
+    let clients = (0..CLIENTS).map(|client| {
+        std::thread::spawn(move || {
+            // A set-up takes 5 ms, so that clients leave before, during and after it.
+            let wait = Duration::from_millis(client as u64 % 12);
+            request(address, client, Some(wait));
+            request(address, client, None)
+        })
+    });
+    let clients: Vec<_> = clients.collect();
+    let statuses: Vec<u16> = clients.into_iter().map(|client| client.join().expect("no panic")).collect();
+    let answered = statuses.iter().filter(|status| **status == 201).count();
+    assert!(answered > 0, "{statuses:?}");
+    until("only sessions of answered clients run", || harness.fleet.sessions() <= answered);
+    assert_eq!(harness.report().overlapping_attempts, 0, "two attempts for a request were out at once");
+}
--- a/crates/front/server/tests/faults.rs
+++ b/crates/front/server/tests/faults.rs
@@ -313,3 +313,32 @@
     harness.wait_for_sessions(0);
     harness.finish();
 }
+
+/// A new process at the address of one that has gone is not taken for it, with hundreds of sessions at each.
+#[test]
+fn restarted_media_servers_inherit_none_of_hundreds_of_sessions() {
+    const SERVERS: u32 = 8;
+    const PLAYERS: u64 = 400;
+    const MIN_SESSIONS: usize = 200;
+    let mut harness = Harness::new(SERVERS);
+    let players: Vec<_> = (0..PLAYERS)
+        .map(|n| {
+            let (request, recorder) = (harness.request("all"), harness.recorder.clone());
+            std::thread::spawn(move || player::ask(&request, &mut Dice::new(2000 + n), &recorder))
+        })
+        .collect();
+    let asked: Vec<_> = players.into_iter().map(|player| player.join().expect("a player")).collect();
+    let playing = asked.iter().filter(|asked| asked.playing.is_some()).count();
+    assert!(playing >= MIN_SESSIONS, "{playing} sessions play");
+    let restarted_at = std::time::Instant::now();
+    for server in 1..=SERVERS {
+        harness.fleet.get(server).expect("a media server").restart().expect("it restarts");
+    }
+    until("the earlier sessions have ended", || harness.front().status().playing == 0);
+    assert!(restarted_at.elapsed() < Duration::from_secs(3), "before they would expire");
+    assert_eq!(harness.fleet.sessions(), 0);
+    until("a new session plays", || harness.status("all") == 201);
+    assert_eq!(harness.front().status().playing, 1);
+    harness.wait_for_sessions(0);
+    harness.finish();
+}
