Front node: hand-overs on one connection leave half of the capacity to others

Cause: hand-overs counted up to the last of 8,192 sessions. Change: a connection may have as many established sessions as there is capacity left.

--- a/crates/platform/front-node/src/node/hand_over.rs
+++ b/crates/platform/front-node/src/node/hand_over.rs
@@ -42,13 +42,22 @@
                 self.release_at_server(incarnation, id, Cause::Normal);
                 self.release_handed_over(connection, id, Cause::TemporaryFailure);
             }
-            None if self.sessions.len() >= self.limits.max_sessions => {
+            None if !self.has_capacity_for_hand_over(connection) => {
                 self.release_handed_over(connection, id, Cause::TemporaryFailure);
             }
             None => self.adopt(connection, id, request, server, incarnation),
         }
     }
 
+    /// Returns whether a further session may be adopted on a connection.
+    ///
+    /// A connection may have as many established sessions as there is capacity left, so that hand-overs on one connection
+    /// use half of the capacity at most, and set-ups are still served.
+    fn has_capacity_for_hand_over(&self, connection: ViewerConnection) -> bool {
+        let free = self.limits.max_sessions.saturating_sub(self.sessions.len());
+        self.connections.established_on(connection) < free
+    }
+
     /// Adopts a session that is established at a media server.
     fn adopt(
         &mut self,
--- a/crates/platform/front-node/src/viewer_connections.rs
+++ b/crates/platform/front-node/src/viewer_connections.rs
@@ -127,6 +127,11 @@
         }
     }
 
+    /// Returns the number of established sessions that were set up or handed over on the connection.
+    pub fn established_on(&self, connection: ViewerConnection) -> usize {
+        self.connections.get(&connection).map_or(0, |state| state.established as usize)
+    }
+
     /// Drops releases that waited longer than [`RELEASE_RETENTION`], because their viewers have left by then.
     pub fn expire(&mut self, now: Micros) {
         while self.queued.front().is_some_and(|release| now - release.queued_at > RELEASE_RETENTION) {
--- a/crates/platform/front-node/tests/hand_over.rs
+++ b/crates/platform/front-node/tests/hand_over.rs
@@ -7,11 +7,13 @@
 use beechloft_protocol::server::FromServer;
 use beechloft_protocol::viewer::{FromViewer, ToViewer};
 use beechloft_protocol::{CallId, Cause};
-use support::{Harness, endpoint, server_message};
+use support::{Harness, MAX_SESSIONS, endpoint, server_message};
 
 const CONNECTION: u64 = 1;
 const OTHER_CONNECTION: u64 = 2;
 const SESSION: u64 = 7;
+/// A session that is set up, and not handed over.
+const SET_UP: u64 = 1 << 40;
 /// Index of the media server that the session plays at.
 const SERVER: u16 = 1;
 /// Upper bound of the number of entries in all records: five records of 8192 entries.
@@ -125,6 +127,19 @@
     assert_eq!(answer, [release_to_viewer(OTHER_CONNECTION, Cause::Normal)]);
 }
 
+/// Guards against a connection whose hand-overs use up the capacity of the front node, so that set-ups are refused.
+#[test]
+fn hand_overs_on_one_connection_leave_capacity_for_set_ups() {
+    let mut harness = Harness::new(1, 4);
+    for (id, _) in (1..).zip(0..MAX_SESSIONS) {
+        harness.hand_over(CONNECTION, id, SERVER);
+    }
+    assert_eq!(harness.node.counts().established, MAX_SESSIONS / 2);
+    harness.set_up(OTHER_CONNECTION, SET_UP, 2_000);
+    assert_eq!(harness.node.counts().pending, 1);
+    assert!(harness.in_flight.contains_key(&CallId(SET_UP)));
+}
+
 /// Guards against memory that grows with ends that no hand-over follows.
 #[test]
 fn ends_without_hand_over_are_forgotten() {
