Fleet simulation: the recorded runs number connections as the event loop does

Cause, by traces of both: the driver went on using the number of a connection after it had reported its close, which the event loop never does, and the front node now remembers closed connections. The driver gives each new connection the next number, and the hashes are recorded anew.

--- a/crates/testing/fleet-simulation/tests/machine_hash/driver.rs
+++ b/crates/testing/fleet-simulation/tests/machine_hash/driver.rs
@@ -53,6 +53,10 @@
     /// Server numbers that the state machine has announced and not dropped.
     pub(super) servers: BTreeMap<u32, String>,
     pub(super) next_call: u64,
+    /// Number of the next connection. Numbers are never reused.
+    next_connection: u64,
+    /// Connections that are open.
+    connections: Vec<ViewerConnection>,
     pub(super) record: Record,
 }
 
@@ -91,6 +95,8 @@
             probes: BTreeMap::new(),
             servers: BTreeMap::new(),
             next_call: 1,
+            next_connection: CONNECTIONS,
+            connections: (0..CONNECTIONS).map(ViewerConnection).collect(),
             record,
         }
     }
@@ -211,7 +217,17 @@
     }
 
     pub(super) fn connection(&mut self) -> ViewerConnection {
-        ViewerConnection(self.rng.random_range(0..CONNECTIONS))
+        let index = self.rng.random_range(0..self.connections.len());
+        self.connections[index]
+    }
+
+    /// Closes a connection, and opens the next one in its place.
+    pub(super) fn close_connection(&mut self) {
+        let closed = self.connection();
+        let next = ViewerConnection(self.next_connection);
+        self.next_connection += 1;
+        self.connections.iter_mut().filter(|open| **open == closed).for_each(|open| *open = next);
+        self.input(Input::ViewerConnectionClosed(closed));
     }
 
     fn load(&mut self) -> Option<String> {
--- a/crates/testing/fleet-simulation/tests/machine_hash/main.rs
+++ b/crates/testing/fleet-simulation/tests/machine_hash/main.rs
@@ -15,12 +15,12 @@
 
 /// Seeds with the recorded hashes of all inputs and outputs.
 const RECORDED: [(u64, u64); 6] = [
-    (1, 0x5dbe_03ce_59b2_5f0e),
-    (2, 0x6c24_314c_9838_411a),
-    (3, 0x6dd5_c67d_bc6f_88c3),
-    (4, 0xa8c1_29b9_c7fb_22ee),
-    (5, 0x5e42_f4c9_34ca_1411),
-    (6, 0xdc9f_0108_a728_c062),
+    (1, 0x0f69_c06f_a73b_9927),
+    (2, 0x089e_8d64_344c_101e),
+    (3, 0x8e06_960c_61eb_afc6),
+    (4, 0x2a0d_ef5a_370b_ac9a),
+    (5, 0x01aa_2696_644c_24e0),
+    (6, 0x9ce1_dc8d_6372_9bd8),
 ];
 
 #[test]
--- a/crates/testing/fleet-simulation/tests/machine_hash/steps.rs
+++ b/crates/testing/fleet-simulation/tests/machine_hash/steps.rs
@@ -96,11 +96,6 @@
         self.input(Input::ViewerMessage(conn, FromViewer::Ignored(CallId(id))));
     }
 
-    pub(super) fn close_connection(&mut self) {
-        let conn = self.connection();
-        self.input(Input::ViewerConnectionClosed(conn));
-    }
-
     pub(super) fn undelivered_answer(&mut self) {
         let playing = self.playing.clone();
         if let Some((id, _)) = self.pick(&playing) {
