--- a/crates/fleet/coordinator/src/connections.rs
+++ b/crates/fleet/coordinator/src/connections.rs
@@ -31,8 +31,6 @@
 const MESSAGE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Size up to which a message's body is read without a reservation, bytes. Heartbeats and most requests are shorter.
 const MAX_UNRESERVED_BYTES: usize = 4 << 10;
-/// Maximum total size of the longer messages that are received and not handled yet, bytes.
-const MAX_RESERVED_BYTES: usize = 16 << 20;
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -54,7 +52,7 @@
 }
 
 /// The set of inbound connections. Clones share it.
-#[derive(Clone)]
+#[derive(Clone, Default)]
 pub(crate) struct Connections {
     open: Arc<Mutex<BTreeMap<ConnectionId, Outbound>>>,
     next_id: Arc<AtomicU64>,
@@ -62,17 +60,6 @@
     budget: Arc<InboundBudget>,
 }
 
-impl Default for Connections {
-    fn default() -> Connections {
-        Connections {
-            open: Arc::default(),
-            next_id: Arc::default(),
-            rejected_messages: Arc::default(),
-            budget: Arc::new(InboundBudget::new(MAX_RESERVED_BYTES)),
-        }
-    }
-}
-
 impl Connections {
     fn open(&self) -> MutexGuard<'_, BTreeMap<ConnectionId, Outbound>> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/fleet/coordinator/src/inbound_budget.rs
+++ b/crates/fleet/coordinator/src/inbound_budget.rs
@@ -3,7 +3,10 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-/// A number of bytes that inbound messages may use together.
+/// Maximum total size of messages that are received and not handled yet, bytes.
+const MAX_RESERVED_BYTES: usize = 16 << 20;
+
+/// Bytes that inbound messages may use together, [`MAX_RESERVED_BYTES`] at first.
 #[derive(Debug)]
 pub(crate) struct InboundBudget {
     available_bytes: Mutex<usize>,
@@ -17,12 +20,13 @@
     bytes: usize,
 }
 
-impl InboundBudget {
-    /// Creates a budget of `max_bytes`, none of which are in use.
-    pub fn new(max_bytes: usize) -> InboundBudget {
-        InboundBudget { available_bytes: Mutex::new(max_bytes), released: Condvar::new() }
+impl Default for InboundBudget {
+    fn default() -> InboundBudget {
+        InboundBudget { available_bytes: Mutex::new(MAX_RESERVED_BYTES), released: Condvar::new() }
     }
+}
 
+impl InboundBudget {
     fn available_bytes(&self) -> MutexGuard<'_, usize> {
         self.available_bytes.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/front/server/src/sip/queues/mod.rs
+++ b/crates/front/server/src/sip/queues/mod.rs
@@ -7,7 +7,7 @@
 
 use beechloft_session::api::Micros;
 use beechloft_sip::agent::Input;
-use beechloft_sip::message::{Message, Method};
+use beechloft_sip::message::Message;
 use beechloft_sip::transaction::layer::Peer;
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded, select, unbounded};
 
@@ -70,11 +70,7 @@
     fn queue_of(&self, input: &Input) -> &Sender<Input> {
         let Input::Received(_, message, _) = input else { return &self.reliable };
         match &**message {
-            Message::Request(request)
-                if request.method() == Method::Invite && request.ids.to_tag.is_none() =>
-            {
-                &self.new_calls
-            }
+            Message::Request(request) if request.starts_call() => &self.new_calls,
             _ => &self.in_dialog,
         }
     }
--- a/crates/front/server/src/sip/streams/event_loop.rs
+++ b/crates/front/server/src/sip/streams/event_loop.rs
@@ -181,18 +181,17 @@
     fn lose(&mut self, conn: u64, reason: LossReason) {
         let Some(mut stream) = self.open.remove(&conn) else { return };
         stream.unsent.clear();
-        let (peer, undelivered) = (stream.peer, std::mem::take(&mut stream.undelivered));
+        let (peer, mut inputs) = (stream.peer, std::mem::take(&mut stream.undelivered));
         self.close(stream);
         self.stalled.remove(&conn);
         let lost = Input::ConnectionLost(peer, matches!(reason, LossReason::Refused));
-        let is_caller = conn < AGENT_ID_BIT;
         // Messages that were received before the stream ended are still delivered. The agent learns of a caller's end first, so
         // that it sets up no call for it.
-        let inputs: Vec<Input> = if is_caller {
-            std::iter::once(lost).chain(undelivered).collect()
+        if conn < AGENT_ID_BIT {
+            inputs.push_front(lost);
         } else {
-            undelivered.into_iter().chain([lost]).collect()
-        };
+            inputs.push_back(lost);
+        }
         for input in inputs {
             self.agent.reliable(input);
         }
--- a/crates/front/server/tests/faults.rs
+++ b/crates/front/server/tests/faults.rs
@@ -269,21 +269,23 @@
     harness.finish();
 }
 
+/// Requests a title with a player for each seed, all at once, and waits for their answers.
+fn ask_concurrently(harness: &Harness, seeds: std::ops::Range<u64>) {
+    let ask = |seed| {
+        let (request, recorder) = (harness.request("all"), harness.recorder.clone());
+        let thread = std::thread::Builder::new().stack_size(128 * 1024);
+        thread.spawn(move || player::ask(&request, &mut Dice::new(seed), &recorder)).expect("a thread")
+    };
+    let players: Vec<_> = seeds.map(ask).collect();
+    for player in players {
+        player.join().expect("a player");
+    }
+}
+
 #[test]
 fn thousand_concurrent_requests_get_one_answer_each() {
     let harness = Harness::new(4);
-    let players: Vec<_> = (0..1000)
-        .map(|n| {
-            let (request, recorder) = (harness.request("all"), harness.recorder.clone());
-            let thread = std::thread::Builder::new().stack_size(128 * 1024);
-            thread
-                .spawn(move || player::ask(&request, &mut Dice::new(1000 + n), &recorder))
-                .expect("a thread")
-        })
-        .collect();
-    for p in players {
-        p.join().expect("a player");
-    }
+    ask_concurrently(&harness, 1000..2000);
     harness.wait_for_sessions(0);
     let report = harness.finish();
     assert_eq!(report.sessions, 1000);
@@ -324,14 +326,8 @@
     let mut seed = 2000;
     // A busy front refuses a part of so many simultaneous requests, and those players ask again.
     until("hundreds of sessions play", || {
-        let players: Vec<_> = (0..PLAYERS)
-            .map(|n| {
-                let (request, recorder) = (harness.request("all"), harness.recorder.clone());
-                std::thread::spawn(move || player::ask(&request, &mut Dice::new(seed + n), &recorder))
-            })
-            .collect();
+        ask_concurrently(&harness, seed..seed + PLAYERS);
         seed += PLAYERS;
-        players.into_iter().for_each(|player| drop(player.join().expect("a player")));
         harness.front().status().playing >= MIN_SESSIONS
     });
     let restarted_at = std::time::Instant::now();
--- a/crates/front/server/tests/sip.rs
+++ b/crates/front/server/tests/sip.rs
@@ -24,11 +24,7 @@
 impl SipHarness {
     fn new(media_servers: u32) -> SipHarness {
         let recorder = Recorder::default();
-        let fleet = Fleet::start(&fleet_spec(media_servers), &recorder).expect("a fleet");
-        let mut settings = settings(&format!("url: {}", fleet.list.url()), "");
-        settings.sip = Some("127.0.0.1:0".parse().expect("an address"));
-        let front = Front::start(settings, None).expect("a front");
-        until("the endpoint list is known", || front.status().media_servers == media_servers as usize);
+        let (fleet, front) = start_with_sip(media_servers, &recorder);
         SipHarness { recorder, fleet, front, seed: 10 }
     }
 
--- a/crates/front/server/tests/support/mod.rs
+++ b/crates/front/server/tests/support/mod.rs
@@ -63,6 +63,16 @@
     front::parse(&text).unwrap_or_else(|error| panic!("{error}\n{text}"))
 }
 
+/// Starts a fleet and a front with SIP, which knows its endpoint list.
+pub fn start_with_sip(media_servers: u32, recorder: &Recorder) -> (Fleet, Front) {
+    let fleet = Fleet::start(&fleet_spec(media_servers), recorder).expect("a fleet");
+    let mut settings = settings(&format!("url: {}", fleet.list.url()), "");
+    settings.sip = Some("127.0.0.1:0".parse().expect("an address"));
+    let front = Front::start(settings, None).expect("a front");
+    until("the endpoint list is known", || front.status().media_servers == media_servers as usize);
+    (fleet, front)
+}
+
 /// A running front with its fleet, and a player of its own.
 pub struct Harness {
     pub recorder: Recorder,
--- a/crates/front/server/tests/trunk.rs
+++ b/crates/front/server/tests/trunk.rs
@@ -5,20 +5,14 @@
 use std::time::Duration;
 
 use beechloft_checker::{Recorder, Rules, check};
-use beechloft_fakes::fleet::Fleet;
 use beechloft_fakes::trunk::{Plan, Tally, Trunk};
-use beechloft_server::Front;
 use support::*;
 
 /// Calls a front for two seconds at several times the rate that an unoptimised build can handle. Checks the rules and that
 /// each call has exactly one answer.
 fn run_gateway(claims: bool, obeys: bool) -> Tally {
     let recorder = Recorder::default();
-    let fleet = Fleet::start(&fleet_spec(4), &recorder).expect("a fleet");
-    let mut settings = settings(&format!("url: {}", fleet.list.url()), "");
-    settings.sip = Some("127.0.0.1:0".parse().expect("an address"));
-    let front = Front::start(settings, None).expect("a front");
-    until("the endpoint list is known", || front.status().media_servers == 4);
+    let (fleet, front) = start_with_sip(4, &recorder);
     let plan = Plan {
         front: front.sip_address().expect("SIP is up"),
         number: 0,
--- a/crates/front/sip/src/agent/caller_streams.rs
+++ b/crates/front/sip/src/agent/caller_streams.rs
@@ -6,7 +6,7 @@
 
 use super::{AGENT_ID_BIT, Agent};
 use crate::caller;
-use crate::message::{Message, Method};
+use crate::message::Message;
 use crate::transaction::Transport;
 use crate::transaction::layer::Peer;
 
@@ -58,10 +58,7 @@
     /// Returns whether a message would start a call of a caller whose stream is closed, so that it could get no answer.
     pub(super) fn is_of_lost_caller(&self, peer: Peer, message: &Message) -> bool {
         let Message::Request(request) = message else { return false };
-        request.method() == Method::Invite
-            && request.ids.to_tag.is_none()
-            && is_caller_stream(peer)
-            && self.caller_streams.lost.contains(&peer.conn)
+        request.starts_call() && is_caller_stream(peer) && self.caller_streams.lost.contains(&peer.conn)
     }
 
     /// Cancels the calls of a caller whose stream is closed, unless they are established.
--- a/crates/front/sip/src/agent/overload.rs
+++ b/crates/front/sip/src/agent/overload.rs
@@ -15,8 +15,7 @@
     /// Returns whether a message that arrived at a time is to be processed. A rejected call has already been answered.
     pub(super) fn admits(&mut self, peer: Peer, message: &Message, at: Micros) -> bool {
         let Message::Request(invite) = message else { return true };
-        let new = invite.method() == Method::Invite && invite.ids.to_tag.is_none();
-        if !new || self.layer.is_retransmission(invite) {
+        if !invite.starts_call() || self.layer.is_retransmission(invite) {
             return true;
         }
         self.arrived = at;
--- a/crates/front/sip/src/message.rs
+++ b/crates/front/sip/src/message.rs
@@ -268,6 +268,11 @@
         self.raw.method
     }
 
+    /// Returns whether the request is for a new call: an INVITE outside of any dialog.
+    pub fn starts_call(&self) -> bool {
+        self.method() == Method::Invite && self.ids.to_tag.is_none()
+    }
+
     /// Encodes the message as sent on the wire.
     pub fn encode(&self) -> Vec<u8> {
         self.raw.clone().into()
--- a/crates/front/sip/src/transaction/layer.rs
+++ b/crates/front/sip/src/transaction/layer.rs
@@ -334,9 +334,7 @@
     }
 
     fn remove_server(&mut self, key: &Key, peer: Peer) {
-        if self.servers.remove(key).is_none() {
-            return;
-        }
+        self.servers.remove(key);
         if let Some(count) = self.servers_by_peer.get_mut(&peer) {
             *count -= 1;
             if *count == 0 {
--- a/crates/platform/event-loop/src/limits.rs
+++ b/crates/platform/event-loop/src/limits.rs
@@ -130,14 +130,15 @@
         let connections = inputs.descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(MIN_CONNECTIONS);
         let max_server_connections = connections * 2 / 5;
         let max_viewer_connections = connections - max_server_connections;
+        let viewer_buffer_bytes = viewer_buffer_bytes(inputs.memory_mb, max_viewer_connections);
         let killed_after = inputs.max_class_deadline.min(MAX_COUNTED_DEADLINE) + KILL_GRACE;
         let answer_deadline = killed_after - ANSWERS_BEFORE_KILL;
         SocketLimits {
             max_viewer_connections,
             max_server_connections,
             max_connections_per_server: 8,
-            viewer_read_ahead_bytes: viewer_buffer_bytes(inputs.memory_mb, max_viewer_connections),
-            viewer_write_buffer_bytes: viewer_buffer_bytes(inputs.memory_mb, max_viewer_connections),
+            viewer_read_ahead_bytes: viewer_buffer_bytes,
+            viewer_write_buffer_bytes: viewer_buffer_bytes,
             server_write_buffer_bytes: 64 * 1024,
             viewer_messages_per_iteration: 8,
             upstream_bytes_per_iteration: 16 * 1024,
--- a/crates/platform/event-loop/src/viewers/socket.rs
+++ b/crates/platform/event-loop/src/viewers/socket.rs
@@ -9,6 +9,9 @@
 
 use crate::buffered_stream::{BufferedStream, ConnectionBroken, ReadOutcome};
 
+/// Maximum number of releases and hand-overs that one call of [`ViewerSocket::read_ahead`] returns.
+const MAX_IMMEDIATE_MESSAGES: usize = 32;
+
 /// Reason for which reading ahead has stopped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ReadAhead {
@@ -20,9 +23,6 @@
     Closed,
 }
 
-/// Maximum number of releases and hand-overs that one call of [`ViewerSocket::read_ahead`] returns.
-const MAX_IMMEDIATE_MESSAGES: usize = 32;
-
 /// Message that is received and not handled yet.
 struct QueuedMessage {
     message: FromViewer,
--- a/crates/platform/event-loop/tests/support/messages.rs
+++ b/crates/platform/event-loop/tests/support/messages.rs
@@ -4,6 +4,9 @@
 use beechloft_protocol::binary::Frame;
 use serde_json::{Value, json};
 
+/// Time that a hand-over says that its viewer waits, though it waits for no answer.
+const HAND_OVER_TIME_LEFT_MS: u64 = 4_294_967;
+
 /// Returns a set-up of a title with one copy.
 pub fn set_up(id: u64, time_left_ms: u64) -> Frame {
     set_up_with_copies(id, time_left_ms, 1)
@@ -11,21 +14,20 @@
 
 /// Returns the hand-over of a session that plays at a media server.
 pub fn hand_over(id: u64, server: &str) -> Frame {
-    Frame::new(1, CallId(id))
-        .with(1, "stall-video")
-        .with(3, "4294967")
-        .with(9, "00000000000000aa")
-        .with(11, format!("home:0;copies:1;top:1;viewer:{id:016x};at:{server}"))
-        .with(31, format!("offer-{id:016x}\r\nc=IN IP4 10.9.9.9\r\n"))
+    set_up_with_attributes(id, HAND_OVER_TIME_LEFT_MS, 1, &format!(";at:{server}"))
 }
 
 /// Returns a set-up of a title that `copies` media servers store.
 pub fn set_up_with_copies(id: u64, time_left_ms: u64, copies: usize) -> Frame {
+    set_up_with_attributes(id, time_left_ms, copies, "")
+}
+
+fn set_up_with_attributes(id: u64, time_left_ms: u64, copies: usize, more: &str) -> Frame {
     Frame::new(1, CallId(id))
         .with(1, "stall-video")
         .with(3, time_left_ms.to_string())
         .with(9, "00000000000000aa")
-        .with(11, format!("home:0;copies:{copies};top:1;viewer:{id:016x}"))
+        .with(11, format!("home:0;copies:{copies};top:1;viewer:{id:016x}{more}"))
         .with(31, format!("offer-{id:016x}\r\nc=IN IP4 10.9.9.9\r\n"))
 }
 
--- a/crates/platform/front-node/src/node/established.rs
+++ b/crates/platform/front-node/src/node/established.rs
@@ -46,11 +46,12 @@
         id: CallId,
         outcome: Outcome,
         report: LoadReport,
+        end: SessionEnd,
     ) -> Option<EndedSession> {
         let session = self.sessions.remove(&id)?;
         let attempt = session.attempt()?;
         self.records.ended_attempts.insert(self.now, (attempt.incarnation, id), ());
-        self.records.session_ends.insert(self.now, (attempt.server, id), SessionEnd::ByFrontNode);
+        self.records.session_ends.insert(self.now, (attempt.server, id), end);
         self.connections.session_ended(session.connection);
         if let Some(state) = self.directory.incarnations.get_mut(&attempt.incarnation) {
             state.established.remove(&id);
@@ -63,6 +64,11 @@
         Some(EndedSession { session, attempt })
     }
 
+    /// Removes an established session that its media server has not ended, as [`Self::end_established`] does.
+    pub(super) fn end_by_front_node(&mut self, id: CallId, outcome: Outcome) -> Option<EndedSession> {
+        self.end_established(id, outcome, LoadReport::default(), SessionEnd::ByFrontNode)
+    }
+
     /// Sends the release of an ended session to its viewer.
     pub(super) fn release_to_viewer(&mut self, ended: &EndedSession, message: ToViewer) {
         self.connections.release(self.now, ended.session.connection, message, &mut self.outputs);
@@ -80,7 +86,7 @@
         if !self.sessions.get(&id).is_some_and(Session::is_established) {
             return;
         }
-        let Some(ended) = self.end_established(id, Outcome::Cancelled, LoadReport::default()) else { return };
+        let Some(ended) = self.end_by_front_node(id, Outcome::Cancelled) else { return };
         self.records.migrated_viewers.insert(self.now, ended.session.viewer, ());
         self.release_to_viewer(&ended, ToViewer::Move(id));
         self.release_at_server(ended.attempt.incarnation, id, Cause::Cancelled);
@@ -94,7 +100,7 @@
         if !self.sessions.get(&id).is_some_and(Session::is_established) {
             return;
         }
-        let Some(ended) = self.end_established(id, Outcome::Cancelled, LoadReport::default()) else { return };
+        let Some(ended) = self.end_by_front_node(id, Outcome::Cancelled) else { return };
         self.release_at_server(ended.attempt.incarnation, id, Cause::Normal);
         // The session was established, so its release may be sent on any open connection.
         self.release_to_viewer(&ended, ToViewer::Release(id, Cause::TemporaryFailure));
--- a/crates/platform/front-node/src/node/records.rs
+++ b/crates/platform/front-node/src/node/records.rs
@@ -6,8 +6,10 @@
 use crate::io::{ServerIncarnation, ViewerConnection};
 use crate::recent::RecentRecord;
 
-/// Maximum number of sessions or viewers in each record.
+/// Maximum number of sessions or connections in each record.
 const MAX_ENTRIES: usize = 8192;
+/// Maximum number of migrated viewers in the record.
+const MAX_MIGRATED_VIEWERS: usize = 4096;
 /// Minimum time for which the end of an attempt stays recorded, because an answer may be delayed in the network.
 const MIN_ENDED_ATTEMPT_RETENTION: Micros = Micros(15_000_000);
 /// Time for which the end of a session stays recorded. A failed front node is noticed only after some seconds, and may
@@ -51,7 +53,7 @@
             ended_attempts: RecentRecord::new(MAX_ENTRIES, ended_attempt_retention),
             session_ends: RecentRecord::new(MAX_ENTRIES, SESSION_END_RETENTION),
             viewer_releases: RecentRecord::new(MAX_ENTRIES, SESSION_END_RETENTION),
-            migrated_viewers: RecentRecord::new(MAX_ENTRIES, MIGRATED_VIEWER_RETENTION),
+            migrated_viewers: RecentRecord::new(MAX_MIGRATED_VIEWERS, MIGRATED_VIEWER_RETENTION),
             closed_connections: RecentRecord::new(MAX_ENTRIES, CLOSED_CONNECTION_RETENTION),
         }
     }
--- a/crates/platform/front-node/src/node/server_messages.rs
+++ b/crates/platform/front-node/src/node/server_messages.rs
@@ -7,6 +7,7 @@
 use beechloft_protocol::{CallId, Cause, load};
 
 use super::Node;
+use super::records::SessionEnd;
 use crate::io::{AttemptFailure, Output, ServerIncarnation};
 use crate::session::{Attempt, Phase};
 
@@ -123,10 +124,7 @@
         let attempt = session.and_then(|session| session.attempt());
         let is_established = session.is_some_and(|session| session.is_established());
         match attempt.filter(|attempt| attempt.incarnation == incarnation) {
-            Some(_) if is_established => {
-                self.established_session_ended(id, cause, report);
-                self.record_end_by_server(incarnation, id, cause);
-            }
+            Some(_) if is_established => self.established_session_ended(id, cause, report),
             Some(attempt) => {
                 self.close_attempt(id, &attempt);
                 self.attempt_ended(id, &attempt, refusal_outcome(cause), report);
@@ -148,7 +146,7 @@
             Cause::Cancelled => (Outcome::Cancelled, None),
             _ => (Outcome::Reset, Some(Cause::TemporaryFailure)),
         };
-        if let Some(ended) = self.end_established(id, outcome, report)
+        if let Some(ended) = self.end_established(id, outcome, report, SessionEnd::ByServer(cause))
             && let Some(release_cause) = release
         {
             self.release_to_viewer(&ended, ToViewer::Release(id, release_cause));
--- a/crates/platform/front-node/src/node/topology.rs
+++ b/crates/platform/front-node/src/node/topology.rs
@@ -1,6 +1,6 @@
 //! Updates of the endpoint list, and the end of incarnations.
 
-use beechloft::api::{self, Event, LoadReport, Outcome, ServerId, UpdateKind};
+use beechloft::api::{self, Event, Outcome, ServerId, UpdateKind};
 use beechloft_protocol::Cause;
 use beechloft_protocol::bus::Topology;
 use beechloft_protocol::viewer::ToViewer;
@@ -105,7 +105,7 @@
     pub(super) fn incarnation_down(&mut self, incarnation: ServerIncarnation) {
         let state = self.directory.incarnations.get(&incarnation);
         for id in state.map(|state| state.established.clone()).unwrap_or_default() {
-            if let Some(ended) = self.end_established(id, Outcome::Reset, LoadReport::default()) {
+            if let Some(ended) = self.end_by_front_node(id, Outcome::Reset) {
                 self.release_to_viewer(&ended, ToViewer::Release(id, Cause::TemporaryFailure));
             }
         }
--- a/crates/platform/front-node/src/node/viewer_messages.rs
+++ b/crates/platform/front-node/src/node/viewer_messages.rs
@@ -1,7 +1,7 @@
 //! Handling of messages from viewers, of closed viewer connections and of answer deadlines.
 
 use beechloft::api::{
-    ClassId, Event, LoadReport, Micros, Outcome, Request, Rung, SessionId, TenantId, TitleId, ViewerId,
+    ClassId, Event, Micros, Outcome, Request, Rung, SessionId, TenantId, TitleId, ViewerId,
 };
 use beechloft_protocol::server::ToServer;
 use beechloft_protocol::viewer::{FromViewer, SetUp, SetUpError, ToViewer};
@@ -124,7 +124,7 @@
         match self.sessions.get(&id).map(|session| &session.phase) {
             Some(Phase::Pending { .. }) => self.withdraw(id),
             Some(Phase::Established(_)) => {
-                if let Some(ended) = self.end_established(id, Outcome::Cancelled, LoadReport::default()) {
+                if let Some(ended) = self.end_by_front_node(id, Outcome::Cancelled) {
                     self.release_at_server(ended.attempt.incarnation, id, Cause::Normal);
                 }
             }
--- a/crates/platform/front-node/tests/cases.rs
+++ b/crates/platform/front-node/tests/cases.rs
@@ -269,14 +269,9 @@
 #[test]
 fn adopted_session_keeps_connection_and_accepts_repetition() {
     let mut harness = Harness::new(3, 2);
-    let adoption = |server: &str| {
-        let mut setup = set_up(7, 4_294_967);
-        setup.attributes.playing_at = Some(server.into());
-        Input::ViewerMessage(ViewerConnection(1), FromViewer::SetUp(CallId(7), Ok(setup)))
-    };
-    let adopted = harness.handle(adoption("s-00000001"));
+    let adopted = harness.hand_over(1, 7, 1);
     let [Output::KeepConnected(incarnation, true)] = adopted[..] else { panic!("{adopted:?}") };
-    assert_eq!(harness.handle(adoption("s-00000001")), []);
+    assert_eq!(harness.hand_over(1, 7, 1), []);
     assert_eq!(harness.node.counts().established, 1);
     let ended = harness.end(incarnation, 7, Cause::Normal);
     assert_eq!(messages_to_viewers(&ended), [(1, ToViewer::Release(CallId(7), Cause::Normal))]);
--- a/crates/platform/front-node/tests/orders.rs
+++ b/crates/platform/front-node/tests/orders.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use beechloft::api::Micros;
 use beechloft_front_node::{AttemptFailure, Input, Output, ServerIncarnation, ViewerConnection};
@@ -105,17 +105,11 @@
     sessions: u64,
     /// Number of connections that were closed in each slot.
     generations: BTreeMap<u64, u64>,
-    closed_connections: BTreeSet<u64>,
 }
 
 impl Run {
     fn new(seed: u64) -> Run {
-        Run {
-            harness: Harness::new(seed, 4),
-            sessions: 0,
-            generations: BTreeMap::new(),
-            closed_connections: BTreeSet::new(),
-        }
+        Run { harness: Harness::new(seed, 4), sessions: 0, generations: BTreeMap::new() }
     }
 
     fn apply(&mut self, step: Step) {
@@ -262,8 +256,8 @@
             Output::SendToServer(_, ended, _) => *ended == id,
             _ => false,
         };
-        let is_queued =
-            self.closed_connections.contains(&connection) && self.harness.node.counts().queued_releases > 0;
+        let is_closed = connection != self.connection(connection % CONNECTION_SLOTS);
+        let is_queued = is_closed && self.harness.node.counts().queued_releases > 0;
         assert!(is_queued || outputs.iter().any(concerns_session), "nobody learns that {id} is over");
     }
 
@@ -276,7 +270,6 @@
     fn close_connection(&mut self, slot: u64) {
         let connection = self.connection(slot);
         self.harness.handle(Input::ViewerConnectionClosed(ViewerConnection(connection)));
-        self.closed_connections.insert(connection);
         *self.generations.entry(slot).or_default() += 1;
     }
 
