Front node tests: a session under an id that ended before is set up and released

The record of ends and releases is asked at a hand-over alone. The test shows the other order: after a release by the viewer and an end by the media server, a set-up under the same id is established, its repeated hand-over changes nothing, and its own end is released once.

--- a/crates/platform/front-node/tests/hand_over.rs
+++ b/crates/platform/front-node/tests/hand_over.rs
@@ -127,6 +127,26 @@
     assert_eq!(answer, [release_to_viewer(OTHER_CONNECTION, Cause::Normal)]);
 }
 
+/// A session under an id that ended before is new: neither its set-up nor its later end is taken for the earlier one.
+#[test]
+fn session_under_id_that_ended_before_is_set_up_and_released() {
+    let mut harness = Harness::new(1, 1);
+    harness.handle(viewer_release(CONNECTION));
+    let incarnation = harness.latest_incarnation(0);
+    harness.end(incarnation, SESSION, Cause::Normal);
+    harness.set_up(OTHER_CONNECTION, SESSION, 2_000);
+    let answer = harness.accept(SESSION);
+    assert_eq!(harness.node.counts().established, 1, "{answer:?}");
+    // A hand-over of the session is a repetition while it is established.
+    assert_eq!(harness.hand_over(OTHER_CONNECTION, SESSION, 0), []);
+    let ended = harness.end(incarnation, SESSION, Cause::Normal);
+    assert_eq!(
+        ended,
+        [Output::KeepConnected(incarnation, false), release_to_viewer(OTHER_CONNECTION, Cause::Normal)]
+    );
+    assert_eq!(harness.node.counts().established, 0);
+}
+
 /// Guards against a connection whose hand-overs use up the capacity of the front node, so that set-ups are refused.
 #[test]
 fn hand_overs_on_one_connection_leave_capacity_for_set_ups() {
