Event loop: queued hand-overs outlive a connection that this side closes

What callers would see: sessions that are never released, if a message to their client can't be written while their hand-overs are queued behind others. Cause: only a close by the client passed hand-overs on; any other close dropped the queue. Change: every way that a connection goes reports it in one place, which passes them on.

--- a/crates/platform/event-loop/src/event_loop/iteration.rs
+++ b/crates/platform/event-loop/src/event_loop/iteration.rs
@@ -139,7 +139,7 @@
     fn handle_viewer_disconnects(&mut self, ready: Vec<ReadyViewer>, now: Micros) {
         for viewer in ready.iter().filter(|viewer| viewer.read_closed) {
             let (viewers, mut context) = self.viewers_with_context(now);
-            viewers.mark_client_closed(viewer.token, &mut context);
+            viewers.mark_closed(viewer.token, &mut context);
         }
         for ReadyViewer { token, .. } in ready {
             // Hundreds of viewers may be ready, each with many messages.
--- a/crates/platform/event-loop/src/viewers/messages.rs
+++ b/crates/platform/event-loop/src/viewers/messages.rs
@@ -10,7 +10,7 @@
 use crate::tokens::{viewer_connection, viewer_token};
 
 impl ViewerConnections {
-    /// Handles a ready connection, whose close by its client was handled by [`Self::mark_client_closed`].
+    /// Handles a ready connection, whose close by its client was handled by [`Self::mark_closed`].
     pub fn handle_ready(&mut self, token: Token, context: &mut ViewerContext<'_>) {
         if self.draining.has(token) {
             return self.advance_draining(token, context.registry);
@@ -22,14 +22,14 @@
         self.read_ahead(token, context);
     }
 
-    /// Marks a connection as closed by its client and reports this to the state machine, which then starts no further
-    /// attempts for it.
+    /// Marks a connection as closed and reports this to the state machine, which then starts no further attempts for it.
+    /// Queued hand-overs are passed on, as their sessions belong to no connection.
     ///
-    /// The poll reports the close before all data that the client has sent is read.
-    pub fn mark_client_closed(&mut self, token: Token, context: &mut ViewerContext<'_>) {
+    /// The poll reports a close by the client before all data that the client has sent is read.
+    pub fn mark_closed(&mut self, token: Token, context: &mut ViewerContext<'_>) {
         if let Some(connection) = self.connections.get_mut(&token).filter(|c| !c.client_closed) {
             let conn = viewer_connection(token);
-            let hand_overs = connection.mark_client_closed();
+            let hand_overs = connection.mark_closed();
             context.inputs.push_back(Input::ViewerConnectionClosed(conn));
             context.inputs.extend(hand_overs.into_iter().map(|message| Input::ViewerMessage(conn, message)));
         }
@@ -44,7 +44,7 @@
         let conn = viewer_connection(token);
         context.inputs.extend(immediate.into_iter().map(|message| Input::ViewerMessage(conn, message)));
         if outcome == ReadAhead::Closed {
-            self.mark_client_closed(token, context);
+            self.mark_closed(token, context);
             self.close_at_once(token, context);
         } else if connection.has_pending_work() {
             self.pending.insert(token);
--- a/crates/platform/event-loop/src/viewers/mod.rs
+++ b/crates/platform/event-loop/src/viewers/mod.rs
@@ -16,7 +16,6 @@
 use mio::{Registry, Token};
 
 use crate::limits::SocketLimits;
-use crate::tokens::viewer_connection;
 use draining::DrainingConnections;
 use socket::ViewerSocket;
 
@@ -94,11 +93,9 @@
     }
 
     fn remove(&mut self, token: Token, context: &mut ViewerContext<'_>) -> Option<ViewerSocket> {
+        self.mark_closed(token, context);
         let connection = self.connections.remove(&token)?;
         self.pending.remove(&token);
-        if !connection.client_closed {
-            context.inputs.push_back(Input::ViewerConnectionClosed(viewer_connection(token)));
-        }
         context.inputs.extend(connection.unsent_answers().map(Input::AnswerUndelivered));
         Some(connection)
     }
--- a/crates/platform/event-loop/src/viewers/socket.rs
+++ b/crates/platform/event-loop/src/viewers/socket.rs
@@ -69,7 +69,7 @@
     pub has_valid_request: bool,
     /// Whether malformed data has arrived. The connection is closed once all messages before it are handled.
     pub malformed: bool,
-    /// Whether the client has disconnected. No answers are sent on the connection any more, and of the unread messages
+    /// Whether the connection is closed, mostly by its client. No answers are sent on the connection any more, and of the unread messages
     /// only releases and hand-overs are handled.
     pub client_closed: bool,
     /// Time at which the last complete message arrived, or at which the connection was accepted.
@@ -210,9 +210,9 @@
         self.partial.is_some_and(|partial| now - partial.last_read_at <= stall_timeout)
     }
 
-    /// Marks the client as disconnected, and drops the queued messages. Returns the hand-overs among them, which belong to
-    /// no connection.
-    pub fn mark_client_closed(&mut self) -> Vec<FromViewer> {
+    /// Marks the connection as closed, and drops the queued messages. Returns the hand-overs among them, which belong to no
+    /// connection.
+    pub fn mark_closed(&mut self) -> Vec<FromViewer> {
         self.client_closed = true;
         self.queued_bytes = 0;
         let queued = std::mem::take(&mut self.queue);
